--- /dev/null
+++ b/packages/sibling/src/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * Links between daemons: typed messages over ws with msgpackr.
+ *
+ * @module
+ */
+export type * from "./caller_request.ts";
+export type * from "./messages.ts";
+export type { PeerHandlers, RpcHandlers } from "./peer_handlers.ts";
+export type { HostStatus, ProgramSummary, UpstreamStatus } from "./status.ts";
+export type { OutgoingSession } from "./outgoing.ts";
+export {
+  hashKey,
+  SiblingNet,
+  type SiblingNetOptions,
+  type SiblingTls,
+} from "./sibling_net.ts";
--- /dev/null
+++ b/packages/table/src/mod.ts
@@ -0,0 +1,43 @@
+/**
+ * The operators' table: rows, cells, edits, revisions, declarations. No I/O.
+ *
+ * @module
+ */
+export {
+  type CellDef,
+  type CellType,
+  type CellValue,
+  checkCell,
+  formatCell,
+  parseCell,
+  sameCell,
+} from "./cell.ts";
+export {
+  COLUMNS,
+  findColumn,
+  ROW_KINDS,
+  type RowKind,
+  SYSTEM_ROW,
+} from "./columns.ts";
+export {
+  cellOf,
+  type Cells,
+  EMPTY_TABLE,
+  findRow,
+  parseRowId,
+  type RecentWrite,
+  type Row,
+  type Table,
+} from "./table.ts";
+export {
+  applyEdit,
+  type CellChange,
+  type Edit,
+  type EditRecord,
+  findWrite,
+} from "./edit.ts";
+export type * from "./views.ts";
+export { viewTable } from "./views.ts";
+export { formatDeclaration, parseDeclaration } from "./declaration.ts";
+export { type Difference, diffTable, formatDifference } from "./diff.ts";
+export { tableWarnings } from "./warnings.ts";
--- /dev/null
+++ b/packages/timeline/src/mod.ts
@@ -0,0 +1,18 @@
+/**
+ * Event time line over all processes.
+ *
+ * @module
+ */
+export { type Clock, compareStamps, createClock, type Stamp } from "./clock.ts";
+export {
+  matchesFilter,
+  type TimelineEvent,
+  type TimelineFilter,
+} from "./event.ts";
+export {
+  createTimeline,
+  type EventInput,
+  formatEvent,
+  mergeTimelines,
+  type Timeline,
+} from "./timeline.ts";
--- /dev/null
+++ b/packages/timer/src/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Timer service: one clock that parts subscribe to.
+ *
+ * @module
+ */
+export { sleep, type Subscription, type Timer } from "./timer.ts";
+export { createSystemTimer } from "./system_timer.ts";
+export { createManualTimer, type ManualTimer } from "./manual_timer.ts";
--- /dev/null
+++ b/packages/timer/src/system_timer.ts
@@ -0,0 +1,16 @@
+import type { Subscription, Timer } from "./timer.ts";
+
+/** Creates a timer on the clock of the operating system. */
+export function createSystemTimer(): Timer {
+  return { now: () => Date.now(), after, every };
+}
+
+function after(delayMs: number, fn: () => void): Subscription {
+  const handle = setTimeout(fn, delayMs);
+  return { cancel: () => clearTimeout(handle) };
+}
+
+function every(intervalMs: number, fn: () => void): Subscription {
+  const handle = setInterval(fn, intervalMs);
+  return { cancel: () => clearInterval(handle) };
+}
--- /dev/null
+++ b/packages/verdict/src/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Verdicts on requests, the errors that carry them, and problem answers.
+ *
+ * @module
+ */
+export type { Verdict } from "./verdict.ts";
+export * from "./errors.ts";
+export {
+  errorOfProblem,
+  type Problem,
+  PROBLEM_CONTENT_TYPE,
+  problemOf,
+} from "./problem.ts";
+export { declaredVerdict, upstreamError } from "./upstream_error.ts";
--- /dev/null
+++ b/packages/verdict/src/problem.ts
@@ -0,0 +1,52 @@
+import { RequestError } from "./errors.ts";
+import type { Verdict } from "./verdict.ts";
+
+/** Media type of a problem answer, after RFC 9457. */
+export const PROBLEM_CONTENT_TYPE = "application/problem+json";
+
+/** Body of a problem answer. Times are in milliseconds. */
+export interface Problem {
+  type: string;
+  title: string;
+  status: number;
+  detail: string;
+  verdict: Verdict;
+  retry_after_ms?: number;
+}
+
+/** Turns any thrown value into a problem answer. */
+export function problemOf(err: unknown): Problem {
+  if (err instanceof RequestError) return problemOfRequestError(err);
+  return {
+    type: "about:blank",
+    title: "InternalError",
+    status: 500,
+    detail: "the daemon failed to handle the request",
+    verdict: "may_have_run",
+  };
+}
+
+/** Turns a problem answer back into an error that carries its verdict. */
+export function errorOfProblem(problem: Problem): RequestError {
+  return new RequestError(problem.detail, {
+    props: {
+      verdict: problem.verdict,
+      status: problem.status,
+      retryAfterMs: problem.retry_after_ms,
+    },
+  });
+}
+
+function problemOfRequestError(err: RequestError): Problem {
+  const problem: Problem = {
+    type: "about:blank",
+    title: err.name,
+    status: err.status,
+    detail: err.message,
+    verdict: err.verdict,
+  };
+  if (err.retryAfterMs !== undefined) {
+    problem.retry_after_ms = Math.round(err.retryAfterMs);
+  }
+  return problem;
+}
