--- /dev/null
+++ b/stand_ins/src/engine/control_server.ts
@@ -0,0 +1,168 @@
+import { z } from "zod";
+import { type AppRequest, type AppRoutes, sendJson } from "../http/app.ts";
+import type { EngineLoad, EngineModel } from "./engine_model.ts";
+import type { CacheChange } from "./prefix_cache.ts";
+import type { EngineSettings } from "./settings.ts";
+
+interface TimedLoad {
+  at: number;
+  load: EngineLoad;
+}
+
+interface TimedChange {
+  at: number;
+  change: CacheChange;
+}
+
+/** An order as it arrived, for the history checker. */
+interface OrderRecord {
+  fence: number;
+  action: string;
+  model: string;
+  accepted: boolean;
+  at: number;
+}
+
+const orderSchema = z.object({
+  fence: z.number().int(),
+  action: z.enum(["load", "unload"]),
+  model: z.string(),
+  weights_mb: z.number().default(0),
+});
+
+const programSchema = z.object({ program: z.string() });
+const LOADS_KEPT = 200;
+const CHANGES_KEPT = 10_000;
+const MB_PER_PART = 100;
+const PART_RETRY_MS = 50;
+
+/** Control paths of an engine: load, cache events, pins, orders. */
+export class ControlServer {
+  readonly #model: EngineModel;
+  readonly #settings: EngineSettings;
+  readonly #models: Set<string>;
+  readonly #loads: TimedLoad[] = [];
+  readonly #orders: OrderRecord[] = [];
+  #changes: TimedChange[] = [];
+  #highestFence = 0;
+
+  constructor(
+    opts: {
+      model: EngineModel;
+      settings: EngineSettings;
+      models: Set<string>;
+    },
+  ) {
+    this.#model = opts.model;
+    this.#settings = opts.settings;
+    this.#models = opts.models;
+    this.#model.cache.onChange((change) => this.#noteChange(change));
+  }
+
+  /** Takes a sample for the lagging load report. */
+  sample(now: number): void {
+    this.#loads.push({ at: now, load: this.#model.load() });
+    if (this.#loads.length > LOADS_KEPT) this.#loads.shift();
+  }
+
+  routes(): AppRoutes {
+    return {
+      "GET /control/load": () => this.#load(),
+      "GET /control/cache_events": (input) => this.#events(input),
+      "GET /control/pins": () => ({ programs: this.#model.cache.keys() }),
+      "POST /control/release": ({ body }) => this.#release(body),
+      "POST /control/export": ({ body }) => this.#export(body),
+      "POST /control/import": ({ body }) => this.#import(body),
+      "POST /control/orders": (input) => this.#order(input),
+      "GET /orders": () => ({ orders: this.#orders }),
+    };
+  }
+
+  #noteChange(change: CacheChange): void {
+    const { eventGapEvery } = this.#settings;
+    if (eventGapEvery > 0 && change.seq % eventGapEvery === 0) return;
+    this.#changes.push({ at: Date.now(), change });
+    if (this.#changes.length > 2 * CHANGES_KEPT) {
+      this.#changes = this.#changes.slice(-CHANGES_KEPT);
+    }
+  }
+
+  #load() {
+    const visibleAt = Date.now() - this.#settings.loadLagMs;
+    const sample = this.#loads.findLast((it) => it.at <= visibleAt) ??
+      this.#loads[0];
+    const load = sample?.load ?? this.#model.load();
+    return {
+      at: sample?.at ?? Date.now(),
+      running: load.running,
+      waiting: load.waiting,
+      prefill_tokens: load.prefillTokens,
+      cache_used_tokens: load.cacheUsedTokens,
+      cache_limit_tokens: this.#model.cache.limitTokens,
+      models: [...this.#models],
+      can_resume: this.#settings.canResume,
+      highest_fence: this.#highestFence,
+    };
+  }
+
+  #events({ query }: AppRequest) {
+    const after = Number(query.get("after") ?? 0);
+    const visibleAt = Date.now() - this.#settings.eventLagMs;
+    const events = this.#changes
+      .filter((it) => it.change.seq > after && it.at <= visibleAt)
+      .map((it) => it.change);
+    return { events };
+  }
+
+  #release(body: unknown) {
+    const { program } = programSchema.parse(body);
+    this.#model.cache.release(program);
+    return { released: this.#model.cache.tokensOf(program) === 0 };
+  }
+
+  #export(body: unknown) {
+    const { program } = programSchema.parse(body);
+    return { program, tokens: this.#model.cache.tokensOf(program) };
+  }
+
+  #import(body: unknown) {
+    const schema = programSchema.extend({ tokens: z.number().int() });
+    const { program, tokens } = schema.parse(body);
+    this.#model.cache.store(program, tokens, Date.now());
+    return { ok: true };
+  }
+
+  async #order({ res, body }: AppRequest): Promise<unknown> {
+    const order = orderSchema.parse(body);
+    const isOld = order.fence < this.#highestFence;
+    const accepted = !isOld || !this.#settings.checksOrders;
+    this.#orders.push({
+      fence: order.fence,
+      action: order.action,
+      model: order.model,
+      accepted,
+      at: Date.now(),
+    });
+    if (!accepted) {
+      return sendJson(res, 409, { highest_fence: this.#highestFence });
+    }
+    this.#highestFence = Math.max(this.#highestFence, order.fence);
+    if (order.action === "unload") this.#models.delete(order.model);
+    else {
+      await this.#fetchWeights(order.model, order.weights_mb);
+      this.#models.add(order.model);
+    }
+    return { models: [...this.#models] };
+  }
+
+  async #fetchWeights(model: string, mb: number): Promise<void> {
+    const { weightStoreUrl } = this.#settings;
+    if (weightStoreUrl === "") return;
+    for (let part = 0; part * MB_PER_PART < mb; part++) {
+      const url = `${weightStoreUrl}/v1/weights/${model}/parts/${part}`;
+      while ((await fetch(url)).status === 429) {
+        await new Promise((resolve) => setTimeout(resolve, PART_RETRY_MS));
+      }
+    }
+  }
+}
