Daemon: the whole path, thin, as separate processes

Cause: a program has to run from a caller through a daemon to engines and services and back before anything can be measured. Ruled out: a gateway that keeps no state (history and at-most-once need an owner); a store write for each call (the service takes several hundred a second).

--- /dev/null
+++ b/packages/caller/src/http_sink.ts
@@ -0,0 +1,22 @@
+import type { AnswerSink } from "@toucantrestle/sibling";
+import type { ServerResponse } from "node:http";
+
+/** Writes an answer to a caller's connection, which may have gone. */
+export function createHttpSink(res: ServerResponse): AnswerSink {
+  return {
+    get hasStarted() {
+      return res.headersSent;
+    },
+    head(status, contentType) {
+      if (!res.headersSent) {
+        res.writeHead(status, { "content-type": contentType });
+      }
+    },
+    data(text) {
+      if (!res.destroyed) res.write(text);
+    },
+    end() {
+      res.end();
+    },
+  };
+}
--- /dev/null
+++ b/packages/config_store/src/http_store.ts
@@ -0,0 +1,244 @@
+import type { Subscription } from "@toucantrestle/timer";
+import type { Verdict } from "@toucantrestle/verdict";
+import { Client, type Dispatcher, errors } from "undici";
+import { StoreError } from "./errors.ts";
+import type {
+  Compare,
+  ConfigStore,
+  KeyRange,
+  Listing,
+  Put,
+  Txn,
+  TxnResult,
+  Versioned,
+  WatchHandlers,
+} from "./store.ts";
+import {
+  encode,
+  eventsOf,
+  prefixEnd,
+  versionedOf,
+  type WireRange,
+  type WireTxn,
+  type WireWatch,
+} from "./wire.ts";
+
+/** Settings of the client. */
+export interface HttpStoreOptions {
+  /** Base URL, for instance `http://127.0.0.1:2379`. */
+  url: string;
+  /** Time after which a call counts as unanswered, in ms. */
+  timeoutMs: number;
+  /** True while calls must fail as if the network were cut. */
+  isCut?: () => boolean;
+}
+
+const CONNECTIONS = 4;
+const REQUESTS_PER_CONNECTION = 1;
+
+/** Client of the platform's key-value service over its HTTP/JSON protocol. */
+export class HttpStore implements ConfigStore {
+  readonly #opts: HttpStoreOptions;
+  readonly #clients: Client[];
+  #next = 0;
+
+  constructor(opts: HttpStoreOptions) {
+    this.#opts = opts;
+    this.#clients = Array.from(
+      { length: CONNECTIONS },
+      () => new Client(opts.url, { pipelining: REQUESTS_PER_CONNECTION }),
+    );
+  }
+
+  async get(key: string): Promise<Versioned | undefined> {
+    const range = await this.#call<WireRange>("/v3/kv/range", {
+      key: encode(key),
+    });
+    const kv = range.kvs?.[0];
+    return kv && versionedOf(kv);
+  }
+
+  async list(prefix: string, from?: string): Promise<Listing> {
+    const range = await this.#call<WireRange>("/v3/kv/range", {
+      key: encode(from ?? prefix),
+      range_end: encode(prefixEnd(prefix)),
+    });
+    return {
+      items: (range.kvs ?? []).map(versionedOf),
+      revision: Number(range.header?.revision ?? 0),
+    };
+  }
+
+  async txn(txn: Txn): Promise<TxnResult> {
+    const answer = await this.#call<WireTxn>("/v3/kv/txn", {
+      compare: txn.compares.map(wireCompare),
+      success: [...txn.deletes.map(wireDelete), ...txn.puts.map(wirePut)],
+      failure: txn.compares.map((it) => ({
+        request_range: { key: encode(it.key) },
+      })),
+    });
+    const succeeded = answer.succeeded === true;
+    const kvs = (answer.responses ?? [])
+      .flatMap((it) => it.response_range?.kvs ?? []);
+    return {
+      succeeded,
+      revision: Number(answer.header?.revision ?? 0),
+      current: succeeded ? [] : kvs.map(versionedOf),
+    };
+  }
+
+  async grantLease(ttlS: number): Promise<string> {
+    const answer = await this.#call<{ ID: string }>("/v3/lease/grant", {
+      TTL: String(ttlS),
+    });
+    return answer.ID;
+  }
+
+  async keepLease(lease: string): Promise<boolean> {
+    const answer = await this.#call<{ result?: { TTL?: string } }>(
+      "/v3/lease/keepalive",
+      { ID: lease },
+    );
+    return Number(answer.result?.TTL ?? 0) > 0;
+  }
+
+  async revokeLease(lease: string): Promise<void> {
+    await this.#call("/v3/lease/revoke", { ID: lease });
+  }
+
+  watch(
+    prefix: string,
+    opts: { fromRevision: number; handlers: WatchHandlers },
+  ): Subscription {
+    const abort = new AbortController();
+    this.#runWatch(prefix, opts, abort.signal)
+      .catch(() => {})
+      .finally(() => opts.handlers.onEnd());
+    return { cancel: () => abort.abort() };
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await Promise.all(this.#clients.map((client) => client.destroy()));
+  }
+
+  async #runWatch(
+    prefix: string,
+    opts: { fromRevision: number; handlers: WatchHandlers },
+    signal: AbortSignal,
+  ): Promise<void> {
+    const client = new Client(this.#opts.url, { bodyTimeout: 0 });
+    try {
+      const res = await client.request({
+        path: "/v3/watch",
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify({
+          create_request: {
+            key: encode(prefix),
+            range_end: encode(prefixEnd(prefix)),
+            start_revision: String(opts.fromRevision),
+          },
+        }),
+        signal,
+      });
+      await this.#readWatch(res, opts.handlers);
+    } finally {
+      await client.destroy();
+    }
+  }
+
+  async #readWatch(
+    res: Dispatcher.ResponseData,
+    handlers: WatchHandlers,
+  ): Promise<void> {
+    if (res.statusCode !== 200) return;
+    let rest = "";
+    for await (const chunk of res.body.setEncoding("utf8")) {
+      if (this.#opts.isCut?.()) return;
+      const lines = (rest + chunk).split("\n");
+      rest = lines.pop() ?? "";
+      for (const line of lines) handleWatchLine(line, handlers);
+    }
+  }
+
+  async #call<T>(path: string, body: unknown): Promise<T> {
+    if (this.#opts.isCut?.()) {
+      throw new StoreError("the key-value service is cut off", {
+        props: { verdict: "not_run" as Verdict },
+      });
+    }
+    const client = this.#clients[this.#next++ % CONNECTIONS] as Client;
+    try {
+      const res = await client.request({
+        path,
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(body),
+        signal: AbortSignal.timeout(this.#opts.timeoutMs),
+      });
+      const text = await res.body.text();
+      if (res.statusCode === 200) return JSON.parse(text) as T;
+      throw new StoreError(
+        `the key-value service answered ${res.statusCode}`,
+        { props: { verdict: verdictOfStatus(res.statusCode) } },
+      );
+    } catch (err) {
+      throw toStoreError(err);
+    }
+  }
+}
+
+function handleWatchLine(line: string, handlers: WatchHandlers): void {
+  if (line.trim() === "") return;
+  const parsed = JSON.parse(line) as WireWatch;
+  const events = eventsOf(parsed);
+  if (events.length === 0) return;
+  const revision = Number(parsed.result?.header?.revision ?? 0);
+  handlers.onEvents(events, revision);
+}
+
+/** A service that is over its rate or unavailable has not run the call. */
+function verdictOfStatus(status: number): Verdict {
+  return status === 429 || status === 503 ? "not_run" : "may_have_run";
+}
+
+function toStoreError(err: unknown): StoreError {
+  if (err instanceof StoreError) return err;
+  const refused = err instanceof Error &&
+    (err as NodeJS.ErrnoException).code === "ECONNREFUSED";
+  const isUnsent = refused || err instanceof errors.ConnectTimeoutError;
+  const verdict: Verdict = isUnsent ? "not_run" : "may_have_run";
+  return new StoreError("the key-value service did not answer", {
+    cause: err,
+    props: { verdict },
+  });
+}
+
+function wireCompare(compare: Compare) {
+  return {
+    key: encode(compare.key),
+    target: "MOD",
+    result: "EQUAL",
+    mod_revision: String(compare.modRevision),
+  };
+}
+
+function wirePut(put: Put) {
+  return {
+    request_put: {
+      key: encode(put.key),
+      value: encode(put.value),
+      ...(put.lease === undefined ? {} : { lease: put.lease }),
+    },
+  };
+}
+
+function wireDelete(range: KeyRange) {
+  return {
+    request_delete_range: {
+      key: encode(range.from),
+      range_end: encode(range.to),
+    },
+  };
+}
--- /dev/null
+++ b/packages/config_store/src/wire.ts
@@ -0,0 +1,76 @@
+/**
+ * Wire format of the etcd v3 HTTP/JSON gateway: keys and values are base64,
+ * 64-bit integers are decimal strings.
+ */
+import { Buffer } from "node:buffer";
+import type { StoreEvent, Versioned } from "./store.ts";
+
+/** A key and its value on the wire. */
+export interface WireKv {
+  key: string;
+  value?: string;
+  mod_revision?: string;
+}
+
+/** Header of each answer. */
+export interface WireHeader {
+  revision?: string;
+}
+
+/** Answer to a range read. */
+export interface WireRange {
+  header?: WireHeader;
+  kvs?: WireKv[];
+}
+
+/** Answer to a transaction. */
+export interface WireTxn {
+  header?: WireHeader;
+  succeeded?: boolean;
+  responses?: { response_range?: WireRange }[];
+}
+
+/** One line of a watch. */
+export interface WireWatch {
+  result?: {
+    header?: WireHeader;
+    created?: boolean;
+    canceled?: boolean;
+    events?: { type?: "PUT" | "DELETE"; kv: WireKv }[];
+  };
+}
+
+/** Encodes a key or value. */
+export function encode(text: string): string {
+  return Buffer.from(text).toString("base64");
+}
+
+/** Decodes a key or value. */
+export function decode(text: string | undefined): string {
+  return Buffer.from(text ?? "", "base64").toString();
+}
+
+/** End of the range of all keys below a prefix. */
+export function prefixEnd(prefix: string): string {
+  const last = prefix.charCodeAt(prefix.length - 1);
+  return prefix.slice(0, -1) + String.fromCharCode(last + 1);
+}
+
+/** Reads a key and value from the wire. */
+export function versionedOf(kv: WireKv): Versioned {
+  return {
+    key: decode(kv.key),
+    value: decode(kv.value),
+    modRevision: Number(kv.mod_revision ?? 0),
+  };
+}
+
+/** Reads the events of one line of a watch. */
+export function eventsOf(line: WireWatch): StoreEvent[] {
+  const events = line.result?.events ?? [];
+  return events.map((event) =>
+    event.type === "DELETE"
+      ? { kind: "delete", key: decode(event.kv.key) }
+      : { kind: "put", item: versionedOf(event.kv) }
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/answers.ts
@@ -0,0 +1,114 @@
+import type { AnsweredOutcome, Outcome } from "@toucantrestle/program";
+import type { AnswerSink } from "@toucantrestle/sibling";
+import { errorOfProblem, type Problem } from "@toucantrestle/verdict";
+
+/** What the answer to a model call needs besides the outcome. */
+export interface CompletionIds {
+  id: string;
+  model: string;
+}
+
+/**
+ * Writes a recorded outcome as a whole answer.
+ *
+ * @throws {RequestError} when the outcome is a failure
+ */
+export function writeOutcome(
+  outcome: Outcome,
+  ids: CompletionIds,
+  sink: AnswerSink,
+): void {
+  const answered = requireAnswer(outcome);
+  sink.head(answered.status, answered.contentType);
+  sink.data(
+    answered.message ? completionBody(answered, ids) : answered.body,
+  );
+  sink.end();
+}
+
+/**
+ * Writes a recorded outcome in streamed form: one piece with all the text.
+ *
+ * @throws {RequestError} when the outcome is a failure
+ */
+export function writeOutcomeAsStream(
+  outcome: Outcome,
+  ids: CompletionIds,
+  sink: AnswerSink,
+): void {
+  const { message } = requireAnswer(outcome);
+  sink.head(200, "text/event-stream");
+  const delta = {
+    role: "assistant",
+    content: message?.content ?? "",
+    ...(message?.tool_calls === undefined
+      ? {}
+      : { tool_calls: message.tool_calls }),
+  };
+  sink.data(streamEvent(ids, [{ index: 0, delta, finish_reason: null }]));
+  writeStreamEnd(outcome, ids, sink);
+}
+
+/** Writes the closing events of a stream. */
+export function writeStreamEnd(
+  outcome: Outcome,
+  ids: CompletionIds,
+  sink: AnswerSink,
+): void {
+  const answered = requireAnswer(outcome);
+  const finish_reason = answered.finishReason;
+  sink.data(streamEvent(ids, [{ index: 0, delta: {}, finish_reason }]));
+  sink.data(streamEvent(ids, [], usageBody(answered)));
+  sink.data("data: [DONE]\n\n");
+  sink.end();
+}
+
+/** Ends a stream that cannot be completed, with the problem as an event. */
+export function writeStreamProblem(problem: Problem, sink: AnswerSink): void {
+  sink.data(`event: error\ndata: ${JSON.stringify(problem)}\n\n`);
+  sink.end();
+}
+
+function requireAnswer(outcome: Outcome): AnsweredOutcome {
+  if (outcome.kind === "answered") return outcome;
+  throw errorOfProblem(outcome.problem);
+}
+
+function completionBody(outcome: AnsweredOutcome, ids: CompletionIds): string {
+  return JSON.stringify({
+    id: ids.id,
+    object: "chat.completion",
+    model: ids.model,
+    choices: [{
+      index: 0,
+      message: outcome.message,
+      finish_reason: outcome.finishReason,
+    }],
+    usage: usageBody(outcome),
+  });
+}
+
+function usageBody({ usage }: AnsweredOutcome) {
+  if (!usage) return undefined;
+  return {
+    prompt_tokens: usage.prompt_tokens,
+    completion_tokens: usage.completion_tokens,
+    total_tokens: usage.prompt_tokens + usage.completion_tokens,
+    prompt_tokens_details: { cached_tokens: usage.cached_tokens },
+  };
+}
+
+function streamEvent(
+  ids: CompletionIds,
+  choices: unknown[],
+  usage?: unknown,
+): string {
+  const event = {
+    id: ids.id,
+    object: "chat.completion.chunk",
+    model: ids.model,
+    choices,
+    ...(usage === undefined ? {} : { usage }),
+  };
+  return `data: ${JSON.stringify(event)}\n\n`;
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,495 @@
+import { callerRoutes } from "@toucantrestle/caller";
+import { HttpStore } from "@toucantrestle/config_store";
+import { createHostList } from "@toucantrestle/host_list";
+import {
+  createHttpServer,
+  type HttpRoute,
+  type HttpServer,
+} from "@toucantrestle/http";
+import { createLoggers, type LoggerFactory } from "@toucantrestle/log";
+import {
+  chooseHolders,
+  type HostRun,
+  linkTargets,
+  TailStore,
+} from "@toucantrestle/membership";
+import { createMetrics, type Metrics } from "@toucantrestle/metrics";
+import { type DaemonFaults, operatorRoutes } from "@toucantrestle/operator";
+import { RetryBudget } from "@toucantrestle/policy";
+import { type PeerHandlers, SiblingNet } from "@toucantrestle/sibling";
+import { createTimeline, type Timeline } from "@toucantrestle/timeline";
+import { createSystemTimer, sleep, type Timer } from "@toucantrestle/timer";
+import { randomUUID } from "node:crypto";
+import { Compactor } from "./compactor.ts";
+import { DispatchDesk } from "./dispatch_desk.ts";
+import { Entry } from "./entry.ts";
+import { Families } from "./families.ts";
+import { Flusher } from "./flusher.ts";
+import { Journal } from "./journal.ts";
+import { Keyring } from "./keyring.ts";
+import { LateOutcomes } from "./late_outcomes.ts";
+import { LeaseKeeper } from "./lease_keeper.ts";
+import { LoadReader } from "./load_reader.ts";
+import { createOperatorHandlers } from "./operator_handlers.ts";
+import type { OwnedShard } from "./owned_shard.ts";
+import { Ownership } from "./ownership.ts";
+import { createPeerHandlers, learnCluster } from "./peer_handlers.ts";
+import { ProgramCalls } from "./program_calls.ts";
+import { Reaper } from "./reaper.ts";
+import { Replicator } from "./replicator.ts";
+import type { DaemonSettings } from "./settings.ts";
+import {
+  reportPrograms,
+  reportStatus,
+  type StatusParts,
+} from "./status_report.ts";
+import { StoreView } from "./store_view.ts";
+import { TableEditor } from "./table_editor.ts";
+import { TailHolder } from "./tail_holder.ts";
+import { Takeover } from "./takeover.ts";
+import { openTimelineFile } from "./timeline_file.ts";
+import { readTlsFiles, type TlsFiles } from "./tls_files.ts";
+import { Upstreams } from "./upstreams.ts";
+
+const TIMELINE_CAPACITY = 20_000;
+const BYTES_PER_MB = 1_000_000;
+const MAX_IDLE_LINKS = 16;
+const LINK_REFRESH_MS = 500;
+const STOP_PATIENCE_MS = 60_000;
+const DRAIN_POLL_MS = 50;
+/** Time for callers and siblings to learn that this host is leaving. */
+const LEAVE_NOTICE_MS = 500;
+
+/** One daemon: all roles, wired. */
+export class Daemon {
+  readonly #cfg: DaemonSettings;
+  readonly #timer: Timer = createSystemTimer();
+  readonly #logs: LoggerFactory;
+  readonly #metrics: Metrics;
+  readonly #timeline: Timeline;
+  readonly #self: HostRun;
+  readonly #faults: DaemonFaults = { cut: [] };
+  readonly #shards = new Map<number, OwnedShard>();
+  readonly #tails: TailStore;
+  readonly #store: HttpStore;
+  readonly #view: StoreView;
+  readonly #lease: LeaseKeeper;
+  readonly #keyring: Keyring;
+  readonly #upstreams: Upstreams;
+  readonly #desk: DispatchDesk;
+  readonly #replicator: Replicator;
+  readonly #flusher: Flusher;
+  readonly #journal: Journal;
+  readonly #ownership: Ownership;
+  readonly #lates: LateOutcomes;
+  readonly #families: Families;
+  readonly #entry: Entry;
+  readonly #net: SiblingNet;
+  readonly #http: HttpServer;
+  readonly #tls: TlsFiles | undefined;
+  #isStopping = false;
+  #onStopped: () => void = () => {};
+
+  constructor(cfg: DaemonSettings) {
+    this.#cfg = cfg;
+    this.#logs = createLoggers({
+      host: cfg.host,
+      format: cfg.logFormat,
+      level: cfg.logLevel,
+    });
+    this.#metrics = createMetrics({
+      address: cfg.statsd,
+      host: cfg.host,
+      dataCentre: cfg.dataCentre,
+    });
+    this.#timeline = createTimeline({
+      timer: this.#timer,
+      host: cfg.host,
+      capacity: TIMELINE_CAPACITY,
+      ...openTimelineFile(cfg.dataFolder, cfg.host),
+    });
+    this.#tls = readTlsFiles(cfg);
+    this.#self = {
+      runId: randomUUID(),
+      host: cfg.host,
+      dataCentre: cfg.dataCentre,
+      address: cfg.advertise ?? cfg.listen,
+      siblingAddress: cfg.siblingListen,
+    };
+    this.#tails = new TailStore(cfg.tailLimitMb * BYTES_PER_MB);
+    this.#store = new HttpStore({
+      url: cfg.storeUrl,
+      timeoutMs: cfg.storeTimeoutMs,
+      isCut: () => this.#faults.cut.includes("store"),
+    });
+    this.#view = this.#createView();
+    this.#lease = this.#createLease();
+    this.#keyring = new Keyring({
+      store: this.#store,
+      view: this.#view,
+      timer: this.#timer,
+      bootstrapKey: cfg.bootstrapKey,
+    });
+    this.#desk = this.#createDesk();
+    this.#upstreams = this.#createUpstreams();
+    this.#replicator = this.#createReplicator();
+    this.#flusher = this.#createFlusher();
+    this.#journal = new Journal({
+      replicator: this.#replicator,
+      timer: this.#timer,
+      shards: this.#shards,
+    });
+    this.#ownership = this.#createOwnership();
+    const shared = {
+      timer: this.#timer,
+      journal: this.#journal,
+      ownership: this.#ownership,
+      view: this.#view,
+      net: () => this.#net,
+    };
+    this.#lates = new LateOutcomes(shared);
+    this.#families = new Families(shared);
+    this.#entry = new Entry({
+      ...shared,
+      calls: this.#createCalls(),
+      selfRunId: this.#self.runId,
+      selfAddress: this.#self.address,
+    });
+    this.#net = this.#createNet();
+    this.#http = this.#createHttp();
+  }
+
+  /** Starts to serve. */
+  async start(): Promise<void> {
+    await this.#net.listen();
+    await this.#http.listen(this.#cfg.listen);
+    this.#view.onChange(() => this.#upstreams.refresh());
+    this.#view.start();
+    this.#lease.start();
+    this.#timer.every(LINK_REFRESH_MS, () => this.#refreshLinks());
+    this.#tls?.watch((files) => this.#http.setTls(files));
+    this.#logs("daemon").info(
+      `serves callers at ${this.#cfg.listen} as run ${this.#self.runId}`,
+    );
+  }
+
+  /**
+   * Stops gracefully: leaves the list, hands its shards over, finishes what is
+   * in progress, then ends.
+   */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const log = this.#logs("daemon");
+    log.info("stops: no new programs are placed here");
+    await this.#lease.setState("leaving").catch(() => {});
+    await sleep(this.#timer, LEAVE_NOTICE_MS);
+    const deadline = this.#timer.now() + STOP_PATIENCE_MS;
+    await this.#ownership.stop(deadline);
+    await this.#http.drain();
+    await this.#flushBefore(deadline);
+    await this.#lease.close().catch(() => {});
+    this.#view.close();
+    this.#flusher.close();
+    await this.#net.close();
+    this.#metrics.close();
+    log.info("has stopped");
+    this.#onStopped();
+  }
+
+  /** Calls `fn` when a stop has ended. */
+  onStopped(fn: () => void): void {
+    this.#onStopped = fn;
+  }
+
+  async #flushBefore(deadline: number): Promise<void> {
+    const flushed = this.#flusher.flushAll();
+    let isFlushed = false;
+    flushed.then(() => {
+      isFlushed = true;
+    }, () => {});
+    while (!isFlushed && this.#timer.now() < deadline) {
+      await sleep(this.#timer, DRAIN_POLL_MS);
+    }
+  }
+
+  #createView(): StoreView {
+    return new StoreView({
+      store: this.#store,
+      timer: this.#timer,
+      log: this.#logs("table"),
+    });
+  }
+
+  #createLease(): LeaseKeeper {
+    return new LeaseKeeper({
+      store: this.#store,
+      timer: this.#timer,
+      log: this.#logs("lease"),
+      record: { ...this.#self, state: "live" },
+      baseTtlS: this.#cfg.leaseTtlS,
+      daemons: () => this.#view.hosts.size,
+    });
+  }
+
+  #createDesk(): DispatchDesk {
+    return new DispatchDesk({
+      policy: "toucantrestle",
+      queueLimit: () => this.#view.tableView.system.queueLimit,
+      timer: this.#timer,
+      metrics: this.#metrics,
+    });
+  }
+
+  #createUpstreams(): Upstreams {
+    const { hostListUrl } = this.#cfg;
+    return new Upstreams({
+      view: () => this.#view.tableView,
+      hostList: hostListUrl === undefined
+        ? undefined
+        : createHostList({ url: hostListUrl, timeoutMs: 2_000 }),
+      timer: this.#timer,
+      log: this.#logs("upstream"),
+      onChange: (infos) => this.#desk.setUpstreams(infos),
+    });
+  }
+
+  #createReplicator(): Replicator {
+    return new Replicator({
+      net: () => this.#net,
+      timer: this.#timer,
+      shards: this.#shards,
+      onSealed: (shard) => this.#ownership.lose(shard),
+    });
+  }
+
+  #createFlusher(): Flusher {
+    return new Flusher({
+      store: this.#store,
+      timer: this.#timer,
+      log: this.#logs("journal"),
+      net: () => this.#net,
+      shards: this.#shards,
+      baseIntervalMs: this.#cfg.flushMs,
+      daemons: () => this.#view.hosts.size,
+      onLost: (shard) => this.#ownership.lose(shard),
+    });
+  }
+
+  #createOwnership(): Ownership {
+    const takeover = new Takeover({
+      store: this.#store,
+      net: () => this.#net,
+      timer: this.#timer,
+      log: this.#logs("owner"),
+      self: this.#self,
+      tails: this.#tails,
+      chooseHolders: (shard) => this.#chooseHolders(shard),
+    });
+    new Compactor({
+      flusher: this.#flusher,
+      takeover,
+      view: this.#view,
+      timer: this.#timer,
+      log: this.#logs("journal"),
+      shards: this.#shards,
+    });
+    return new Ownership({
+      self: this.#self,
+      view: this.#view,
+      lease: this.#lease,
+      net: () => this.#net,
+      timer: this.#timer,
+      log: this.#logs("owner"),
+      timeline: this.#timeline,
+      shards: this.#shards,
+      takeover,
+      flusher: this.#flusher,
+      chooseHolders: (shard) => this.#chooseHolders(shard),
+      onServing: (shard) => this.#replicator.wake(shard),
+    });
+  }
+
+  #createCalls(): ProgramCalls {
+    const reaper = new Reaper({
+      timer: this.#timer,
+      timeline: this.#timeline,
+      log: this.#logs("reaper"),
+      journal: this.#journal,
+      families: this.#families,
+      upstreams: this.#upstreams,
+      desk: this.#desk,
+      shards: this.#shards,
+    });
+    const loads = new LoadReader({
+      upstreams: this.#upstreams,
+      desk: this.#desk,
+      timer: this.#timer,
+    });
+    return new ProgramCalls({
+      families: this.#families,
+      reaper,
+      ctx: {
+        timer: this.#timer,
+        timeline: this.#timeline,
+        metrics: this.#metrics,
+        journal: this.#journal,
+        desk: this.#desk,
+        upstreams: this.#upstreams,
+        loads,
+        retries: new RetryBudget(),
+        table: () => this.#view.tableView,
+        reportLate: (late) => this.#lates.report(late),
+      },
+    });
+  }
+
+  #createNet(): SiblingNet {
+    return new SiblingNet({
+      self: this.#self,
+      key: this.#cfg.siblingKey,
+      timer: this.#timer,
+      handlers: this.#createPeerHandlers(),
+      heartbeat: () => ({
+        stamp: this.#timeline.clock.tick(),
+        tableRevision: this.#view.table.revision,
+      }),
+      isCut: (host) => this.#faults.cut.includes(host),
+      isSiblingKey: (hash) => this.#keyring.isSibling(hash),
+      tls: this.#tls?.forSiblings(),
+    });
+  }
+
+  #createPeerHandlers(): PeerHandlers {
+    return createPeerHandlers({
+      view: this.#view,
+      timeline: this.#timeline,
+      tails: this.#tails,
+      holder: new TailHolder(this.#tails),
+      replicator: this.#replicator,
+      families: this.#families,
+      lates: this.#lates,
+      entry: this.#entry,
+      net: () => this.#net,
+      ownStatus: () => reportStatus(this.#statusParts()),
+      ownPrograms: () => reportPrograms(this.#statusParts()),
+    });
+  }
+
+  #createHttp(): HttpServer {
+    const routes: HttpRoute[] = [
+      {
+        method: "GET",
+        path: "/health",
+        role: "none",
+        handler: () => ({ ok: true, ready: this.#isReady() }),
+      },
+      ...callerRoutes({
+        handle: (caller, request, sink) =>
+          this.#entry.handle(caller, request, sink),
+        where: (program) => this.#entry.where(program),
+        ownShards: () => [...this.#shards.keys()],
+      }),
+      ...operatorRoutes(this.#createOperatorHandlers(), {
+        allowFaults: this.#cfg.allowFaults,
+      }),
+    ];
+    return createHttpServer({
+      routes,
+      maxBodyBytes: this.#cfg.maxBodyMb * BYTES_PER_MB,
+      tls: this.#tls?.current(),
+      authenticate: (key) => this.#keyring.authenticate(key),
+      onError: (err) => this.#logs("entry").error(describeError(err)),
+    });
+  }
+
+  #createOperatorHandlers() {
+    return createOperatorHandlers({
+      selfRunId: this.#self.runId,
+      view: this.#view,
+      editor: new TableEditor({
+        store: this.#store,
+        view: this.#view,
+        timer: this.#timer,
+      }),
+      keyring: this.#keyring,
+      timeline: this.#timeline,
+      net: () => this.#net,
+      ownStatus: () => reportStatus(this.#statusParts()),
+      ownPrograms: () => reportPrograms(this.#statusParts()),
+      drain: () => this.stop(),
+      setFaults: (faults) => {
+        this.#faults.cut = faults.cut;
+      },
+    });
+  }
+
+  #statusParts(): StatusParts {
+    return {
+      record: () => this.#lease.record,
+      view: this.#view,
+      lease: this.#lease,
+      shards: this.#shards,
+      desk: this.#desk,
+      tails: this.#tails,
+      timer: this.#timer,
+    };
+  }
+
+  #chooseHolders(shard: number): HostRun[] {
+    const hosts = [...this.#view.hosts.values()].filter((host) => {
+      const silentMs = this.#net.silentMs(host.runId);
+      return silentMs !== undefined && silentMs < 1_000;
+    });
+    return chooseHolders(shard, {
+      owner: this.#self,
+      hosts,
+      copies: this.#cfg.tailCopies,
+    });
+  }
+
+  /** Every shard has an owner that this daemon can reach. */
+  #isReady(): boolean {
+    const { shards } = this.#view;
+    if (shards.size === 0) return false;
+    return [...shards.values()].every(({ record }) =>
+      record.owner.runId === this.#self.runId
+        ? this.#shards.has(record.shard)
+        : this.#net.session(record.owner) !== undefined
+    );
+  }
+
+  #refreshLinks(): void {
+    const hosts = [...this.#view.hosts.values()];
+    const targets = linkTargets(this.#self, hosts, MAX_IDLE_LINKS);
+    this.#net.setTargets([
+      ...targets.map((it) => it.siblingAddress),
+      ...this.#neededRuns().map((it) => it.siblingAddress),
+      ...(this.#view.isLoaded ? [] : this.#joinAddresses()),
+    ]);
+    const sessions = this.#net.sessions();
+    const turn = Math.floor(this.#timer.now() / LINK_REFRESH_MS);
+    const session = sessions[turn % sessions.length];
+    if (session) learnCluster(this.#view, session);
+  }
+
+  /** Owners and holders that this daemon must reach. */
+  #neededRuns(): HostRun[] {
+    const owners = [...this.#view.shards.values()].map((it) => it.record.owner);
+    const holders = [...this.#shards.values()]
+      .flatMap((it) => it.record.log.holders);
+    return [...owners, ...holders];
+  }
+
+  #joinAddresses(): string[] {
+    const given = this.#cfg.siblings.split(",").filter((it) => it !== "");
+    const listed = this.#upstreams.entryHosts()
+      .map((it: { siblingAddress?: string | undefined }) => it.siblingAddress)
+      .filter((it) => it !== undefined);
+    return [...given, ...listed];
+  }
+}
+
+function describeError(err: unknown): string {
+  return err instanceof Error ? err.stack ?? err.message : String(err);
+}
--- /dev/null
+++ b/packages/daemon/src/program_calls.ts
@@ -0,0 +1,232 @@
+import {
+  availableTokens,
+  type Ledger,
+  nextStep,
+  reservedTokens,
+} from "@toucantrestle/program";
+import type {
+  AnswerSink,
+  CallerRequest,
+  CompleteRequest,
+  EndRequest,
+  FetchStepRequest,
+  ServiceRequest,
+  ShowRequest,
+  StartRequest,
+} from "@toucantrestle/sibling";
+import type { CallerPolicy } from "@toucantrestle/table";
+import {
+  BudgetError,
+  ConflictError,
+  ForbiddenError,
+  NotFoundError,
+} from "@toucantrestle/verdict";
+import { writeOutcome } from "./answers.ts";
+import { type CallContext, requireLedger } from "./call_context.ts";
+import { CallRunner } from "./call_runner.ts";
+import { relocated } from "./errors.ts";
+import type { Families } from "./families.ts";
+import { ModelCall } from "./model_call.ts";
+import type { OwnedShard } from "./owned_shard.ts";
+import type { Reaper } from "./reaper.ts";
+import { ServiceCall } from "./service_call.ts";
+
+/** One request at the owner of its program. */
+interface OwnerCall<R extends CallerRequest> {
+  shard: OwnedShard;
+  caller: string;
+  request: R;
+  sink: AnswerSink;
+}
+
+type Handlers = {
+  [K in CallerRequest["kind"]]: (
+    call: OwnerCall<Extract<CallerRequest, { kind: K }>>,
+  ) => Promise<void>;
+};
+
+const IN_PROGRESS_RETRY_MS = 500;
+
+/** Serves callers' requests at the owner of their program. */
+export class ProgramCalls {
+  readonly #ctx: CallContext;
+  readonly #runner: CallRunner;
+  readonly #families: Families;
+  readonly #reaper: Reaper;
+  readonly #handlers: Handlers = {
+    start: (call) => this.#start(call),
+    complete: (call) => this.#complete(call),
+    service: (call) => this.#service(call),
+    end: (call) => this.#end(call),
+    show: (call) => this.#show(call),
+    fetch_step: (call) => this.#fetchStep(call),
+  };
+
+  constructor(
+    opts: { ctx: CallContext; families: Families; reaper: Reaper },
+  ) {
+    this.#ctx = opts.ctx;
+    this.#runner = new CallRunner(opts.ctx);
+    this.#families = opts.families;
+    this.#reaper = opts.reaper;
+  }
+
+  /** Serves a request; the answer goes to the sink. */
+  async serve(call: OwnerCall<CallerRequest>): Promise<void> {
+    const handler = this.#handlers[call.request.kind] as (
+      call: OwnerCall<CallerRequest>,
+    ) => Promise<void>;
+    await handler(call);
+  }
+
+  async #start(call: OwnerCall<StartRequest>): Promise<void> {
+    const { shard, caller, request, sink } = call;
+    const known = shard.ledgers.get(request.program);
+    if (!known) await this.#create(call, request);
+    else if (known.caller !== caller) {
+      throw new NotFoundError(`program "${request.program}" is not known`);
+    } else await this.#ctx.journal.keepAll(shard);
+    const ledger = requireLedger(shard, request.program, caller);
+    writeJson(sink, known ? 200 : 201, describeLedger(ledger));
+  }
+
+  async #create(
+    { shard, caller }: OwnerCall<CallerRequest>,
+    request: StartRequest,
+  ): Promise<void> {
+    if (shard.state !== "serving") throw relocated(shard.shard, "not_run");
+    this.#ctx.journal.checkRoom();
+    const policy = this.#policyOf(caller);
+    const budgetTokens = budgetOf(request, policy);
+    if (request.parent !== undefined) {
+      await this.#families.reserve({
+        parent: request.parent,
+        child: request.program,
+        caller,
+        tokens: budgetTokens,
+      });
+    }
+    await this.#ctx.journal.keep(shard, {
+      kind: "program_started",
+      program: request.program,
+      caller,
+      requestId: request.requestId,
+      parent: request.parent,
+      budgetTokens,
+      turnLimit: policy.turnLimit,
+      idleLimitMs: policy.idleLimitMs,
+      at: this.#ctx.timer.now(),
+    });
+    this.#record("program_started", request.program, `caller ${caller}`);
+  }
+
+  async #complete(call: OwnerCall<CompleteRequest>): Promise<void> {
+    const { shard, caller, request, sink } = call;
+    const { ctx } = { ctx: this.#ctx };
+    if (request.isSingle && !shard.ledgers.has(request.program)) {
+      await this.#create(call, {
+        kind: "start",
+        program: request.program,
+        requestId: request.requestId,
+        parent: undefined,
+        budgetTokens: undefined,
+      });
+    }
+    const runner = this.#runner;
+    await new ModelCall({ ctx, runner, shard, caller, request, sink }).run();
+    if (request.isSingle) {
+      await this.#reaper.end(shard, request.program, "single_call");
+    }
+  }
+
+  async #service(call: OwnerCall<ServiceRequest>): Promise<void> {
+    const runner = this.#runner;
+    await new ServiceCall({ ...call, ctx: this.#ctx, runner }).run();
+  }
+
+  async #end(call: OwnerCall<EndRequest>): Promise<void> {
+    const { shard, caller, request, sink } = call;
+    const ledger = requireLedger(shard, request.program, caller);
+    if (shard.attempts.has(request.program)) {
+      throw new ConflictError(
+        `a call of program ${request.program} is in progress`,
+        { props: { retryAfterMs: IN_PROGRESS_RETRY_MS } },
+      );
+    }
+    if (shard.state !== "serving") throw relocated(shard.shard, "not_run");
+    if (ledger.state === "running") {
+      await this.#reaper.end(shard, request.program, "deleted");
+    } else await this.#ctx.journal.keepAll(shard);
+    const ended = requireLedger(shard, request.program, caller);
+    writeJson(sink, 200, describeLedger(ended));
+  }
+
+  async #show(call: OwnerCall<ShowRequest>): Promise<void> {
+    const { shard, caller, request, sink } = call;
+    requireLedger(shard, request.program, caller);
+    await this.#ctx.journal.keepAll(shard);
+    const ledger = requireLedger(shard, request.program, caller);
+    writeJson(sink, 200, describeLedger(ledger));
+  }
+
+  async #fetchStep(call: OwnerCall<FetchStepRequest>): Promise<void> {
+    const { shard, caller, request, sink } = call;
+    const ledger = requireLedger(shard, request.program, caller);
+    const finished = ledger.steps[request.step - 1];
+    if (!finished) {
+      throw new NotFoundError(
+        `step ${request.step} of program ${request.program} has no outcome yet`,
+        { props: { retryAfterMs: IN_PROGRESS_RETRY_MS } },
+      );
+    }
+    await this.#ctx.journal.keepAll(shard);
+    const id = `${request.program}:${finished.requestId}`;
+    writeOutcome(finished.outcome, { id, model: "" }, sink);
+  }
+
+  #policyOf(caller: string): CallerPolicy {
+    const policy = this.#ctx.table().callers.get(caller);
+    if (policy) return policy;
+    throw new ForbiddenError(`caller ${caller} has no row in the table`);
+  }
+
+  #record(kind: string, program: string, detail: string): void {
+    this.#ctx.timeline.record({ part: "program", kind, program, detail });
+  }
+}
+
+/** A program's state as its caller sees it. */
+export function describeLedger(ledger: Ledger) {
+  return {
+    program: ledger.program,
+    state: ledger.state,
+    end_reason: ledger.endReason,
+    parent: ledger.parent,
+    next_step: nextStep(ledger),
+    budget_tokens: ledger.budgetTokens,
+    spent_tokens: ledger.spentTokens,
+    reserved_tokens: reservedTokens(ledger),
+    available_tokens: availableTokens(ledger),
+    messages: ledger.history.length,
+    steps: ledger.steps.map((step) => ({
+      request_id: step.requestId,
+      verdict: step.outcome.kind === "answered"
+        ? "ran"
+        : step.outcome.problem.verdict,
+    })),
+  };
+}
+
+function budgetOf(request: StartRequest, policy: CallerPolicy): number {
+  const wanted = request.budgetTokens ?? policy.budgetTokens;
+  if (wanted <= policy.budgetTokens) return wanted;
+  throw new BudgetError(
+    `a program of caller ${policy.name} may have ${policy.budgetTokens} tokens, not ${wanted}`,
+  );
+}
+
+function writeJson(sink: AnswerSink, status: number, body: unknown): void {
+  sink.head(status, "application/json");
+  sink.data(JSON.stringify(body));
+  sink.end();
+}
--- /dev/null
+++ b/packages/engine/src/engine_client.ts
@@ -0,0 +1,216 @@
+import {
+  ConflictError,
+  declaredVerdict,
+  RequestError,
+  TimeoutError,
+  UpstreamError,
+  upstreamError,
+  type Verdict,
+} from "@toucantrestle/verdict";
+import { Pool } from "undici";
+import { z } from "zod";
+import type {
+  CompletionCall,
+  CompletionDelta,
+  CompletionEnd,
+} from "./completion.ts";
+import { StreamParser } from "./stream_parser.ts";
+
+const loadSchema = z.object({
+  at: z.number(),
+  running: z.number(),
+  waiting: z.number(),
+  prefill_tokens: z.number(),
+  cache_used_tokens: z.number(),
+  cache_limit_tokens: z.number(),
+  models: z.array(z.string()),
+  can_resume: z.boolean(),
+  highest_fence: z.number(),
+});
+
+const cacheEventsSchema = z.object({
+  events: z.array(z.object({
+    seq: z.number(),
+    kind: z.enum(["stored", "evicted"]),
+    key: z.string(),
+    tokens: z.number(),
+  })),
+});
+
+const pinsSchema = z.object({ programs: z.array(z.string()) });
+
+/** Load report of an engine, as it stood at `at` (ms since the epoch). */
+export type EngineReport = z.infer<typeof loadSchema>;
+
+/** A change of an engine's prefix cache. */
+export type CacheEvent = z.infer<typeof cacheEventsSchema>["events"][number];
+
+/** An order to an engine, with the fencing number of who gives it. */
+export interface EngineOrder {
+  fence: number;
+  action: "load" | "unload";
+  model: string;
+  weightsMb: number;
+}
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const CONTROL_TIMEOUT_MS = 2_000;
+const KEEP_ALIVE_MS = 2_000;
+
+/** Client of one model engine. */
+export class EngineClient {
+  readonly #name: string;
+  readonly #pool: Pool;
+
+  constructor(opts: { name: string; address: string }) {
+    this.#name = opts.name;
+    this.#pool = new Pool(`http://${opts.address}`, {
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      bodyTimeout: 0,
+      headersTimeout: 0,
+    });
+  }
+
+  /**
+   * Streams a completion. `onDelta` gets the output as it comes.
+   *
+   * @throws {RequestError} with the verdict; output may have come before
+   */
+  async complete(
+    call: CompletionCall,
+    opts: { signal: AbortSignal; onDelta: (delta: CompletionDelta) => void },
+  ): Promise<CompletionEnd> {
+    const parser = new StreamParser();
+    try {
+      const res = await this.#pool.request({
+        path: "/v1/chat/completions",
+        method: "POST",
+        headers: {
+          "content-type": "application/json",
+          "x-request-id": call.requestId,
+          "x-program": call.program,
+          "x-step": String(call.step),
+        },
+        body: JSON.stringify(wireCall(call)),
+        signal: opts.signal,
+      });
+      if (res.statusCode !== 200) {
+        throw this.#statusError(res.statusCode, await res.body.text());
+      }
+      for await (const piece of res.body.setEncoding("utf8")) {
+        const delta = parser.read(piece as string);
+        if (delta.tokens > 0) opts.onDelta(delta);
+      }
+    } catch (err) {
+      if (err instanceof RequestError) throw err;
+      throw upstreamError(this.#name, err);
+    }
+    if (parser.isDone) return parser.end();
+    throw upstreamError(this.#name, new Error("the stream ended early"));
+  }
+
+  /** Reads the load report. */
+  async load(): Promise<EngineReport> {
+    return loadSchema.parse(await this.#control("GET", "/control/load"));
+  }
+
+  /** Reads the cache events after a sequence number. */
+  async cacheEvents(after: number): Promise<CacheEvent[]> {
+    const path = `/control/cache_events?after=${after}`;
+    const answer = await this.#control("GET", path);
+    return cacheEventsSchema.parse(answer).events;
+  }
+
+  /** Names the programs whose cache the engine holds. */
+  async pins(): Promise<string[]> {
+    const answer = await this.#control("GET", "/control/pins");
+    return pinsSchema.parse(answer).programs;
+  }
+
+  /** Frees a program's cache. Returns false while it is in use. */
+  async release(program: string): Promise<boolean> {
+    const answer = await this.#control("POST", "/control/release", { program });
+    return z.object({ released: z.boolean() }).parse(answer).released;
+  }
+
+  /** Exports a program's cache; returns its size in tokens. */
+  async exportCache(program: string): Promise<number> {
+    const answer = await this.#control("POST", "/control/export", { program });
+    return z.object({ tokens: z.number() }).parse(answer).tokens;
+  }
+
+  /** Imports a program's cache. */
+  async importCache(program: string, tokens: number): Promise<void> {
+    await this.#control("POST", "/control/import", { program, tokens });
+  }
+
+  /**
+   * Gives an order.
+   *
+   * @throws {ConflictError} when the engine refuses the fencing number
+   */
+  async order(order: EngineOrder, deadlineMs: number): Promise<void> {
+    const body = {
+      fence: order.fence,
+      action: order.action,
+      model: order.model,
+      weights_mb: order.weightsMb,
+    };
+    await this.#control("POST", "/control/orders", body, deadlineMs);
+  }
+
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+
+  async #control(
+    method: "GET" | "POST",
+    path: string,
+    body?: unknown,
+    timeoutMs = CONTROL_TIMEOUT_MS,
+  ): Promise<unknown> {
+    try {
+      const res = await this.#pool.request({
+        path,
+        method,
+        headers: { "content-type": "application/json" },
+        body: body === undefined ? null : JSON.stringify(body),
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      const text = await res.body.text();
+      if (res.statusCode === 200) return JSON.parse(text);
+      throw this.#statusError(res.statusCode, text);
+    } catch (err) {
+      if (err instanceof RequestError) throw err;
+      throw upstreamError(this.#name, err);
+    }
+  }
+
+  #statusError(status: number, body: string): RequestError {
+    const verdict: Verdict = declaredVerdict(body);
+    const message = `engine ${this.#name} answered ${status}`;
+    if (status === 409) return new ConflictError(message);
+    return new UpstreamError(message, { props: { verdict } });
+  }
+}
+
+/** Tells whether a failure means that the engine broke off what it ran. */
+export function isBrokenOff(err: unknown): boolean {
+  if (!(err instanceof RequestError)) return false;
+  return err.verdict === "may_have_run" && !(err instanceof TimeoutError);
+}
+
+function wireCall(call: CompletionCall) {
+  return {
+    ...call.extra,
+    model: call.model,
+    messages: call.messages,
+    max_tokens: call.maxTokens,
+    priority: call.priority,
+    prompt_cache_key: call.program,
+    stream: true,
+    stream_options: { include_usage: true },
+    ...(call.continueFrom > 0 ? { continue_from: call.continueFrom } : {}),
+  };
+}
--- /dev/null
+++ b/packages/policy/src/wait_queue.ts
@@ -0,0 +1,164 @@
+import type { Work } from "./work.ts";
+
+/** In which order waiting work is served. */
+export type OrderName = "fair" | "fifo";
+
+/** Waiting work for one target. */
+export interface WaitQueue {
+  readonly size: number;
+  add(work: Work): void;
+  remove(id: string): Work | undefined;
+  /** Work in the order in which it should be tried, at most `limit`. */
+  candidates(now: number, limit: number): Work[];
+  /** Charges a caller for work that was started, in ms of engine time. */
+  charge(work: Work, costMs: number): void;
+  values(): Iterable<Work>;
+}
+
+/** Creates the queue for an order. */
+export const QUEUES: Record<OrderName, () => WaitQueue> = {
+  fair: () => new FairQueue(),
+  fifo: () => new FifoQueue(),
+};
+
+/** First come, first served. */
+class FifoQueue implements WaitQueue {
+  readonly #works = new Map<string, Work>();
+
+  get size(): number {
+    return this.#works.size;
+  }
+
+  add(work: Work): void {
+    this.#works.set(work.id, work);
+  }
+
+  remove(id: string): Work | undefined {
+    const work = this.#works.get(id);
+    this.#works.delete(id);
+    return work;
+  }
+
+  candidates(_now: number, limit: number): Work[] {
+    const works: Work[] = [];
+    for (const work of this.#works.values()) {
+      if (works.length >= limit) break;
+      works.push(work);
+    }
+    return works;
+  }
+
+  charge(): void {}
+
+  values(): Iterable<Work> {
+    return this.#works.values();
+  }
+}
+
+interface CallerQueue {
+  /** Engine time charged so far over the weight. */
+  virtualMs: number;
+  works: Map<string, Work>;
+}
+
+/** Attained service doubles from one level to the next. */
+const FIRST_LEVEL_MS = 500;
+/** Waiting this long raises work by one level. */
+const AGING_MS = 3_000;
+/** Bulk work that waited this long is served with the foreground. */
+const BULK_PROMOTION_MS = 20_000;
+
+/**
+ * Weighted fair shares among callers (start-time fair queueing, Goyal et al.
+ * 1996), foreground before bulk, and within a caller the program with the
+ * least attained service first (Nuyens and Wierman, "The
+ * foreground-background queue", 2008), with aging.
+ */
+class FairQueue implements WaitQueue {
+  readonly #callers = new Map<string, CallerQueue>();
+  readonly #callerOf = new Map<string, string>();
+  #virtualNow = 0;
+
+  get size(): number {
+    return this.#callerOf.size;
+  }
+
+  add(work: Work): void {
+    const queue = this.#callerQueue(work.caller);
+    if (queue.works.size === 0) {
+      queue.virtualMs = Math.max(queue.virtualMs, this.#virtualNow);
+    }
+    queue.works.set(work.id, work);
+    this.#callerOf.set(work.id, work.caller);
+  }
+
+  remove(id: string): Work | undefined {
+    const caller = this.#callerOf.get(id);
+    if (caller === undefined) return undefined;
+    this.#callerOf.delete(id);
+    const queue = this.#callerQueue(caller);
+    const work = queue.works.get(id);
+    queue.works.delete(id);
+    return work;
+  }
+
+  candidates(now: number, limit: number): Work[] {
+    const callers = [...this.#callers.values()]
+      .filter((it) => it.works.size > 0)
+      .sort((a, b) => a.virtualMs - b.virtualMs);
+    const ordered: Work[] = [];
+    for (const isForeground of [true, false]) {
+      for (const queue of callers) {
+        if (ordered.length >= limit) return ordered;
+        ordered.push(...bestWorks(queue, { now, isForeground, limit }));
+      }
+    }
+    return ordered.slice(0, limit);
+  }
+
+  charge(work: Work, costMs: number): void {
+    const queue = this.#callerQueue(work.caller);
+    this.#virtualNow = Math.max(this.#virtualNow, queue.virtualMs);
+    queue.virtualMs += costMs / Math.max(work.weight, 1e-3);
+  }
+
+  *values(): Iterable<Work> {
+    for (const queue of this.#callers.values()) yield* queue.works.values();
+  }
+
+  #callerQueue(caller: string): CallerQueue {
+    let queue = this.#callers.get(caller);
+    if (!queue) {
+      queue = { virtualMs: this.#virtualNow, works: new Map() };
+      this.#callers.set(caller, queue);
+    }
+    return queue;
+  }
+}
+
+function bestWorks(
+  queue: CallerQueue,
+  opts: { now: number; isForeground: boolean; limit: number },
+): Work[] {
+  const works: Work[] = [];
+  for (const work of queue.works.values()) {
+    if (isServedAsForeground(work, opts.now) === opts.isForeground) {
+      works.push(work);
+    }
+  }
+  return works
+    .sort((a, b) => rank(a, opts.now) - rank(b, opts.now))
+    .slice(0, opts.limit);
+}
+
+function isServedAsForeground(work: Work, now: number): boolean {
+  return work.class === "foreground" ||
+    now - work.enqueuedAt >= BULK_PROMOTION_MS;
+}
+
+/** Lower is served first. */
+function rank(work: Work, now: number): number {
+  const level = Math.log2(1 + work.attainedMs / FIRST_LEVEL_MS);
+  const age = (now - work.enqueuedAt) / AGING_MS;
+  return Math.floor(level) - age;
+}
--- /dev/null
+++ b/packages/service/src/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Client of a plain service upstream.
+ *
+ * @module
+ */
+export {
+  type ServiceAnswer,
+  type ServiceCall,
+  ServiceClient,
+} from "./service_client.ts";
--- /dev/null
+++ b/packages/service/src/service_client.ts
@@ -0,0 +1,85 @@
+import {
+  declaredVerdict,
+  RequestError,
+  UpstreamError,
+  upstreamError,
+} from "@toucantrestle/verdict";
+import { Pool } from "undici";
+
+/** A call of a service route. */
+export interface ServiceCall {
+  requestId: string;
+  program: string;
+  step: number;
+  route: string;
+  /** JSON text. */
+  body: string;
+  deadlineMs: number;
+}
+
+/** Answer of a service. */
+export interface ServiceAnswer {
+  status: number;
+  contentType: string;
+  body: string;
+}
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const KEEP_ALIVE_MS = 2_000;
+
+/** Client of one service upstream. */
+export class ServiceClient {
+  readonly #name: string;
+  readonly #pool: Pool;
+
+  constructor(opts: { name: string; address: string }) {
+    this.#name = opts.name;
+    this.#pool = new Pool(`http://${opts.address}`, {
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: KEEP_ALIVE_MS,
+    });
+  }
+
+  /**
+   * Sends a call once.
+   *
+   * @throws {RequestError} with the verdict on the call
+   */
+  async call(call: ServiceCall): Promise<ServiceAnswer> {
+    const answer = await this.#exchange(call);
+    if (answer.status < 500) return answer;
+    throw new UpstreamError(
+      `service ${this.#name} answered ${answer.status}`,
+      { props: { verdict: declaredVerdict(answer.body) } },
+    );
+  }
+
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+
+  async #exchange(call: ServiceCall): Promise<ServiceAnswer> {
+    try {
+      const res = await this.#pool.request({
+        path: `/call/${encodeURIComponent(call.route)}`,
+        method: "POST",
+        headers: {
+          "content-type": "application/json",
+          "x-request-id": call.requestId,
+          "x-program": call.program,
+          "x-step": String(call.step),
+        },
+        body: call.body,
+        signal: AbortSignal.timeout(call.deadlineMs),
+      });
+      return {
+        status: res.statusCode,
+        contentType: String(res.headers["content-type"] ?? "text/plain"),
+        body: await res.body.text(),
+      };
+    } catch (err) {
+      if (err instanceof RequestError) throw err;
+      throw upstreamError(this.#name, err);
+    }
+  }
+}
