Scenarios: a small test language, runner and history checker

Cause: the promises have to be proved by history checking and by scripts, with kills, freezes, cuts and outages on real processes. Ruled out: sequences of test code for each case (they read as code, not as stories); a hand-made parser (peggy gives places and expectations in errors).

--- /dev/null
+++ b/scenarios/src/main.ts
@@ -0,0 +1,66 @@
+/**
+ * Runs scenarios: `run NAME`, `all`.
+ *
+ * @module
+ */
+import { readdirSync, readFileSync } from "node:fs";
+import { dirname, join } from "node:path";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import { parseScript } from "./language/parse.ts";
+import { runScenario } from "./world/runner.ts";
+
+type Action = "run" | "all";
+
+const ACTIONS: Record<Action, (words: string[]) => Promise<boolean>> = {
+  run: ([name = ""]) => runOne(name),
+  all: () => runAll(),
+};
+
+const SCRIPTS = join(
+  dirname(fileURLToPath(import.meta.url)),
+  "..",
+  "..",
+  "scripts",
+);
+
+const [action = "", ...words] = process.argv.slice(2);
+const handler = ACTIONS[action as Action];
+if (!handler) {
+  process.stderr.write("use: run NAME | all\n");
+  process.exit(2);
+}
+process.exit(await handler(words) ? 0 : 1);
+
+async function runAll(): Promise<boolean> {
+  const names = readdirSync(SCRIPTS)
+    .filter((it) => it.endsWith(".scenario"))
+    .map((it) => it.replace(".scenario", ""))
+    .sort();
+  const failed: string[] = [];
+  for (const name of names) {
+    if (!await runOne(name)) failed.push(name);
+  }
+  say(`${names.length - failed.length} passed, ${failed.length} failed`);
+  return failed.length === 0;
+}
+
+async function runOne(name: string): Promise<boolean> {
+  const file = join(SCRIPTS, `${name}.scenario`);
+  const startedAt = performance.now();
+  const steps = parseScript(file, readFileSync(file, "utf8"));
+  const result = await runScenario(steps, {
+    logFolder: `out/scenarios/${name}`,
+  });
+  const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
+  const isGood = result.failure === undefined &&
+    result.violations.length === 0;
+  say(`${isGood ? "passed" : "FAILED"} ${name} (${seconds} s)`);
+  if (result.failure !== undefined) say(`  ${result.failure}`);
+  for (const it of result.violations) say(`  ${it.promise}: ${it.detail}`);
+  return isGood;
+}
+
+function say(line: string): void {
+  process.stdout.write(line + "\n");
+}
--- /dev/null
+++ b/scenarios/src/world/world.ts
@@ -0,0 +1,353 @@
+import { CallerClient, Program } from "@toucantrestle/caller_client";
+import { OperatorClient } from "@toucantrestle/operator";
+import {
+  type DaemonMember,
+  Fleet,
+  type FleetSpec,
+  OPERATOR_KEY,
+} from "@toucantrestle/stand_ins";
+import { RequestError } from "@toucantrestle/verdict";
+import { randomUUID } from "node:crypto";
+import {
+  type CallRecord,
+  type CallResult,
+  createHistory,
+  type EditRecord,
+  type History,
+  type ProgramRecord,
+} from "../history/history.ts";
+import { collectRecords } from "./collect.ts";
+import { createTable } from "./table.ts";
+
+/** A program that the world runs. */
+export interface WorldProgram {
+  program: Program;
+  record: ProgramRecord;
+}
+
+const CALLER_PATIENCE_MS = 45_000;
+const POLL_MS = 50;
+const SIGHTING_MS = 250;
+const MAX_BUDGET = 1_000_000;
+
+/** Callers that the world has keys for. */
+export const CALLERS = ["alice", "bob"] as const;
+
+/** A fleet, its callers and operators, and the history of what they did. */
+export class World {
+  readonly fleet: Fleet;
+  readonly history: History = createHistory();
+  readonly #spec: FleetSpec;
+  readonly #operators = new Map<string, OperatorClient>();
+  readonly #clients = new Map<string, CallerClient>();
+  readonly #cuts = new Map<string, Set<string>>();
+  #sightings: NodeJS.Timeout | undefined;
+
+  constructor(spec: FleetSpec) {
+    this.#spec = spec;
+    this.fleet = new Fleet(spec);
+  }
+
+  /** Starts all processes with a table in force and keys for callers. */
+  async start(): Promise<void> {
+    await this.fleet.start();
+    const operator = this.anyOperator();
+    const { revision } = await operator.edit({
+      writeId: randomUUID(),
+      reason: "scenario",
+      changes: createTable(this.#spec, this.fleet, CALLERS),
+      removals: [],
+    });
+    await this.waitForTable(revision, 20_000);
+    await this.fleet.waitUntilReady();
+    for (const caller of CALLERS) {
+      const key = await operator.createKey(caller, "caller");
+      this.#clients.set(caller, this.#createClient(key));
+    }
+    await sleep(300);
+    this.#sightings = setInterval(() => this.#sight(), SIGHTING_MS);
+  }
+
+  /** Ends all processes. */
+  async stop(): Promise<void> {
+    clearInterval(this.#sightings);
+    for (const client of this.#clients.values()) await client.close();
+    for (const client of this.#operators.values()) await client.close();
+    await this.fleet.stop();
+  }
+
+  /** Collects what stand-ins and daemons recorded into the history. */
+  async collect(): Promise<History> {
+    clearInterval(this.#sightings);
+    await collectRecords(this);
+    return this.history;
+  }
+
+  /** Operator's client of a daemon. */
+  operator(host: string): OperatorClient {
+    let client = this.#operators.get(host);
+    if (!client) {
+      const { address } = this.daemon(host);
+      client = new OperatorClient({
+        url: `http://${address}`,
+        key: OPERATOR_KEY,
+      });
+      this.#operators.set(host, client);
+    }
+    return client;
+  }
+
+  /** Operator's client of some daemon that runs. */
+  anyOperator(): OperatorClient {
+    const running = [...this.fleet.daemons.values()]
+      .find((it) => it.process.isRunning);
+    return this.operator(running?.name ?? "");
+  }
+
+  daemon(host: string): DaemonMember {
+    const member = this.fleet.daemons.get(host);
+    if (!member) throw new Error(`host ${host} is not known`);
+    return member;
+  }
+
+  /** Starts a program. */
+  async startProgram(
+    caller: string,
+    opts: { budget: number | undefined; parent: WorldProgram | undefined },
+  ): Promise<WorldProgram> {
+    const program = await Program.start(this.#client(caller), {
+      requestId: randomUUID(),
+      ...(opts.budget === undefined ? {} : { budgetTokens: opts.budget }),
+      ...(opts.parent ? { parent: opts.parent.program.id } : {}),
+    });
+    const record: ProgramRecord = {
+      program: program.id,
+      caller,
+      budgetTokens: opts.budget ?? MAX_BUDGET,
+      parent: opts.parent?.program.id,
+      ended: false,
+    };
+    this.history.programs.push(record);
+    return { program, record };
+  }
+
+  /** Makes a model call and records it. */
+  chat(
+    { program, record }: WorldProgram,
+    text: string,
+    streamed: boolean,
+  ): Promise<CallRecord> {
+    return this.#call(record, program, {
+      kind: "chat",
+      content: text,
+      send: async (requestId) => {
+        const answer = await program.chat(text, {
+          model: "small",
+          stream: streamed,
+          requestId,
+        });
+        return answer.text;
+      },
+    });
+  }
+
+  /** Makes a call of a service and records it. */
+  post(
+    { program, record }: WorldProgram,
+    route: string,
+  ): Promise<CallRecord> {
+    return this.#call(record, program, {
+      kind: "service",
+      content: route,
+      send: async (requestId) => {
+        const answer = await program.service(route, { n: 1 }, { requestId });
+        return JSON.stringify(answer.body);
+      },
+    });
+  }
+
+  /** Ends a program. */
+  async endProgram({ program, record }: WorldProgram): Promise<void> {
+    await program.end();
+    record.ended = true;
+  }
+
+  /** Edits one cell and records it. */
+  async edit(
+    host: string,
+    cell: { row: string; column: string; value: string },
+  ): Promise<EditRecord> {
+    const record: EditRecord = {
+      writeId: randomUUID(),
+      ...cell,
+      result: undefined,
+    };
+    this.history.edits.push(record);
+    const operator = this.operator(host);
+    try {
+      const table = await operator.table();
+      const row = table.rows.find((it) => it.id === cell.row);
+      const answer = await operator.edit({
+        writeId: record.writeId,
+        reason: "scenario",
+        changes: [{
+          row: cell.row,
+          column: cell.column,
+          seen: row?.cells[cell.column] ?? null,
+          value: Number(cell.value),
+        }],
+        removals: [],
+      });
+      record.result = { kind: "accepted", revision: answer.revision };
+    } catch (err) {
+      const isRefused = err instanceof RequestError &&
+        err.verdict === "not_run";
+      record.result = isRefused
+        ? { kind: "refused", detail: err.message }
+        : { kind: "unknown" };
+    }
+    return record;
+  }
+
+  /** Name of the host that owns a program. */
+  async ownerOf(program: string): Promise<string> {
+    const record = await this.#shardRecord(program);
+    return record.owner.host;
+  }
+
+  /** Name of the first holder of a program's journal tail. */
+  async holderOf(program: string): Promise<string> {
+    const record = await this.#shardRecord(program);
+    const [first] = record.log.holders;
+    if (!first) throw new Error(`program ${program} has no holder`);
+    return first.host;
+  }
+
+  /** Cuts the links between two hosts, or a host and the store. */
+  async cut(host: string, other: string): Promise<void> {
+    await this.#setCut(host, other);
+    if (other !== "store") await this.#setCut(other, host);
+  }
+
+  /** Ends all cuts. */
+  async heal(): Promise<void> {
+    for (const host of this.#cuts.keys()) {
+      this.#cuts.set(host, new Set());
+      await this.#sendCuts(host);
+    }
+  }
+
+  /** Waits until a revision is in force on every running daemon. */
+  async waitForTable(revision: number, patienceMs: number): Promise<void> {
+    const giveUpAt = Date.now() + patienceMs;
+    for (const member of this.fleet.daemons.values()) {
+      if (!member.process.isRunning) continue;
+      for (;;) {
+        const table = await this.operator(member.name).table()
+          .catch(() => undefined);
+        if (table && table.revision >= revision) break;
+        if (Date.now() >= giveUpAt) {
+          throw new Error(
+            `revision ${revision} is not in force on ${member.name}`,
+          );
+        }
+        await sleep(POLL_MS);
+      }
+    }
+  }
+
+  async #shardRecord(program: string) {
+    const shard = String(parseInt(program.slice(1, 3), 16)).padStart(2, "0");
+    const key = `/toucantrestle/meta/shards/${shard}`;
+    const res = await fetch(`${this.fleet.storeUrl}/v3/kv/range`, {
+      method: "POST",
+      body: JSON.stringify({ key: btoa(key) }),
+    });
+    const { kvs } = await res.json() as { kvs: { value: string }[] };
+    return JSON.parse(atob(kvs[0]?.value ?? "")) as {
+      owner: { host: string };
+      log: { holders: { host: string }[] };
+    };
+  }
+
+  async #call(
+    record: ProgramRecord,
+    program: Program,
+    call: {
+      kind: "chat" | "service";
+      content: string;
+      send: (requestId: string) => Promise<string>;
+    },
+  ): Promise<CallRecord> {
+    const entry: CallRecord = {
+      requestId: randomUUID(),
+      caller: record.caller,
+      program: record.program,
+      step: program.nextStep,
+      kind: call.kind,
+      content: call.content,
+      invokedAt: Date.now(),
+      completedAt: undefined,
+      result: undefined,
+    };
+    this.history.calls.push(entry);
+    entry.result = await resultOf(() => call.send(entry.requestId));
+    entry.completedAt = Date.now();
+    const isConsumed = entry.result.kind === "failed" &&
+      call.kind === "service" && entry.result.verdict === "may_have_run";
+    if (isConsumed) program.skipStep();
+    return entry;
+  }
+
+  async #setCut(host: string, other: string): Promise<void> {
+    const cuts = this.#cuts.get(host) ?? new Set();
+    cuts.add(other);
+    this.#cuts.set(host, cuts);
+    await this.#sendCuts(host);
+  }
+
+  async #sendCuts(host: string): Promise<void> {
+    const cut = [...this.#cuts.get(host) ?? []];
+    if (!this.daemon(host).process.isRunning) return;
+    await this.operator(host).setFaults({ cut }).catch(() => {});
+  }
+
+  #client(caller: string): CallerClient {
+    const client = this.#clients.get(caller);
+    if (!client) throw new Error(`caller ${caller} is not known`);
+    return client;
+  }
+
+  #createClient(key: string): CallerClient {
+    return new CallerClient({
+      addresses: [...this.fleet.daemons.values()].map((it) => it.address),
+      key,
+      patienceMs: CALLER_PATIENCE_MS,
+    });
+  }
+
+  async #sight(): Promise<void> {
+    const status = await this.anyOperator().status().catch(() => undefined);
+    for (const { runId, tableRevision } of status?.hosts ?? []) {
+      this.history.sightings.push({
+        runId,
+        revision: tableRevision,
+        at: Date.now(),
+      });
+    }
+  }
+}
+
+async function resultOf(send: () => Promise<string>): Promise<CallResult> {
+  try {
+    return { kind: "answered", text: await send() };
+  } catch (err) {
+    if (!(err instanceof RequestError)) throw err;
+    return { kind: "failed", verdict: err.verdict, detail: err.message };
+  }
+}
+
+/** Resolves after `ms`. */
+export function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/stand_ins/src/engine/text.ts
+++ b/stand_ins/src/engine/text.ts
@@ -60,3 +60,20 @@
 function countWords(text: string): number {
   return text.split(/\s+/).filter((word) => word !== "").length;
 }
+
+/**
+ * The whole answer that every engine gives to a conversation. `maxTokens` is
+ * the limit of the request.
+ */
+export function expectedAnswer(
+  messages: PromptMessage[],
+  maxTokens = Infinity,
+): string {
+  const seed = seedOf(messages);
+  const wanted = readMarks(messages).tokens ?? defaultOutputTokens(seed);
+  let text = "";
+  for (let i = 0; i < Math.min(wanted, maxTokens); i++) {
+    text += tokenAt(seed, i);
+  }
+  return text;
+}
--- a/stand_ins/src/mod.ts
+++ b/stand_ins/src/mod.ts
@@ -27,3 +27,4 @@
   waitForHealth,
   waitUntilDaemonReady,
 } from "./harness/fleet.ts";
+export { expectedAnswer, type PromptMessage } from "./engine/text.ts";
