Owners and callers stop waiting for hosts that do not answer

Cause: a cut-off owner held its callers until their own time-out (180 s), since a record that no holder acknowledged was waited for without an end; a caller of a paused host waited for ever. Ruled out: answering from the ledger before a record is kept (it could be lost). Conclusion: repeats under one request id are what makes this safe.

--- a/packages/caller_client/src/client.ts
+++ b/packages/caller_client/src/client.ts
@@ -7,6 +7,7 @@
   type Verdict,
 } from "@toucantrestle/verdict";
 import { Agent, type Dispatcher, request } from "undici";
+import { watchHost } from "./host_watch.ts";
 
 /** Settings of a caller. */
 export interface CallerOptions {
@@ -106,6 +107,7 @@
   }
 
   async #exchange(address: string, req: ClientRequest): Promise<ClientAnswer> {
+    const watch = watchHost(address, this.#agent);
     try {
       const res = await request(`http://${address}${req.path}`, {
         method: req.method,
@@ -117,7 +119,7 @@
         },
         body: req.body === undefined ? null : JSON.stringify(req.body),
         dispatcher: this.#agent,
-        signal: AbortSignal.timeout(TRY_TIMEOUT_MS),
+        signal: watch.signal,
       });
       return {
         status: res.statusCode,
@@ -126,6 +128,8 @@
       };
     } catch (err) {
       throw upstreamError(address, err);
+    } finally {
+      watch.cancel();
     }
   }
 
--- a/packages/daemon/src/call_runner.ts
+++ b/packages/daemon/src/call_runner.ts
@@ -14,12 +14,16 @@
   ConflictError,
   problemOf,
   RequestError,
+  UnavailableError,
+  type Verdict,
 } from "@toucantrestle/verdict";
 import { type CallContext, requireLedger } from "./call_context.ts";
 import type { Placement } from "./dispatch_desk.ts";
 import { isRelocated, relocated } from "./errors.ts";
 import type { OwnedShard } from "./owned_shard.ts";
 
+const UNKEPT_RETRY_MS = 1_000;
+
 /** What running one call on a placed upstream gave. */
 export interface CallResult {
   outcome: Outcome;
@@ -184,11 +188,37 @@
     });
   }
 
-  /** Keeps the intent; nothing is sent before. */
+  /**
+   * Keeps the intent; nothing is sent before. An intent that is not kept in
+   * time is taken back in the journal, so that its step stays open.
+   */
   async #accept(
     plan: CallPlan,
     step: number,
     placement: Placement,
+  ): Promise<void> {
+    try {
+      await this.#keepIntent(plan, step, placement);
+    } catch (err) {
+      if (isRelocated(err)) throw err;
+      const unsent = unsentError(plan);
+      this.#ctx.journal.append(plan.shard, {
+        kind: "call_finished",
+        program: plan.program,
+        step,
+        requestId: plan.request.requestId,
+        outcome: { kind: "failed", problem: problemOf(unsent) },
+        spentTokens: 0,
+        at: this.#ctx.timer.now(),
+      });
+      throw unsent;
+    }
+  }
+
+  async #keepIntent(
+    plan: CallPlan,
+    step: number,
+    placement: Placement,
   ): Promise<void> {
     const { request, shard } = plan;
     await this.#ctx.journal.keep(shard, {
@@ -257,6 +287,14 @@
   return running.outcome;
 }
 
+function unsentError(plan: CallPlan) {
+  const verdict: Verdict = "not_run";
+  return new UnavailableError(
+    `shard ${plan.shard.shard} can keep no records now`,
+    { props: { verdict, retryAfterMs: UNKEPT_RETRY_MS } },
+  );
+}
+
 /** The budget may have shrunk while the call waited. */
 function checkBudget(ledger: Ledger, request: CallRequest): void {
   const available = availableTokens(ledger);
--- a/packages/daemon/src/journal.ts
+++ b/packages/daemon/src/journal.ts
@@ -1,12 +1,15 @@
 import type { JournalRecord } from "@toucantrestle/program";
 import type { Timer } from "@toucantrestle/timer";
-import { UnavailableError } from "@toucantrestle/verdict";
+import { UnavailableError, type Verdict } from "@toucantrestle/verdict";
 import type { OwnedShard } from "./owned_shard.ts";
 import type { Replicator } from "./replicator.ts";
 
 /** Bytes of unflushed journal over all owned shards that a daemon allows. */
 const MAX_UNFLUSHED_BYTES = 48_000_000;
 const FULL_RETRY_MS = 2_000;
+/** A record that is not kept for this long is given up on for its caller. */
+const KEEP_PATIENCE_MS = 4_000;
+const KEEP_RETRY_MS = 1_000;
 
 /** Appends records to owned shards and waits until they are kept. */
 export class Journal {
@@ -37,15 +40,16 @@
    * Appends a record and waits until it is kept.
    *
    * @throws {RequestError} of status 421 when the shard was lost before
+   * @throws {UnavailableError} when neither holders nor the service answer;
+   *   the record may still be kept later
    */
   async keep(shard: OwnedShard, record: JournalRecord): Promise<void> {
-    const lsn = this.append(shard, record);
-    await shard.kept(lsn, this.#timer.now());
+    await this.#kept(shard, this.append(shard, record));
   }
 
   /** Waits until everything appended so far is kept. */
   async keepAll(shard: OwnedShard): Promise<void> {
-    await shard.kept(shard.lastLsn, this.#timer.now());
+    await this.#kept(shard, shard.lastLsn);
   }
 
   /**
@@ -62,4 +66,23 @@
       { props: { retryAfterMs: FULL_RETRY_MS } },
     );
   }
+
+  #kept(shard: OwnedShard, lsn: number): Promise<void> {
+    if (lsn <= shard.tracker.keptUpTo) return Promise.resolve();
+    return new Promise((resolve, reject) => {
+      const timeout = this.#timer.after(KEEP_PATIENCE_MS, () => {
+        reject(unkeptError(shard.shard));
+      });
+      shard.kept(lsn, this.#timer.now())
+        .then(resolve, reject)
+        .finally(() => timeout.cancel());
+    });
+  }
+}
+
+function unkeptError(shard: number) {
+  const verdict: Verdict = "may_have_run";
+  return new UnavailableError(`shard ${shard} can keep no records now`, {
+    props: { verdict, retryAfterMs: KEEP_RETRY_MS },
+  });
 }
--- a/scenarios/src/main.ts
+++ b/scenarios/src/main.ts
@@ -24,6 +24,8 @@
   "scripts",
 );
 
+const PARALLEL_RUNS = 3;
+
 const [action = "", ...words] = process.argv.slice(2);
 const handler = ACTIONS[action as Action];
 if (!handler) {
@@ -37,10 +39,15 @@
     .filter((it) => it.endsWith(".scenario"))
     .map((it) => it.replace(".scenario", ""))
     .sort();
+  const waiting = [...names];
   const failed: string[] = [];
-  for (const name of names) {
-    if (!await runOne(name)) failed.push(name);
-  }
+  const runNext = async (): Promise<void> => {
+    for (let name = waiting.shift(); name !== undefined;) {
+      if (!await runOne(name)) failed.push(name);
+      name = waiting.shift();
+    }
+  };
+  await Promise.all(Array.from({ length: PARALLEL_RUNS }, runNext));
   say(`${names.length - failed.length} passed, ${failed.length} failed`);
   return failed.length === 0;
 }
--- a/scenarios/src/world/runner.ts
+++ b/scenarios/src/world/runner.ts
@@ -30,6 +30,7 @@
 };
 
 const POLL_MS = 50;
+const STEP_LIMIT_MS = 60_000;
 
 const HANDLERS: StepHandlers = {
   fleet: async (step, ctx) => {
@@ -179,7 +180,7 @@
       ctx: StepContext,
     ) => Promise<void> | void;
     try {
-      await handler(step, ctx);
+      await withLimit(Promise.resolve(handler(step, ctx)));
     } catch (err) {
       const message = err instanceof Error ? err.message : String(err);
       return `line ${step.line}: ${message}`;
@@ -204,6 +205,17 @@
   return undefined;
 }
 
+/** No step may take longer than this, whatever it waits for. */
+function withLimit(step: Promise<void>): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const timeout = setTimeout(
+      () => reject(new ExpectationError(`took more than ${STEP_LIMIT_MS} ms`)),
+      STEP_LIMIT_MS,
+    );
+    step.then(resolve, reject).finally(() => clearTimeout(timeout));
+  });
+}
+
 async function runCall(
   ctx: StepContext,
   { program, label, call }: {
--- a/scenarios/src/world/world.ts
+++ b/scenarios/src/world/world.ts
@@ -79,6 +79,9 @@
   /** Collects what stand-ins and daemons recorded into the history. */
   async collect(): Promise<History> {
     clearInterval(this.#sightings);
+    for (const daemon of this.fleet.daemons.values()) {
+      daemon.process.signal("SIGCONT");
+    }
     await collectRecords(this);
     return this.history;
   }
@@ -97,11 +100,13 @@
     return client;
   }
 
-  /** Operator's client of some daemon that runs. */
+  /** Operator's client of some daemon that runs and is not cut off. */
   anyOperator(): OperatorClient {
     const running = [...this.fleet.daemons.values()]
-      .find((it) => it.process.isRunning);
-    return this.operator(running?.name ?? "");
+      .filter((it) => it.process.isRunning)
+      .map((it) => it.name);
+    const whole = running.find((name) => !this.#cuts.get(name)?.size);
+    return this.operator(whole ?? running[0] ?? "");
   }
 
   daemon(host: string): DaemonMember {
