--- /dev/null
+++ b/packages/timeline/test/timeline_test.ts
@@ -0,0 +1,56 @@
+import { createManualTimer } from "@toucantrestle/timer";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import {
+  compareStamps,
+  createTimeline,
+  drawProgram,
+  mergeTimelines,
+} from "../src/mod.ts";
+
+function createPair() {
+  const fast = createManualTimer(10_000);
+  const slow = createManualTimer(0);
+  return {
+    a: createTimeline({ timer: fast, host: "a", capacity: 10 }),
+    b: createTimeline({ timer: slow, host: "b", capacity: 10 }),
+    slow,
+  };
+}
+
+describe("the time line", () => {
+  it("orders an effect after its cause though clocks differ", () => {
+    const { a, b } = createPair();
+    a.record({ part: "x", kind: "cause" });
+    b.clock.observe(a.clock.tick());
+    b.record({ part: "x", kind: "effect" });
+    const merged = mergeTimelines([b.select({}), a.select({})]);
+    expect(merged.map((it) => it.kind)).toEqual(["cause", "effect"]);
+  });
+
+  it("never goes back", () => {
+    const { b, slow } = createPair();
+    const stamps = [1, 2, 3].map(() => {
+      slow.advance(1);
+      return b.clock.tick();
+    });
+    expect([...stamps].sort(compareStamps)).toEqual(stamps);
+  });
+
+  it("keeps the newest events", () => {
+    const { a } = createPair();
+    for (let i = 0; i < 25; i++) a.record({ part: "x", kind: `k${i}` });
+    const kinds = a.select({}).map((it) => it.kind);
+    expect(kinds.length).toEqual(10);
+    expect(kinds[0]).toEqual("k15");
+  });
+
+  it("is drawn with a bar for each call", () => {
+    const { a } = createPair();
+    a.record({ part: "call", kind: "call_sent", request: "r1", detail: "<e>" });
+    a.record({ part: "call", kind: "call_finished", request: "r1" });
+    const svg = drawProgram(a.select({}));
+    expect(svg.match(/<rect/g)?.length).toEqual(1);
+    expect(svg).toInclude("&lt;e>");
+  });
+});
--- /dev/null
+++ b/scenarios/test/language_test.ts
@@ -0,0 +1,44 @@
+import { expect } from "earl";
+import { readdirSync, readFileSync } from "node:fs";
+import { dirname, join } from "node:path";
+import { describe, it } from "node:test";
+import { fileURLToPath } from "node:url";
+import { parseScript, ScriptError } from "../src/mod.ts";
+
+const SCRIPTS = join(
+  dirname(fileURLToPath(import.meta.url)),
+  "..",
+  "..",
+  "scripts",
+);
+
+describe("the scenario language", () => {
+  it("reads a step a line, with comments", () => {
+    const steps = parseScript(
+      "test",
+      '# a story\nstart a by alice budget 10\nchat a "hi" streamed as x # go\n',
+    );
+    expect(steps.map((it) => [it.line, it.kind])).toEqual([
+      [2, "start"],
+      [3, "chat"],
+    ]);
+  });
+
+  it("reads times with units", () => {
+    const [step] = parseScript("test", "wait 1.5 s");
+    expect(step).toEqual({ line: 1, kind: "wait", ms: 1_500 });
+  });
+
+  it("names the place of a fault and what fits there", () => {
+    expect(() => parseScript("test", "wait 3 s\nkil owner of a\n"))
+      .toThrow("test:2:1: Expected");
+    expect(() => parseScript("test", "wait 3\n")).toThrow(ScriptError);
+  });
+
+  it("reads every script of the folder", () => {
+    for (const file of readdirSync(SCRIPTS)) {
+      const text = readFileSync(join(SCRIPTS, file), "utf8");
+      expect(parseScript(file, text).length > 0).toEqual(true);
+    }
+  });
+});
