--- a/scenarios/src/history/checker.ts
+++ b/scenarios/src/history/checker.ts
@@ -1,5 +1,5 @@
 import { expectedAnswer } from "@toucantrestle/stand_ins";
-import type { CallRecord, History } from "./history.ts";
+import type { CallRecord, History, ServiceExecution } from "./history.ts";
 
 /** Promise that a history may break. */
 export type PromiseName =
@@ -43,13 +43,17 @@
   return violations;
 }
 
-/** Services see the steps of a program in its order. */
-function checkOrder({ services }: History): string[] {
+/**
+ * Services see the steps of a program in its order. What counts of a step is
+ * its first execution: a call that may be repeated can run again later. A step
+ * whose caller was told `may_have_run` may run after that.
+ */
+function checkOrder(history: History): string[] {
   const newest = new Map<string, number>();
   const faults: string[] = [];
-  for (const it of [...services].sort((a, b) => a.at - b.at)) {
+  for (const it of firstExecutions(history)) {
     const step = newest.get(it.program) ?? 0;
-    if (it.step < step) {
+    if (it.step < step && !isAfterVerdict(it, history)) {
       faults.push(`${it.program} ran step ${it.step} after step ${step}`);
     }
     newest.set(it.program, Math.max(step, it.step));
@@ -57,6 +61,23 @@
   return faults;
 }
 
+function firstExecutions({ services }: History): ServiceExecution[] {
+  const seen = new Set<string>();
+  return [...services].sort((a, b) => a.at - b.at).filter((it) => {
+    const key = `${it.program} ${it.step}`;
+    const isFirst = !seen.has(key);
+    seen.add(key);
+    return isFirst;
+  });
+}
+
+function isAfterVerdict(it: ServiceExecution, { calls }: History): boolean {
+  const call = calls.find((call) => call.requestId === it.requestId);
+  return call?.result?.kind === "failed" &&
+    call.result.verdict === "may_have_run" &&
+    it.at >= (call.completedAt ?? Infinity);
+}
+
 /**
  * Each answer follows from the program's own messages alone, whole and without
  * a lost or doubled token. The engine's output is a function of its prompt.
@@ -94,15 +115,20 @@
   return faults;
 }
 
-/** No call of a service ran twice; an answered one ran. */
-function checkAtMostOnce({ services, calls }: History): string[] {
+/** No call that may not be repeated ran twice; an answered one ran. */
+function checkAtMostOnce(history: History): string[] {
+  const { services, calls, idempotentRoutes } = history;
   const counts = new Map<string, number>();
   for (const it of services) {
     const key = `${it.program} step ${it.step}`;
     counts.set(key, (counts.get(key) ?? 0) + 1);
   }
+  const repeatable = new Set(
+    services.filter((it) => idempotentRoutes.includes(it.route))
+      .map((it) => `${it.program} step ${it.step}`),
+  );
   const doubled = [...counts]
-    .filter(([, count]) => count > 1)
+    .filter(([key, count]) => count > 1 && !repeatable.has(key))
     .map(([key, count]) => `${key} ran ${count} times`);
   const missing = calls
     .filter((it) => it.kind === "service" && it.result?.kind === "answered")
--- a/scenarios/src/history/history.ts
+++ b/scenarios/src/history/history.ts
@@ -75,6 +75,8 @@
 
 /** Everything that was recorded of one run. */
 export interface History {
+  /** Routes whose calls may run more than once. */
+  idempotentRoutes: string[];
   programs: ProgramRecord[];
   calls: CallRecord[];
   services: ServiceExecution[];
@@ -91,6 +93,7 @@
 /** An empty history. */
 export function createHistory(): History {
   return {
+    idempotentRoutes: [],
     programs: [],
     calls: [],
     services: [],
--- a/scenarios/src/world/collect.ts
+++ b/scenarios/src/world/collect.ts
@@ -35,6 +35,9 @@
     ...edits.map(({ revision, writeId }) => ({ revision, writeId })),
   );
   const table = await operator.table();
+  history.idempotentRoutes = table.rows
+    .filter((row) => row.cells["idempotent"] === true)
+    .map((row) => row.id.slice("route/".length));
   const edited = new Set(history.edits.map((it) => `${it.row} ${it.column}`));
   for (const row of table.rows) {
     for (const [column, value] of Object.entries(row.cells)) {
--- a/scenarios/test/checker_test.ts
+++ b/scenarios/test/checker_test.ts
@@ -142,6 +142,46 @@
 ];
 
 describe("the history checker", () => {
+  it("accepts a second run of a call that may be repeated", () => {
+    const history = createGoodHistory();
+    history.idempotentRoutes = ["find"];
+    history.services.push(
+      { requestId: "r2", program: PROGRAM, step: 2, route: "find", at: 2 },
+      { requestId: "r2", program: PROGRAM, step: 2, route: "find", at: 9 },
+    );
+    expect(checkHistory(history)).toEqual([]);
+  });
+
+  it("accepts a run after its caller was told that it may have run", () => {
+    const history = createGoodHistory();
+    history.calls.push(call(4, {
+      kind: "service",
+      completedAt: 5,
+      result: { kind: "failed", verdict: "may_have_run", detail: "" },
+    }));
+    const late = { program: PROGRAM, route: "book" };
+    history.services.push(
+      { ...late, requestId: "r5", step: 5, at: 6 },
+      { ...late, requestId: "r4", step: 4, at: 7 },
+    );
+    expect(checkHistory(history)).toEqual([]);
+  });
+
+  it("finds a late run before the verdict", () => {
+    const history = createGoodHistory();
+    history.calls.push(call(4, {
+      kind: "service",
+      completedAt: 9,
+      result: { kind: "failed", verdict: "may_have_run", detail: "" },
+    }));
+    const late = { program: PROGRAM, route: "book" };
+    history.services.push(
+      { ...late, requestId: "r5", step: 5, at: 6 },
+      { ...late, requestId: "r4", step: 4, at: 7 },
+    );
+    expect(checkHistory(history).map((it) => it.promise)).toEqual(["order"]);
+  });
+
   it("accepts a history that keeps every promise", () => {
     expect(checkHistory(createGoodHistory())).toEqual([]);
   });
