Retries end when no other upstream is left; idle shards move, busy ones wait

A retry that excluded every upstream of its route waited for the whole queue deadline; a shard that moved to its preferred owner blocked new calls while that one lasted; and a daemon whose own lease had lapsed in an outage thought another host preferred for its shards. Change: work that no upstream can take is refused at once; one retry loop for models and services, whose verdict covers all tries; a shard that moves by preference only stops taking calls once none is in progress; a daemon always counts itself as live.

--- a/packages/daemon/src/call_runner.ts
+++ b/packages/daemon/src/call_runner.ts
@@ -13,7 +13,6 @@
   BudgetError,
   ConflictError,
   problemOf,
-  RequestError,
   UnavailableError,
   type Verdict,
 } from "@toucantrestle/verdict";
@@ -313,8 +312,3 @@
 function attainedMs(ledger: Ledger | undefined): number {
   return ledger?.spentTokens ?? 0;
 }
-
-/** Tells whether an error leaves no doubt that nothing ran. */
-export function isUnsent(err: unknown): boolean {
-  return err instanceof RequestError && err.verdict === "not_run";
-}
--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -23,15 +23,10 @@
   writeStreamProblem,
 } from "./answers.ts";
 import { type CallContext, requireLedger } from "./call_context.ts";
-import {
-  type CallPlan,
-  type CallResult,
-  type CallRunner,
-  isUnsent,
-} from "./call_runner.ts";
+import type { CallPlan, CallResult, CallRunner } from "./call_runner.ts";
 import type { Placement } from "./dispatch_desk.ts";
-import { isRelocated } from "./errors.ts";
 import type { OwnedShard } from "./owned_shard.ts";
+import { isUnsent, tryUpstreams } from "./try_upstreams.ts";
 
 const MAX_TRIES = 3;
 /** An engine that sends nothing for this long has hung. */
@@ -162,23 +157,20 @@
 
   async #runTries(step: number, first: Placement): Promise<CallResult> {
     this.#ctx.retries.firstTry(this.#ctx.table().system.retryShare);
-    let placement = first;
-    for (let tries = 1;; tries++) {
-      try {
-        const end = await this.#runOnce(step, placement);
-        return this.#resultOf(end);
-      } catch (err) {
-        if (isRelocated(err) || !this.#mayRetry(tries)) throw err;
-        this.#noteFailure(placement, err);
-        placement = await this.#placeAgain(step);
-      }
-    }
+    const end = await tryUpstreams({
+      first,
+      maxTries: MAX_TRIES,
+      runOnce: (placement) => this.#runOnce(step, placement),
+      mayRetry: () => this.#mayRetry(),
+      noteFailure: (placement, err) => this.#noteFailure(placement, err),
+      placeAgain: () => this.#placeAgain(step),
+    });
+    return this.#resultOf(end);
   }
 
-  #mayRetry(tries: number): boolean {
+  #mayRetry(): boolean {
     const { timer, retries } = this.#ctx;
-    return tries < MAX_TRIES && timer.now() < this.#deadlineAt &&
-      retries.take();
+    return timer.now() < this.#deadlineAt && retries.take();
   }
 
   #noteFailure(placement: Placement, err: unknown): void {
--- a/packages/daemon/src/ownership.ts
+++ b/packages/daemon/src/ownership.ts
@@ -203,8 +203,9 @@
       ),
     );
     if (!successor || successor.runId === this.#opts.self.runId) return;
-    owned.state = "draining";
+    if (this.#isStopping) owned.state = "draining";
     if (owned.attempts.size > 0) return;
+    owned.state = "draining";
     await flusher.flushAll();
     if (owned.attempts.size > 0 || owned.unflushed.length > 0) return;
     const moved = await takeover.handOver(owned, successor);
@@ -251,9 +252,12 @@
     }
   }
 
+  /** Registered hosts and this one, whose lease may just have lapsed. */
   #liveHosts(): HostRecord[] {
-    return [...this.#opts.view.hosts.values()]
-      .filter((it) => it.state === "live");
+    const { view, lease } = this.#opts;
+    const others = [...view.hosts.values()]
+      .filter((it) => it.runId !== lease.record.runId);
+    return [...others, lease.record].filter((it) => it.state === "live");
   }
 
   /** Live hosts that have been there for a while, to which shards may move. */
--- a/packages/daemon/src/service_call.ts
+++ b/packages/daemon/src/service_call.ts
@@ -11,14 +11,10 @@
 import { sleep } from "@toucantrestle/timer";
 import { writeOutcome } from "./answers.ts";
 import type { CallContext } from "./call_context.ts";
-import {
-  type CallPlan,
-  type CallResult,
-  type CallRunner,
-  isUnsent,
-} from "./call_runner.ts";
+import type { CallPlan, CallResult, CallRunner } from "./call_runner.ts";
 import type { Placement } from "./dispatch_desk.ts";
 import type { OwnedShard } from "./owned_shard.ts";
+import { isUnsent, tryUpstreams } from "./try_upstreams.ts";
 
 const MAX_TRIES = 3;
 const DOWN_MS = 1_000;
@@ -101,19 +97,16 @@
   async #runTries(step: number, first: Placement): Promise<CallResult> {
     const route = this.#route();
     this.#ctx.retries.firstTry(this.#ctx.table().system.retryShare);
-    let placement = first;
-    for (let tries = 1;; tries++) {
-      try {
-        const answer = await this.#runOnce(step, placement, route);
-        return { outcome: outcomeOf(answer), spentTokens: route.costTokens };
-      } catch (err) {
-        const maySend = route.idempotent || isUnsent(err);
-        if (!maySend || tries >= MAX_TRIES) throw err;
-        if (!this.#ctx.retries.take()) throw err;
-        this.#noteFailure(placement);
-        placement = await this.#placeAgain(step);
-      }
-    }
+    const answer = await tryUpstreams({
+      first,
+      maxTries: MAX_TRIES,
+      runOnce: (placement) => this.#runOnce(step, placement, route),
+      mayRetry: (err) =>
+        (route.idempotent || isUnsent(err)) && this.#ctx.retries.take(),
+      noteFailure: (placement) => this.#noteFailure(placement),
+      placeAgain: () => this.#placeAgain(step),
+    });
+    return { outcome: outcomeOf(answer), spentTokens: route.costTokens };
   }
 
   #noteFailure({ upstream }: Placement): void {
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -101,12 +101,17 @@
     if (state) state.downUntil = Math.max(state.downUntil, until);
   }
 
-  /** Adds a call, or refuses it when too many wait. */
+  /**
+   * Adds a call, or refuses it at once when too many wait, or when no upstream
+   * can ever take it.
+   */
   submit(work: Work): Decision | undefined {
-    if (this.#waiting >= this.#queueLimit()) {
+    const target = this.#target(work.target);
+    const isFull = this.#waiting >= this.#queueLimit();
+    if (isFull || !this.#isServable(target, work)) {
       return this.#refuse(work, work.enqueuedAt);
     }
-    this.#target(work.target).queue.add(work);
+    target.queue.add(work);
     this.#waiting += 1;
     return undefined;
   }
@@ -216,6 +221,14 @@
     };
   }
 
+  /** Some upstream serves the target and was not excluded. */
+  #isServable(target: Target, work: Work): boolean {
+    return target.members.some((name) => {
+      const state = this.#upstreams.get(name);
+      return state !== undefined && isAllowed(state, work);
+    });
+  }
+
   #candidates(target: Target, work: Work, now: number): UpstreamState[] {
     const states = this.#candidateNames(target, work)
       .map((name) => this.#upstreams.get(name))
