--- a/packages/daemon/src/flusher.ts
+++ b/packages/daemon/src/flusher.ts
@@ -30,8 +30,10 @@
 const MAX_CHUNK_BYTES = 700_000;
 const MAX_TXN_BYTES = 1_000_000;
 const MAX_TXN_ITEMS = 40;
-const RETRY_MS = 100;
+const RETRY_MS = 250;
 const MIN_GAP_MS = 25;
+/** Pause after the service refused a flush. */
+const REFUSED_DELAY_MS = 500;
 /** A record that is not kept by holders after this waits for a flush. */
 const HOLDER_PATIENCE_MS = 150;
 
@@ -50,6 +52,7 @@
   readonly #onLost: (shard: OwnedShard) => void;
   readonly #rotations = new Map<OwnedShard, ShardLog>();
   #lastStartedAt = 0;
+  #blockedUntil = 0;
   #isClosed = false;
   #running: Promise<void> | undefined;
 
@@ -91,7 +94,9 @@
   async flushAll(): Promise<void> {
     await this.#running;
     while (!this.#isClosed && this.#pendingShards().length > 0) {
-      await this.#run();
+      const waitMs = this.#blockedUntil - this.#timer.now();
+      if (waitMs > 0) await sleep(this.#timer, waitMs);
+      await (this.#running ?? this.#run());
     }
   }
 
@@ -102,6 +107,7 @@
   #tick(): void {
     if (this.#running || this.#isClosed) return;
     const now = this.#timer.now();
+    if (now < this.#blockedUntil) return;
     const isDue = now - this.#lastStartedAt >= this.#intervalMs();
     if (!isDue && !this.#isUrgent(now)) return;
     if (this.#pendingShards().length === 0) return;
@@ -187,6 +193,7 @@
 
   /** The transaction was never run: its entries go with a later one. */
   #abandon(items: FlushItem[]): void {
+    this.#blockedUntil = this.#timer.now() + REFUSED_DELAY_MS;
     for (const { shard, rotation } of items) {
       if (!rotation) continue;
       shard.tracker.endRotation(shard.record.log);
--- a/packages/daemon/src/ownership.ts
+++ b/packages/daemon/src/ownership.ts
@@ -21,6 +21,8 @@
 const JOIN_PATIENCE_MS = 3_000;
 /** A holder must be gone this long before it is replaced. */
 const HOLDER_PATIENCE_MS = 2_000;
+/** Pause after a shard could not be moved. */
+const RETRY_MOVE_MS = 1_000;
 const HEARD_TIMEOUT_MS = 400;
 
 /** Settings and parts of the ownership loop. */
@@ -44,6 +46,8 @@
 export class Ownership {
   readonly #opts: OwnershipOptions;
   readonly #busy = new Set<number>();
+  /** Shards whose last move failed, with the time of the next try. */
+  readonly #retryAt = new Map<number, number>();
   readonly #firstSeenAt = new Map<string, number>();
   readonly #startedAt: number;
   #isStopping = false;
@@ -96,6 +100,8 @@
     const { record } = known;
     const owned = this.#opts.shards.get(record.shard);
     if (this.#busy.has(record.shard)) return;
+    const retryAt = this.#retryAt.get(record.shard) ?? 0;
+    if (this.#opts.timer.now() < retryAt) return;
     const isOwn = record.owner.runId === this.#opts.self.runId;
     if (isOwn && !owned) {
       if (this.#canStart()) this.#run(record.shard, () => this.#adopt(known));
@@ -286,6 +292,7 @@
     task()
       .catch((err: unknown) => {
         this.#opts.log.warn(`shard ${shard} cannot move now: ${String(err)}`);
+        this.#retryAt.set(shard, this.#opts.timer.now() + RETRY_MOVE_MS);
       })
       .finally(() => this.#busy.delete(shard));
   }
