Verdicts cover every try of a request id

Ruled out: a wrong ledger (the owner never saw the second try). Change: a daemon that does not know its keys answers 503 and when to come back; a daemon that cannot reach the owner never says not_run; the ledger remembers requests that may have run while their step is open; the callers' client combines the verdicts of its tries; keys are learnt from siblings in an outage. Conclusion: only the owner's ledger may say not_run.

--- a/packages/caller_client/src/client.ts
+++ b/packages/caller_client/src/client.ts
@@ -78,12 +78,16 @@
    */
   async send(req: ClientRequest): Promise<ClientAnswer> {
     const giveUpAt = Date.now() + this.#opts.patienceMs;
+    let mayHaveRun = false;
     for (;;) {
       try {
         return await this.#sendOnce(req);
       } catch (err) {
+        mayHaveRun ||= (err as RequestError).verdict !== "not_run";
         const again = delayBeforeRetry(err);
-        if (again === undefined || Date.now() + again >= giveUpAt) throw err;
+        if (again === undefined || Date.now() + again >= giveUpAt) {
+          throw mayHaveRun ? admitting(err) : err;
+        }
         if (req.program !== undefined) this.#places.delete(req.program);
         await new Promise((resolve) => setTimeout(resolve, again));
       }
@@ -176,6 +180,16 @@
   return isConnection ? STEADY_RETRY_MS : undefined;
 }
 
+/** The failure of the last try, when an earlier one may have run. */
+function admitting(err: unknown): unknown {
+  if (!(err instanceof RequestError)) return err;
+  const { message, status, retryAfterMs } = err;
+  const verdict: Verdict = "may_have_run";
+  return new RequestError(message, {
+    props: { verdict, status, retryAfterMs },
+  });
+}
+
 /** A stream that broke off is not a whole answer. */
 function checkStream(answer: ClientAnswer): ClientAnswer {
   if (!answer.contentType.startsWith("text/event-stream")) return answer;
--- a/packages/daemon/src/call_runner.ts
+++ b/packages/daemon/src/call_runner.ts
@@ -20,6 +20,7 @@
 import type { Placement } from "./dispatch_desk.ts";
 import { isRelocated, relocated } from "./errors.ts";
 import type { OwnedShard } from "./owned_shard.ts";
+import { withVerdict } from "./try_upstreams.ts";
 
 const UNKEPT_RETRY_MS = 1_000;
 
@@ -71,8 +72,20 @@
    * @throws {RequestError} when it is refused
    */
   start(plan: CallPlan): Started {
+    const { requestId } = plan.request;
+    const ledger = requireLedger(plan.shard, plan.program, plan.caller);
+    const wasInterrupted = ledger.interrupted.includes(requestId);
+    if (!wasInterrupted) return this.#start(plan, ledger);
+    try {
+      const started = this.#start(plan, ledger);
+      return { ...started, outcome: neverUnsent(started.outcome) };
+    } catch (err) {
+      throw withVerdict(err, true);
+    }
+  }
+
+  #start(plan: CallPlan, ledger: Ledger): Started {
     const { shard, request } = plan;
-    const ledger = requireLedger(shard, plan.program, plan.caller);
     const running = shard.attempts.get(plan.program);
     if (running) return { kind: "earlier", outcome: join(running, plan) };
     const admission = admitCall(ledger, request);
@@ -286,6 +299,22 @@
   return running.outcome;
 }
 
+/** An earlier try of the request may have run: a refusal says so. */
+async function neverUnsent(outcome: Promise<Outcome>): Promise<Outcome> {
+  try {
+    return admitting(await outcome);
+  } catch (err) {
+    throw withVerdict(err, true);
+  }
+}
+
+function admitting(outcome: Outcome): Outcome {
+  if (outcome.kind === "answered") return outcome;
+  const { problem } = outcome;
+  if (problem.verdict !== "not_run") return outcome;
+  return { kind: "failed", problem: { ...problem, verdict: "may_have_run" } };
+}
+
 function unsentError(plan: CallPlan) {
   const verdict: Verdict = "not_run";
   return new UnavailableError(
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -401,6 +401,7 @@
       maxBodyBytes: this.#cfg.maxBodyMb * BYTES_PER_MB,
       tls: this.#tls?.current(),
       authenticate: (key) => this.#keyring.authenticate(key),
+      isReady: () => this.#view.isUsable,
       onError: (err) => this.#logs("entry").error(describeError(err)),
     });
   }
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -67,16 +67,14 @@
     sink: AnswerSink,
   ): Promise<void> {
     const giveUpAt = this.#timer.now() + ROUTING_PATIENCE_MS;
-    let verdict: Verdict = "not_run";
     for (;;) {
       try {
         if (await this.#tryOnce(caller, request, sink)) return;
       } catch (err) {
         if (sink.hasStarted) return endBrokenStream(err, sink);
         if (!isRelocated(err) && !isLinkLost(err)) throw err;
-        if (err.verdict !== "not_run") verdict = err.verdict;
       }
-      if (this.#timer.now() >= giveUpAt) throw ownerMissing(request, verdict);
+      if (this.#timer.now() >= giveUpAt) throw ownerMissing(request);
       await sleep(this.#timer, LOOK_AGAIN_MS);
     }
   }
@@ -147,7 +145,12 @@
   writeStreamProblem(problemOf(err), sink);
 }
 
-function ownerMissing(request: CallerRequest, verdict: Verdict) {
+/**
+ * Only the owner knows whether an earlier try under the same request id ran,
+ * so nothing better can be said. A repeat is always safe.
+ */
+function ownerMissing(request: CallerRequest) {
+  const verdict: Verdict = "may_have_run";
   return new UnavailableError(
     `the owner of program ${request.program} cannot be reached`,
     { props: { verdict, retryAfterMs: RETRY_AFTER_MS } },
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -68,7 +68,7 @@
   const args = { for: session.run };
   const cluster = await session.rpc("cluster", args, RPC_TIMEOUT_MS)
     .catch(() => undefined);
-  if (cluster) view.takeCluster(cluster.hosts, cluster.shards);
+  if (cluster) view.takeCluster(cluster);
 }
 
 function createRpcHandlers(parts: PeerParts): RpcHandlers {
@@ -94,6 +94,7 @@
     cluster: () => ({
       hosts: [...view.hosts.values()],
       shards: [...view.shards.values()].map((it) => it.record),
+      keys: [...view.keys].map(([hash, record]) => ({ hash, ...record })),
     }),
     timeline: ({ filter }) => ({ events: parts.timeline.select(filter) }),
     status: () => ({ status: parts.ownStatus() }),
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -6,6 +6,7 @@
 import type { Role } from "@toucantrestle/http";
 import type { Logger } from "@toucantrestle/log";
 import type { HostRecord, ShardRecord } from "@toucantrestle/membership";
+import type { ClusterView } from "@toucantrestle/sibling";
 import {
   EMPTY_TABLE,
   type Table,
@@ -74,6 +75,11 @@
     return this.#isLoaded;
   }
 
+  /** Whether callers' keys are known, from the service or from siblings. */
+  get isUsable(): boolean {
+    return this.#isLoaded || this.keys.size > 0;
+  }
+
   /** Whether the watch stands, so that the view is fresh. */
   get isWatching(): boolean {
     return this.#watch !== undefined;
@@ -121,10 +127,11 @@
   }
 
   /** Takes what siblings know, while the service cannot be watched. */
-  takeCluster(hosts: HostRecord[], shards: ShardRecord[]): void {
+  takeCluster({ hosts, shards, keys }: ClusterView): void {
     if (this.isWatching) return;
     if (!this.#isLoaded) {
       for (const host of hosts) this.hosts.set(host.runId, host);
+      for (const { hash, ...record } of keys) this.keys.set(hash, record);
     }
     for (const record of shards) {
       const known = this.shards.get(record.shard);
--- a/packages/daemon/src/try_upstreams.ts
+++ b/packages/daemon/src/try_upstreams.ts
@@ -46,7 +46,8 @@
   return err instanceof RequestError && err.verdict === "not_run";
 }
 
-function withVerdict(err: unknown, mayHaveRun: boolean): unknown {
+/** The same error, which admits that an earlier try may have run. */
+export function withVerdict(err: unknown, mayHaveRun: boolean): unknown {
   if (!mayHaveRun || !isUnsent(err)) return err;
   const { message, status, retryAfterMs } = err as RequestError;
   const verdict: Verdict = "may_have_run";
--- a/packages/http/src/server.ts
+++ b/packages/http/src/server.ts
@@ -4,6 +4,8 @@
   NotFoundError,
   problemOf,
   UnauthorizedError,
+  UnavailableError,
+  type Verdict,
 } from "@toucantrestle/verdict";
 import FindMyWay from "find-my-way";
 import { createServer, type IncomingMessage, type Server } from "node:http";
@@ -48,6 +50,8 @@
   maxBodyBytes: number;
   tls: HttpTls | undefined;
   authenticate(key: string): Principal | undefined;
+  /** False until keys can be checked. */
+  isReady(): boolean;
   onError(err: unknown): void;
 }
 
@@ -62,6 +66,7 @@
 
 const NOBODY: Principal = { name: "", role: "caller" };
 const KEEP_ALIVE_MS = 60_000;
+const NOT_READY_RETRY_MS = 500;
 
 /** Creates a server. */
 export function createHttpServer(opts: HttpServerOptions): HttpServer {
@@ -151,6 +156,7 @@
   const header = req.headers.authorization ?? "";
   const key = header.startsWith("Bearer ") ? header.slice(7) : "";
   const principal = key === "" ? undefined : opts.authenticate(key);
+  if (!principal && !opts.isReady()) throw notReadyError();
   if (!principal) throw new UnauthorizedError("the request has no known key");
   if (principal.role !== route.role) {
     throw new ForbiddenError(
@@ -160,6 +166,14 @@
   return principal;
 }
 
+/** An earlier try of the request may have run elsewhere. */
+function notReadyError() {
+  const verdict: Verdict = "may_have_run";
+  return new UnavailableError("the host does not know its callers yet", {
+    props: { verdict, retryAfterMs: NOT_READY_RETRY_MS },
+  });
+}
+
 function listen(server: Server, address: string): Promise<void> {
   const url = new URL(`tcp://${address}`);
   return new Promise((resolve, reject) => {
--- a/packages/program/src/apply_record.ts
+++ b/packages/program/src/apply_record.ts
@@ -97,6 +97,7 @@
     idleLimitMs: record.idleLimitMs,
     steps: [],
     pending: undefined,
+    interrupted: [],
     history: [],
     historyTokens: 0,
     engines: [],
@@ -140,7 +141,11 @@
   ledger.spentTokens += record.spentTokens;
   ledger.lastActiveAt = record.at;
   const { outcome } = record;
-  if (!consumesStep(outcome, pending.idempotent)) return;
+  if (!consumesStep(outcome, pending.idempotent)) {
+    noteInterrupted(ledger, record);
+    return;
+  }
+  ledger.interrupted = [];
   ledger.steps.push({
     requestId: pending.requestId,
     fingerprint: pending.fingerprint,
@@ -154,6 +159,15 @@
   }
 }
 
+function noteInterrupted(ledger: Ledger, record: CallFinished): void {
+  const { outcome, requestId } = record;
+  const mayHaveRun = outcome.kind === "failed" &&
+    outcome.problem.verdict !== "not_run";
+  if (mayHaveRun && !ledger.interrupted.includes(requestId)) {
+    ledger.interrupted.push(requestId);
+  }
+}
+
 function releaseMemory(ledger: Ledger, record: MemoryReleased): void {
   ledger.engines = ledger.engines.filter((name) => name !== record.upstream);
 }
--- a/packages/program/src/ledger.ts
+++ b/packages/program/src/ledger.ts
@@ -43,6 +43,8 @@
   /** Finished steps; step n stands at index n - 1. */
   steps: FinishedStep[];
   pending: PendingCall | undefined;
+  /** Requests that may have run in part, for a step that is still open. */
+  interrupted: string[];
   history: ChatMessage[];
   /** Exact token count of the history as an engine last reported it. */
   historyTokens: number;
--- a/packages/program/test/ledger_test.ts
+++ b/packages/program/test/ledger_test.ts
@@ -78,6 +78,17 @@
     expect(nextStep(ledger)).toEqual(2);
   });
 
+  it("remembers a request that may have run while its step is open", () => {
+    const records = [
+      started(PROGRAM),
+      accepted(PROGRAM, 1),
+      failed(PROGRAM, 1, "may_have_run"),
+    ];
+    expect(ledgerAfter(PROGRAM, records).interrupted).toEqual(["r1"]);
+    const after = [...records, accepted(PROGRAM, 1), answered(PROGRAM, 1)];
+    expect(ledgerAfter(PROGRAM, after).interrupted).toEqual([]);
+  });
+
   it("never lets a late verdict replace an answer", () => {
     const ledger = ledgerAfter(PROGRAM, [
       started(PROGRAM),
--- a/packages/sibling/src/messages.ts
+++ b/packages/sibling/src/messages.ts
@@ -69,6 +69,21 @@
   trims: TrimItem[];
 }
 
+/** A key as it is kept, under its hash. */
+export interface HashedKey {
+  hash: string;
+  name: string;
+  role: "caller" | "operator" | "sibling";
+  createdAt: number;
+}
+
+/** What a daemon knows of the fleet, for one that cannot read the service. */
+export interface ClusterView {
+  hosts: HostRecord[];
+  shards: ShardRecord[];
+  keys: HashedKey[];
+}
+
 /** Requests with one answer each. */
 export interface Rpcs {
   seal: { args: { shard: number; epoch: number }; result: { tails: Tail[] } };
@@ -95,7 +110,7 @@
   table: { args: { above: number }; result: { table: Table | undefined } };
   cluster: {
     args: { for: HostRun };
-    result: { hosts: HostRecord[]; shards: ShardRecord[] };
+    result: ClusterView;
   };
   timeline: {
     args: { filter: TimelineFilter };
