Bench: policies compared on the same arrivals under a moved clock

Cause: the decisions are measured by program latency and wasted cache; real processes are too slow to try many of them. Ruled out: a cluster simulator: it is the decision code itself with the engine stand-in's model, lagging reports and late cache events.

--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -8,8 +8,9 @@
 import process from "node:process";
 import type { BenchCommand } from "./command.ts";
 import { path } from "./commands/path.ts";
+import { policy } from "./commands/policy.ts";
 
-const COMMANDS: Readonly<Record<string, BenchCommand>> = { path };
+const COMMANDS: Readonly<Record<string, BenchCommand>> = { path, policy };
 
 const [name = "", ...argv] = process.argv.slice(2);
 const command = COMMANDS[name];
