Routing: a program stays with its cache; new ones wait for memory

Cause: under memory pressure calls moved after a hold of 4 s, lost their cache and filled the prefill queues; each move made the next one likelier. Ruled out: least attained service with short aging (it turned into first come first served at these waits). Change: home is the upstream with the most cached prompt; moving must be twice as fast; at most 500 ms of prompt computation are queued on an engine; new programs wait while cache memory is 90% full; within a caller the oldest program first, large ones later.

--- a/bench/src/policy/simulation.ts
+++ b/bench/src/policy/simulation.ts
@@ -66,7 +66,7 @@
   daemon: number;
   turn: number;
   contextTokens: number;
-  attainedMs: number;
+  attainedTokens: number;
   busyMs: number;
   readyAt: number;
   refusals: number;
@@ -172,7 +172,7 @@
       daemon: number % this.#dispatchers.length,
       turn: 0,
       contextTokens: 0,
-      attainedMs: 0,
+      attainedTokens: 0,
       busyMs: 0,
       readyAt: this.#now,
       refusals: 0,
@@ -200,7 +200,8 @@
       weight: program.caller.weight,
       promptTokens: program.contextTokens + turn.newTokens,
       expectedOutputTokens: 128,
-      attainedMs: program.attainedMs,
+      attainedTokens: program.attainedTokens,
+      programStartedAt: program.spec.arrivesAt,
       enqueuedAt: this.#now,
       deadlineAt: program.readyAt + deadlineMs,
       excluded: [],
@@ -295,7 +296,7 @@
     this.#active.delete(work.id);
     const before = program.contextTokens;
     program.contextTokens = job.promptTokens + job.outputTokens;
-    program.attainedMs += job.promptTokens + job.outputTokens;
+    program.attainedTokens += job.promptTokens + job.outputTokens;
     program.busyMs += this.#now - program.readyAt;
     this.#calls.push({
       caller: work.caller,
--- a/packages/daemon/src/call_runner.ts
+++ b/packages/daemon/src/call_runner.ts
@@ -109,6 +109,7 @@
   createWork(plan: CallPlan, excluded: readonly string[]): Work {
     const { timer, table } = this.#ctx;
     const policy = table().callers.get(plan.caller);
+    const ledger = plan.shard.ledgers.get(plan.program);
     return {
       id: `w${this.#nextWork++}`,
       program: plan.program,
@@ -119,7 +120,8 @@
       weight: policy?.weight ?? 1,
       promptTokens: plan.promptTokens,
       expectedOutputTokens: plan.expectedOutputTokens,
-      attainedMs: attainedMs(plan.shard.ledgers.get(plan.program)),
+      attainedTokens: ledger?.spentTokens ?? 0,
+      programStartedAt: ledger?.startedAt ?? timer.now(),
       enqueuedAt: timer.now(),
       deadlineAt: plan.queueDeadlineAt,
       excluded,
@@ -336,8 +338,3 @@
   if (outcome.kind === "answered") return `answered ${outcome.status}`;
   return `failed: ${outcome.problem.detail} (${outcome.problem.verdict})`;
 }
-
-/** Engine time of a program so far, estimated from what it spent. */
-function attainedMs(ledger: Ledger | undefined): number {
-  return ledger?.spentTokens ?? 0;
-}
--- a/packages/policy/src/routers.ts
+++ b/packages/policy/src/routers.ts
@@ -29,8 +29,14 @@
 
 type Router = (input: RouteInput) => Route;
 
-/** Longest time that work waits for the engine that has its cache. */
-const MAX_HOLD_MS = 4_000;
+/** Memory that new programs may fill. */
+const FIRST_CALL_FILL = 0.9;
+/** A first call waits this long at the most for free cache memory. */
+const MAX_MEMORY_WAIT_MS = { foreground: 8_000, bulk: 60_000 } as const;
+/** Prompt computation that may be queued on an engine. */
+const MAX_PREFILL_QUEUE_MS = 500;
+/** Moving must be this much faster than waiting for the cached copy. */
+const MOVE_FACTOR = 2;
 
 /** Routers by name. */
 export const ROUTERS: Record<RouterName, Router> = {
@@ -48,9 +54,8 @@
   input: RouteInput,
 ): number {
   const { work, speed } = input;
-  const cached = input.caches.cachedTokens(work.program, upstream.info.name);
-  const uncached = Math.max(0, work.promptTokens - cached);
-  const prefillTokens = upstream.queuedPrefillTokens() + uncached;
+  const prefillTokens = upstream.queuedPrefillTokens() +
+    uncachedTokens(upstream, input);
   const batch = upstream.inFlight() / upstream.info.capacity;
   const decodeMs = work.expectedOutputTokens * speed.tokenMs *
     (0.5 + 0.5 * batch);
@@ -58,19 +63,81 @@
   return waitMs + prefillTokens * speed.prefillMsPerToken + decodeMs;
 }
 
+/**
+ * A program goes where its cache is, unless waiting there takes much longer
+ * than computing it again elsewhere; a new one goes where it would finish
+ * first, among upstreams that have memory for it.
+ */
 function routeByExpectedFinish(input: RouteInput): Route {
+  const home = findHome(input);
+  if (!home) return startElsewhere(input);
+  if (canStart(home, input)) return home;
+  const other = startElsewhere(input);
+  if (!other) return undefined;
+  const isWorthIt = MOVE_FACTOR * expectedFinishMs(other, input) <
+    expectedFinishMs(home, input);
+  return isWorthIt ? other : undefined;
+}
+
+/** Upstream believed to have most of the program's prompt cached. */
+function findHome({ candidates, work, caches }: RouteInput): Route {
+  let home: UpstreamState | undefined;
+  let most = 0;
+  for (const candidate of candidates) {
+    const cached = caches.cachedTokens(work.program, candidate.info.name);
+    if (cached <= most) continue;
+    home = candidate;
+    most = cached;
+  }
+  return home;
+}
+
+function startElsewhere(input: RouteInput): Route {
   let best: UpstreamState | undefined;
   let bestMs = Infinity;
   for (const candidate of input.candidates) {
-    const ms = expectedFinishMs(candidate, input);
+    if (!canStart(candidate, input)) continue;
+    const ms = expectedFinishMs(candidate, input) + memoryCostMs(candidate);
     if (ms >= bestMs) continue;
     best = candidate;
     bestMs = ms;
   }
-  if (!best || best.room() > 0) return best;
-  const waited = input.now - input.work.enqueuedAt;
-  if (waited < MAX_HOLD_MS) return undefined;
-  return leastLoaded(input.candidates.filter((it) => it.room() > 0));
+  return best;
+}
+
+/** Prefers upstreams with free memory among equals. */
+function memoryCostMs(upstream: UpstreamState): number {
+  const FULL_MEMORY_COST_MS = 300;
+  const limit = upstream.report?.cacheLimitTokens ?? 0;
+  if (limit === 0) return 0;
+  return FULL_MEMORY_COST_MS * upstream.cacheTokens() / limit;
+}
+
+/** There is a place, room in the prefill queue and memory. */
+function canStart(upstream: UpstreamState, input: RouteInput): boolean {
+  if (upstream.room() <= 0) return false;
+  if (input.work.kind !== "engine") return true;
+  const queued = upstream.queuedPrefillTokens();
+  const uncached = uncachedTokens(upstream, input);
+  const prefillMs = (queued + uncached) * input.speed.prefillMsPerToken;
+  const isQueueFull = queued > 0 && prefillMs > MAX_PREFILL_QUEUE_MS;
+  return !isQueueFull && hasMemoryFor(upstream, input);
+}
+
+function uncachedTokens(upstream: UpstreamState, input: RouteInput): number {
+  const { work, caches } = input;
+  const cached = caches.cachedTokens(work.program, upstream.info.name);
+  return Math.max(0, work.promptTokens - cached);
+}
+
+/** New programs wait while those under way fill the cache memory. */
+function hasMemoryFor(upstream: UpstreamState, input: RouteInput): boolean {
+  const { work, now } = input;
+  if (work.attainedTokens > 0) return true;
+  const waited = now - work.enqueuedAt;
+  if (waited >= MAX_MEMORY_WAIT_MS[work.class]) return true;
+  const limit = upstream.report?.cacheLimitTokens ?? Infinity;
+  return upstream.cacheTokens() + work.promptTokens <= FIRST_CALL_FILL * limit;
 }
 
 /** Wait for a free place on a full upstream. */
--- a/packages/policy/src/upstream_state.ts
+++ b/packages/policy/src/upstream_state.ts
@@ -86,6 +86,16 @@
     return this.info.capacity - this.inFlight();
   }
 
+  /** Tokens in cache memory: as reported, and what was sent since. */
+  cacheTokens(): number {
+    let own = 0;
+    const since = this.report?.at ?? 0;
+    for (const send of this.active.values()) {
+      if (send.sentAt > since) own += send.uncachedTokens + send.outputTokens;
+    }
+    return own + (this.report?.cacheUsedTokens ?? 0);
+  }
+
   /** Prompt tokens that wait before a new call. */
   queuedPrefillTokens(): number {
     let own = 0;
--- a/packages/policy/src/wait_queue.ts
+++ b/packages/policy/src/wait_queue.ts
@@ -61,10 +61,10 @@
   works: Map<string, Work>;
 }
 
-/** Attained service doubles from one level to the next. */
-const FIRST_LEVEL_MS = 500;
+/** A program above this many tokens is served after smaller ones. */
+const FIRST_LEVEL_TOKENS = 100_000;
 /** Waiting this long raises work by one level. */
-const AGING_MS = 3_000;
+const AGING_MS = 20_000;
 /** Bulk work that waited this long is served with the foreground. */
 const BULK_PROMOTION_MS = 20_000;
 
@@ -147,7 +147,7 @@
     }
   }
   return works
-    .sort((a, b) => rank(a, opts.now) - rank(b, opts.now))
+    .sort((a, b) => compareWorks(a, b, opts.now))
     .slice(0, opts.limit);
 }
 
@@ -156,9 +156,18 @@
     now - work.enqueuedAt >= BULK_PROMOTION_MS;
 }
 
-/** Lower is served first. */
-function rank(work: Work, now: number): number {
-  const level = Math.log2(1 + work.attainedMs / FIRST_LEVEL_MS);
+/**
+ * Orders two works of a caller: small programs first, in coarse levels that
+ * grow by factors of four, and within a level the oldest program, so that
+ * programs end and free their cache before new ones begin.
+ */
+function compareWorks(a: Work, b: Work, now: number): number {
+  return level(a, now) - level(b, now) ||
+    a.programStartedAt - b.programStartedAt;
+}
+
+function level(work: Work, now: number): number {
+  const size = Math.log2(1 + work.attainedTokens / FIRST_LEVEL_TOKENS) / 2;
   const age = (now - work.enqueuedAt) / AGING_MS;
-  return Math.floor(level) - age;
+  return Math.max(0, Math.floor(size - age));
 }
--- a/packages/policy/src/work.ts
+++ b/packages/policy/src/work.ts
@@ -18,8 +18,10 @@
   weight: number;
   promptTokens: number;
   expectedOutputTokens: number;
-  /** Engine time that the program has had so far. */
-  attainedMs: number;
+  /** Tokens that engines have handled for the program so far. */
+  attainedTokens: number;
+  /** When the program was started, in ms since the epoch. */
+  programStartedAt: number;
   enqueuedAt: number;
   deadlineAt: number;
   /** Upstreams that may not run it, since they failed it before. */
--- a/packages/program/src/apply_record.ts
+++ b/packages/program/src/apply_record.ts
@@ -103,6 +103,7 @@
     engines: [],
     children: [],
     parentSettled: record.parent === undefined,
+    startedAt: record.at,
     lastActiveAt: record.at,
   });
 }
--- a/packages/program/src/ledger.ts
+++ b/packages/program/src/ledger.ts
@@ -52,6 +52,7 @@
   engines: string[];
   children: ChildShare[];
   parentSettled: boolean;
+  startedAt: number;
   lastActiveAt: number;
 }
 
