Routing: less queued prompt work, less memory for new bulk programs

Cause: a long prompt computation delays every other call of its engine, and new bulk programs took the memory that foreground programs were about to reuse. Change: 120 ms of queued prompt work; moving at a gain of 6; new foreground programs up to 90% of the memory, bulk up to 80%.

--- a/packages/policy/src/routers.ts
+++ b/packages/policy/src/routers.ts
@@ -30,13 +30,13 @@
 type Router = (input: RouteInput) => Route;
 
 /** Memory that new programs may fill. */
-const FIRST_CALL_FILL = 0.9;
+const FIRST_CALL_FILL = { foreground: 0.9, bulk: 0.8 } as const;
 /** A first call waits this long at the most for free cache memory. */
 const MAX_MEMORY_WAIT_MS = { foreground: 8_000, bulk: 60_000 } as const;
 /** Prompt computation that may be queued on an engine. */
-const MAX_PREFILL_QUEUE_MS = 500;
+const MAX_PREFILL_QUEUE_MS = 120;
 /** Moving must be this much faster than waiting for the cached copy. */
-const MOVE_FACTOR = 2;
+const MOVE_FACTOR = 6;
 
 /** Routers by name. */
 export const ROUTERS: Record<RouterName, Router> = {
@@ -137,7 +137,8 @@
   const waited = now - work.enqueuedAt;
   if (waited >= MAX_MEMORY_WAIT_MS[work.class]) return true;
   const limit = upstream.report?.cacheLimitTokens ?? Infinity;
-  return upstream.cacheTokens() + work.promptTokens <= FIRST_CALL_FILL * limit;
+  return upstream.cacheTokens() + work.promptTokens <=
+    FIRST_CALL_FILL[work.class] * limit;
 }
 
 /** Wait for a free place on a full upstream. */
