Queue: bulk work gets one start in thirty instead of a promotion by age

Cause: at 1.1 load bulk work that had waited 20 s was served as foreground, so foreground latency rose to 2.0 (dispatch) and 2.4 (interest) times that at 0.7. Change: one start in thirty goes to bulk first.

--- a/packages/policy/src/routers.ts
+++ b/packages/policy/src/routers.ts
@@ -32,7 +32,7 @@
 /** Memory that new programs may fill. */
 const FIRST_CALL_FILL = { foreground: 0.9, bulk: 0.8 } as const;
 /** A first call waits this long at the most for free cache memory. */
-const MAX_MEMORY_WAIT_MS = { foreground: 8_000, bulk: 60_000 } as const;
+const MAX_MEMORY_WAIT_MS = { foreground: 8_000, bulk: 110_000 } as const;
 /** Prompt computation that may be queued on an engine. */
 const MAX_PREFILL_QUEUE_MS = 120;
 /** Moving must be this much faster than waiting for the cached copy. */
--- a/packages/policy/src/wait_queue.ts
+++ b/packages/policy/src/wait_queue.ts
@@ -1,4 +1,4 @@
-import type { Work } from "./work.ts";
+import type { Work, WorkClass } from "./work.ts";
 
 /** In which order waiting work is served. */
 export type OrderName = "fair" | "fifo";
@@ -65,8 +65,8 @@
 const FIRST_LEVEL_TOKENS = 100_000;
 /** Waiting this long raises work by one level. */
 const AGING_MS = 20_000;
-/** Bulk work that waited this long is served with the foreground. */
-const BULK_PROMOTION_MS = 20_000;
+/** One of this many starts goes to bulk work first, so that it never starves. */
+const BULK_TURN = 30;
 
 /**
  * Weighted fair shares among callers (start-time fair queueing, Goyal et al.
@@ -78,6 +78,7 @@
   readonly #callers = new Map<string, CallerQueue>();
   readonly #callerOf = new Map<string, string>();
   #virtualNow = 0;
+  #starts = 0;
 
   get size(): number {
     return this.#callerOf.size;
@@ -107,16 +108,21 @@
       .filter((it) => it.works.size > 0)
       .sort((a, b) => a.virtualMs - b.virtualMs);
     const ordered: Work[] = [];
-    for (const isForeground of [true, false]) {
+    const isBulkTurn = this.#starts % BULK_TURN === BULK_TURN - 1;
+    const classes: WorkClass[] = isBulkTurn
+      ? ["bulk", "foreground"]
+      : ["foreground", "bulk"];
+    for (const workClass of classes) {
       for (const queue of callers) {
         if (ordered.length >= limit) return ordered;
-        ordered.push(...bestWorks(queue, { now, isForeground, limit }));
+        ordered.push(...bestWorks(queue, { now, workClass, limit }));
       }
     }
     return ordered.slice(0, limit);
   }
 
   charge(work: Work, costMs: number): void {
+    this.#starts += 1;
     const queue = this.#callerQueue(work.caller);
     this.#virtualNow = Math.max(this.#virtualNow, queue.virtualMs);
     queue.virtualMs += costMs / Math.max(work.weight, 1e-3);
@@ -138,24 +144,17 @@
 
 function bestWorks(
   queue: CallerQueue,
-  opts: { now: number; isForeground: boolean; limit: number },
+  opts: { now: number; workClass: WorkClass; limit: number },
 ): Work[] {
   const works: Work[] = [];
   for (const work of queue.works.values()) {
-    if (isServedAsForeground(work, opts.now) === opts.isForeground) {
-      works.push(work);
-    }
+    if (work.class === opts.workClass) works.push(work);
   }
   return works
     .sort((a, b) => compareWorks(a, b, opts.now))
     .slice(0, opts.limit);
 }
 
-function isServedAsForeground(work: Work, now: number): boolean {
-  return work.class === "foreground" ||
-    now - work.enqueuedAt >= BULK_PROMOTION_MS;
-}
-
 /**
  * Orders two works of a caller: small programs first, in coarse levels that
  * grow by factors of four, and within a level the oldest program, so that
