Capacity: slopes by daemons, programs, rows; cheaper idle daemons and decisions

Change: only callers with waiting work are looked at; preferred owners are remembered by set of hosts; timers of pieces and waiting calls run only while there is something.

--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -7,10 +7,15 @@
 import { writeFileSync } from "node:fs";
 import process from "node:process";
 import type { BenchCommand } from "./command.ts";
+import { capacity } from "./commands/capacity.ts";
 import { path } from "./commands/path.ts";
 import { policy } from "./commands/policy.ts";
 
-const COMMANDS: Readonly<Record<string, BenchCommand>> = { path, policy };
+const COMMANDS: Readonly<Record<string, BenchCommand>> = {
+  capacity,
+  path,
+  policy,
+};
 
 const [name = "", ...argv] = process.argv.slice(2);
 const command = COMMANDS[name];
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -307,6 +307,7 @@
       takeover,
       flusher: this.#flusher,
       chooseHolders: (shard) => this.#chooseHolders(shard),
+      copies: this.#cfg.tailCopies,
       onServing: (shard) => this.#replicator.wake(shard),
     });
   }
@@ -436,6 +437,7 @@
       desk: this.#desk,
       tails: this.#tails,
       timer: this.#timer,
+      siblingBytesSent: () => this.#net.bytesSent,
     };
   }
 
--- a/packages/daemon/src/dispatch_desk.ts
+++ b/packages/daemon/src/dispatch_desk.ts
@@ -21,7 +21,7 @@
   reject: (err: Error) => void;
 }
 
-const POLL_MS = 25;
+const POLL_MS = 50;
 
 /** Runs the dispatcher and tells waiting calls what it decided. */
 export class DispatchDesk {
@@ -42,7 +42,9 @@
     this.dispatcher = new Dispatcher(opts);
     this.#timer = opts.timer;
     this.#metrics = opts.metrics;
-    this.#timer.every(POLL_MS, () => this.#poll());
+    this.#timer.every(POLL_MS, () => {
+      if (this.dispatcher.waiting > 0) this.#poll();
+    });
   }
 
   setUpstreams(infos: UpstreamInfo[]): void {
--- a/packages/daemon/src/ownership.ts
+++ b/packages/daemon/src/ownership.ts
@@ -15,7 +15,7 @@
 import type { KnownShard, StoreView } from "./store_view.ts";
 import type { Takeover } from "./takeover.ts";
 
-const CHECK_MS = 150;
+const CHECK_MS = 250;
 const MAX_PARALLEL_TAKEOVERS = 8;
 /** A joined host must stay this long before shards move to it. */
 const JOIN_PATIENCE_MS = 3_000;
@@ -38,6 +38,8 @@
   takeover: Takeover;
   flusher: Flusher;
   chooseHolders: (shard: number) => HostRun[];
+  /** Wanted holders of a shard's journal tail. */
+  copies: number;
   /** Called when a shard begins to be served here. */
   onServing: (shard: OwnedShard) => void;
 }
@@ -93,10 +95,13 @@
     if (this.#isStopping) return;
     this.#noteHosts();
     this.#createMissing();
-    for (const known of this.#opts.view.shards.values()) this.#checkOne(known);
+    const settled = this.#settledHosts();
+    for (const known of this.#opts.view.shards.values()) {
+      this.#checkOne(known, settled);
+    }
   }
 
-  #checkOne(known: KnownShard): void {
+  #checkOne(known: KnownShard, settled: HostRecord[]): void {
     const { record } = known;
     const owned = this.#opts.shards.get(record.shard);
     if (this.#busy.has(record.shard)) return;
@@ -106,14 +111,14 @@
     if (isOwn && !owned) {
       if (this.#canStart()) this.#run(record.shard, () => this.#adopt(known));
     } else if (isOwn && owned) {
-      this.#checkOwned(owned);
+      this.#checkOwned(owned, settled);
     } else if (this.#looksDead(record.owner) && this.#canStart()) {
       this.#run(record.shard, () => this.#replaceIfDead(known));
     }
   }
 
-  #checkOwned(owned: OwnedShard): void {
-    const preferred = preferredOwner(owned.shard, this.#settledHosts());
+  #checkOwned(owned: OwnedShard, settled: HostRecord[]): void {
+    const preferred = preferredOwner(owned.shard, settled);
     if (preferred && preferred.runId !== this.#opts.self.runId) {
       this.#run(owned.shard, () => this.#release(owned));
       return;
@@ -126,12 +131,13 @@
   #checkHolders(owned: OwnedShard): void {
     const { flusher, view, lease } = this.#opts;
     if (!lease.isFresh || flusher.isRotating(owned)) return;
-    const wanted = this.#opts.chooseHolders(owned.shard);
     const { log } = owned.record;
     const isGone = log.holders.some((run) => this.#isGone(run));
-    const hasTooFew = log.holders.length < wanted.length &&
-      view.hosts.size > 1;
+    const others = view.hosts.size - 1;
+    const hasTooFew = log.holders.length < Math.min(others, this.#opts.copies);
     if (!isGone && !hasTooFew) return;
+    const wanted = this.#opts.chooseHolders(owned.shard);
+    if (!isGone && wanted.length <= log.holders.length) return;
     flusher.rotate(owned, {
       epoch: log.epoch,
       generation: log.generation + 1,
--- a/packages/daemon/src/piece_buffer.ts
+++ b/packages/daemon/src/piece_buffer.ts
@@ -1,5 +1,5 @@
 import type { AnswerSink } from "@toucantrestle/sibling";
-import type { Timer } from "@toucantrestle/timer";
+import type { Subscription, Timer } from "@toucantrestle/timer";
 
 const FLUSH_MS = 12;
 
@@ -10,8 +10,11 @@
 export class PieceBuffer {
   readonly #held = new Map<AnswerSink, string>();
 
+  readonly #timer: Timer;
+  #next: Subscription | undefined;
+
   constructor(timer: Timer) {
-    timer.every(FLUSH_MS, () => this.#flushAll());
+    this.#timer = timer;
   }
 
   /** Adds a piece of an answer. */
@@ -19,6 +22,7 @@
     const held = this.#held.get(sink);
     this.#held.set(sink, held === undefined ? "" : held + text);
     if (held === undefined) sink.data(text);
+    this.#next ??= this.#timer.after(FLUSH_MS, () => this.#flushAll());
   }
 
   /** Writes what is held of an answer, which takes no more pieces. */
@@ -29,6 +33,7 @@
   }
 
   #flushAll(): void {
+    this.#next = undefined;
     for (const [sink, held] of this.#held) {
       if (held === "") this.#held.delete(sink);
       else {
@@ -36,5 +41,7 @@
         this.#held.set(sink, "");
       }
     }
+    if (this.#held.size === 0) return;
+    this.#next = this.#timer.after(FLUSH_MS, () => this.#flushAll());
   }
 }
--- a/packages/daemon/src/status_report.ts
+++ b/packages/daemon/src/status_report.ts
@@ -22,6 +22,7 @@
   desk: DispatchDesk;
   tails: TailStore;
   timer: Timer;
+  siblingBytesSent: () => number;
 }
 
 const BYTES_PER_MB = 1_000_000;
@@ -47,6 +48,7 @@
     callsWaiting: dispatcher.waiting,
     storeReachable: parts.lease.isFresh,
     tailBytes: parts.tails.bytes,
+    siblingBytesSent: parts.siblingBytesSent(),
     rssMb: Math.round(process.memoryUsage.rss() / BYTES_PER_MB),
     upstreams: [...dispatcher.upstreams()].map((it) => reportUpstream(it, now)),
   };
--- a/packages/membership/src/assignment.ts
+++ b/packages/membership/src/assignment.ts
@@ -1,9 +1,14 @@
 import type { HostRecord, HostRun } from "./host.ts";
 import { rankByRendezvous } from "./rendezvous.ts";
+import { SHARD_COUNT } from "./shard.ts";
 
 /** Holders of a shard's journal tail. */
 export const DEFAULT_TAIL_COPIES = 3;
 
+/** Names of live hosts to the preferred owners of all shards. */
+const preferredByHosts = new Map<string, string[]>();
+const MAX_REMEMBERED = 16;
+
 /**
  * Returns the host that should own a shard: the best by rendezvous hashing
  * over the names of live hosts, so that a restarted host gets its shards back.
@@ -13,10 +18,24 @@
   hosts: HostRecord[],
 ): HostRecord | undefined {
   const live = hosts.filter((it) => it.state === "live");
-  const [best] = rankByRendezvous(`owner/${shard}`, live.map((it) => it.host));
+  const best = preferredNames(live.map((it) => it.host))[shard];
   return live.find((it) => it.host === best);
 }
 
+/** Preferred owners of all shards, remembered for the last sets of hosts. */
+function preferredNames(hosts: string[]): string[] {
+  const key = [...hosts].sort().join(" ");
+  const known = preferredByHosts.get(key);
+  if (known) return known;
+  const names = Array.from(
+    { length: SHARD_COUNT },
+    (_, shard) => rankByRendezvous(`owner/${shard}`, hosts)[0] ?? "",
+  );
+  if (preferredByHosts.size >= MAX_REMEMBERED) preferredByHosts.clear();
+  preferredByHosts.set(key, names);
+  return names;
+}
+
 /**
  * Chooses the holders of a shard's journal tail: not its owner, in data
  * centres as different as possible, else by rendezvous hashing.
--- a/packages/policy/src/wait_queue.ts
+++ b/packages/policy/src/wait_queue.ts
@@ -56,8 +56,7 @@
 }
 
 interface CallerQueue {
-  /** Engine time charged so far over the weight. */
-  virtualMs: number;
+  caller: string;
   works: Map<string, Work>;
 }
 
@@ -75,7 +74,10 @@
  * foreground-background queue", 2008), with aging.
  */
 class FairQueue implements WaitQueue {
-  readonly #callers = new Map<string, CallerQueue>();
+  /** Callers with waiting work only, so that idle ones cost nothing. */
+  readonly #waiting = new Map<string, CallerQueue>();
+  /** Engine time charged so far over the weight, by caller. */
+  readonly #virtualMs = new Map<string, number>();
   readonly #callerOf = new Map<string, string>();
   #virtualNow = 0;
   #starts = 0;
@@ -85,28 +87,35 @@
   }
 
   add(work: Work): void {
-    const queue = this.#callerQueue(work.caller);
-    if (queue.works.size === 0) {
-      queue.virtualMs = Math.max(queue.virtualMs, this.#virtualNow);
+    const { caller } = work;
+    let queue = this.#waiting.get(caller);
+    if (!queue) {
+      queue = { caller, works: new Map() };
+      this.#waiting.set(caller, queue);
+      this.#virtualMs.set(
+        caller,
+        Math.max(this.#virtualOf(caller), this.#virtualNow),
+      );
     }
     queue.works.set(work.id, work);
-    this.#callerOf.set(work.id, work.caller);
+    this.#callerOf.set(work.id, caller);
   }
 
   remove(id: string): Work | undefined {
     const caller = this.#callerOf.get(id);
     if (caller === undefined) return undefined;
     this.#callerOf.delete(id);
-    const queue = this.#callerQueue(caller);
-    const work = queue.works.get(id);
-    queue.works.delete(id);
+    const queue = this.#waiting.get(caller);
+    const work = queue?.works.get(id);
+    queue?.works.delete(id);
+    if (queue?.works.size === 0) this.#waiting.delete(caller);
     return work;
   }
 
   candidates(now: number, limit: number): Work[] {
-    const callers = [...this.#callers.values()]
-      .filter((it) => it.works.size > 0)
-      .sort((a, b) => a.virtualMs - b.virtualMs);
+    const callers = [...this.#waiting.values()].sort((a, b) =>
+      this.#virtualOf(a.caller) - this.#virtualOf(b.caller)
+    );
     const ordered: Work[] = [];
     const isBulkTurn = this.#starts % BULK_TURN === BULK_TURN - 1;
     const classes: WorkClass[] = isBulkTurn
@@ -123,22 +132,20 @@
 
   charge(work: Work, costMs: number): void {
     this.#starts += 1;
-    const queue = this.#callerQueue(work.caller);
-    this.#virtualNow = Math.max(this.#virtualNow, queue.virtualMs);
-    queue.virtualMs += costMs / Math.max(work.weight, 1e-3);
+    const virtualMs = this.#virtualOf(work.caller);
+    this.#virtualNow = Math.max(this.#virtualNow, virtualMs);
+    this.#virtualMs.set(
+      work.caller,
+      virtualMs + costMs / Math.max(work.weight, 1e-3),
+    );
   }
 
   *values(): Iterable<Work> {
-    for (const queue of this.#callers.values()) yield* queue.works.values();
+    for (const queue of this.#waiting.values()) yield* queue.works.values();
   }
 
-  #callerQueue(caller: string): CallerQueue {
-    let queue = this.#callers.get(caller);
-    if (!queue) {
-      queue = { virtualMs: this.#virtualNow, works: new Map() };
-      this.#callers.set(caller, queue);
-    }
-    return queue;
+  #virtualOf(caller: string): number {
+    return this.#virtualMs.get(caller) ?? 0;
   }
 }
 
--- a/packages/sibling/src/sibling_net.ts
+++ b/packages/sibling/src/sibling_net.ts
@@ -60,6 +60,7 @@
   readonly #heardAt = new Map<string, number>();
   readonly #runsByAddress = new Map<string, HostRun>();
   #beat: Subscription | undefined;
+  #bytesSent = 0;
 
   constructor(opts: SiblingNetOptions) {
     this.#opts = opts;
@@ -138,6 +139,11 @@
     return at === undefined ? undefined : this.#opts.timer.now() - at;
   }
 
+  /** Bytes of messages sent to siblings since the start. */
+  get bytesSent(): number {
+    return this.#bytesSent;
+  }
+
   /** Closes all links and the server. */
   async close(): Promise<void> {
     this.#beat?.cancel();
@@ -206,6 +212,7 @@
       socket,
       isCut,
       onMessage: (message) => this.#onOutgoing(link, wire, message),
+      onSent: (bytes) => this.#countSent(bytes),
       onClose: () => this.#onClosed(link, wire),
     });
     link.wire = wire;
@@ -255,6 +262,7 @@
     const wire = new Wire({
       socket,
       isCut: () => from !== undefined && this.#opts.isCut(from.host),
+      onSent: (bytes) => this.#countSent(bytes),
       onMessage: (message) => {
         if (session && from) {
           this.#heard(from);
@@ -286,6 +294,10 @@
     return { t: "hello", version: PROTOCOL_VERSION, run: self, key };
   }
 
+  #countSent(bytes: number): void {
+    this.#bytesSent += bytes;
+  }
+
   #heard(run: HostRun): void {
     this.#heardAt.set(run.runId, this.#opts.timer.now());
   }
--- a/packages/sibling/src/status.ts
+++ b/packages/sibling/src/status.ts
@@ -21,6 +21,8 @@
   callsWaiting: number;
   storeReachable: boolean;
   tailBytes: number;
+  /** Bytes sent to siblings since the start. */
+  siblingBytesSent: number;
   rssMb: number;
   upstreams: UpstreamStatus[];
 }
--- a/packages/sibling/src/wire.ts
+++ b/packages/sibling/src/wire.ts
@@ -26,6 +26,7 @@
     useRecords: false,
   });
   readonly #isCut: () => boolean;
+  readonly #onSent: (bytes: number) => void;
   #held: SiblingMessage[] = [];
   #retry: NodeJS.Timeout | undefined;
 
@@ -35,11 +36,14 @@
       /** True while messages must be lost as if the network were cut. */
       isCut: () => boolean;
       onMessage: (message: SiblingMessage) => void;
+      /** Called with the size of each message that is sent. */
+      onSent: (bytes: number) => void;
       onClose: () => void;
     },
   ) {
     this.#socket = opts.socket;
     this.#isCut = opts.isCut;
+    this.#onSent = opts.onSent;
     this.#socket.on("message", (data: RawData) => {
       if (this.#isCut()) return;
       opts.onMessage(this.#unpack(data));
@@ -70,7 +74,9 @@
 
   #write(message: SiblingMessage): void {
     if (this.#socket.readyState !== this.#socket.OPEN) return;
-    this.#socket.send(this.#packr.pack(message));
+    const packed = this.#packr.pack(message);
+    this.#onSent(packed.length);
+    this.#socket.send(packed);
   }
 
   #hold(message: SiblingMessage): void {
