--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -78,6 +78,7 @@
   readonly #keyring: Keyring;
   readonly #upstreams: Upstreams;
   readonly #desk: DispatchDesk;
+  readonly #loads: LoadReader;
   readonly #replicator: Replicator;
   readonly #flusher: Flusher;
   readonly #journal: Journal;
@@ -133,6 +134,7 @@
     });
     this.#desk = this.#createDesk();
     this.#upstreams = this.#createUpstreams();
+    this.#loads = this.#createLoadReader();
     this.#replicator = this.#createReplicator();
     this.#flusher = this.#createFlusher();
     this.#journal = new Journal({
@@ -255,6 +257,19 @@
     });
   }
 
+  #createLoadReader(): LoadReader {
+    return new LoadReader({
+      upstreams: this.#upstreams,
+      desk: this.#desk,
+      timer: this.#timer,
+      net: () => this.#net,
+      selfHost: this.#self.host,
+      liveHosts: () =>
+        [...this.#view.hosts.values()].filter((it) => it.state === "live")
+          .map((it) => it.host),
+    });
+  }
+
   #createReplicator(): Replicator {
     return new Replicator({
       net: () => this.#net,
@@ -323,11 +338,6 @@
       desk: this.#desk,
       shards: this.#shards,
     });
-    const loads = new LoadReader({
-      upstreams: this.#upstreams,
-      desk: this.#desk,
-      timer: this.#timer,
-    });
     return new ProgramCalls({
       families: this.#families,
       reaper,
@@ -338,7 +348,7 @@
         journal: this.#journal,
         desk: this.#desk,
         upstreams: this.#upstreams,
-        loads,
+        loads: this.#loads,
         retries: new RetryBudget(),
         pieces: new PieceBuffer(this.#timer),
         table: () => this.#view.tableView,
@@ -373,6 +383,7 @@
       families: this.#families,
       lates: this.#lates,
       entry: this.#entry,
+      loads: this.#loads,
       net: () => this.#net,
       ownStatus: () => reportStatus(this.#statusParts()),
       ownPrograms: () => reportPrograms(this.#statusParts()),
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -11,6 +11,7 @@
 import type { Entry } from "./entry.ts";
 import type { Families } from "./families.ts";
 import type { LateOutcomes } from "./late_outcomes.ts";
+import type { LoadReader } from "./load_reader.ts";
 import type { Replicator } from "./replicator.ts";
 import type { StoreView } from "./store_view.ts";
 import type { TailHolder } from "./tail_holder.ts";
@@ -25,6 +26,7 @@
   families: Families;
   lates: LateOutcomes;
   entry: Entry;
+  loads: LoadReader;
   net: () => SiblingNet;
   ownStatus: () => HostStatus;
   ownPrograms: () => ProgramSummary[];
@@ -49,6 +51,7 @@
     onAppend: (from, message) => parts.holder.append(from, message),
     onAppendAcks: (from, acks) => parts.replicator.takeAcks(from, acks),
     onTrim: (from, message) => parts.holder.trim(from, message),
+    onLoad: (digests) => parts.loads.take(digests),
     onCall: (caller, request, sink) =>
       parts.entry.handleHere(caller, request, sink),
     onLinked(run) {
--- a/packages/sibling/src/incoming.ts
+++ b/packages/sibling/src/incoming.ts
@@ -37,6 +37,9 @@
       case "trim":
         this.#handlers.onTrim(this.#from, message);
         return;
+      case "load":
+        this.#handlers.onLoad(message.digests);
+        return;
       case "rpc":
         this.#serveRpc(message);
         return;
--- a/packages/sibling/src/messages.ts
+++ b/packages/sibling/src/messages.ts
@@ -7,6 +7,7 @@
   ShardRecord,
   Tail,
 } from "@toucantrestle/membership";
+import type { CacheNotice, LoadReport } from "@toucantrestle/policy";
 import type { Outcome } from "@toucantrestle/program";
 import type { Table } from "@toucantrestle/table";
 import type {
@@ -69,6 +70,20 @@
   trims: TrimItem[];
 }
 
+/** What one daemon read of an engine, for its siblings. */
+export interface LoadDigest {
+  engine: string;
+  canResume: boolean;
+  report: LoadReport;
+  events: CacheNotice[];
+}
+
+/** Digests of engines' reports. */
+export interface Load {
+  t: "load";
+  digests: LoadDigest[];
+}
+
 /** A key as it is kept, under its hash. */
 export interface HashedKey {
   hash: string;
@@ -191,6 +206,7 @@
   | AppendBatch
   | AppendAcks
   | Trim
+  | Load
   | RpcRequest
   | RpcResult
   | RpcFailure
--- a/packages/sibling/src/peer_handlers.ts
+++ b/packages/sibling/src/peer_handlers.ts
@@ -4,6 +4,7 @@
   AppendAck,
   AppendBatch,
   Heartbeat,
+  LoadDigest,
   RpcName,
   Rpcs,
   Trim,
@@ -24,6 +25,7 @@
   onAppend(from: HostRun, message: AppendBatch): AppendAck[];
   onAppendAcks(from: HostRun, acks: AppendAck[]): void;
   onTrim(from: HostRun, message: Trim): void;
+  onLoad(digests: LoadDigest[]): void;
   /** Runs a request that a sibling passed on. */
   onCall(
     caller: string,
