--- a/packages/sibling/src/sibling_net.ts
+++ b/packages/sibling/src/sibling_net.ts
@@ -46,7 +46,7 @@
   retryAt: number;
 }
 
-const HEARTBEAT_MS = 300;
+const HEARTBEAT_MS = 500;
 const REDIAL_MS = 250;
 const HANDSHAKE_TIMEOUT_MS = 1_000;
 const MAX_MESSAGE_BYTES = 64_000_000;
@@ -267,7 +267,8 @@
         if (session && from) {
           this.#heard(from);
           session.receive(message);
-          if (message.t === "heartbeat") wire.send(this.#heartbeat());
+          const needsAnswer = message.t === "heartbeat" && !this.session(from);
+          if (needsAnswer) wire.send(this.#heartbeat());
           return;
         }
         if (message.t !== "hello" || !this.#isWelcome(message)) {
