Isolation: requests that crash engines are convicted, neighbours finish

Cause: a request that crashes each engine that runs it was tried three times and its neighbours with it; its caller could send it again without an end. Ruled out: counting strikes (neighbours collect them too); convicting at a cut stream (the engine may be well: it is asked first). Change: what was in progress on a crashed engine is suspect at every daemon; suspects run one at a time over the fleet, newest first; a crash in a turn convicts, frees all others and is kept in the key-value service; the convicted content is refused at once under any id.

--- a/packages/daemon/src/call_context.ts
+++ b/packages/daemon/src/call_context.ts
@@ -6,6 +6,7 @@
 import type { RetryBudget } from "@toucantrestle/policy";
 import { NotFoundError } from "@toucantrestle/verdict";
 import type { DispatchDesk } from "./dispatch_desk.ts";
+import type { Isolation } from "./isolation.ts";
 import type { Journal } from "./journal.ts";
 import type { LoadReader } from "./load_reader.ts";
 import type { OwnedShard } from "./owned_shard.ts";
@@ -31,6 +32,7 @@
   loads: LoadReader;
   retries: RetryBudget;
   pieces: PieceBuffer;
+  isolation: Isolation;
   table: () => TableView;
   /** Records the real outcome of a call whose verdict was given before. */
   reportLate: (late: LateOutcome) => void;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -25,6 +25,7 @@
 import { Entry } from "./entry.ts";
 import { Families } from "./families.ts";
 import { Flusher } from "./flusher.ts";
+import { Isolation } from "./isolation.ts";
 import { Journal } from "./journal.ts";
 import { Keyring } from "./keyring.ts";
 import { LateOutcomes } from "./late_outcomes.ts";
@@ -79,6 +80,7 @@
   readonly #upstreams: Upstreams;
   readonly #desk: DispatchDesk;
   readonly #loads: LoadReader;
+  readonly #isolation: Isolation;
   readonly #replicator: Replicator;
   readonly #flusher: Flusher;
   readonly #journal: Journal;
@@ -135,6 +137,14 @@
     this.#desk = this.#createDesk();
     this.#upstreams = this.#createUpstreams();
     this.#loads = this.#createLoadReader();
+    this.#isolation = new Isolation({
+      store: this.#store,
+      view: this.#view,
+      net: () => this.#net,
+      timer: this.#timer,
+      log: this.#logs("isolation"),
+      selfRunId: this.#self.runId,
+    });
     this.#replicator = this.#createReplicator();
     this.#flusher = this.#createFlusher();
     this.#journal = new Journal({
@@ -351,6 +361,7 @@
         loads: this.#loads,
         retries: new RetryBudget(),
         pieces: new PieceBuffer(this.#timer),
+        isolation: this.#isolation,
         table: () => this.#view.tableView,
         reportLate: (late) => this.#lates.report(late),
       },
@@ -384,6 +395,7 @@
       lates: this.#lates,
       entry: this.#entry,
       loads: this.#loads,
+      isolation: this.#isolation,
       net: () => this.#net,
       ownStatus: () => reportStatus(this.#statusParts()),
       ownPrograms: () => reportPrograms(this.#statusParts()),
--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -1,4 +1,8 @@
-import type { CompletionDelta, CompletionEnd } from "@toucantrestle/engine";
+import {
+  type CompletionDelta,
+  type CompletionEnd,
+  isBrokenOff,
+} from "@toucantrestle/engine";
 import {
   type AnsweredOutcome,
   type ChatMessage,
@@ -11,6 +15,7 @@
 import {
   NotFoundError,
   problemOf,
+  RequestError,
   TimeoutError,
   UpstreamError,
   type Verdict,
@@ -25,10 +30,11 @@
 import { type CallContext, requireLedger } from "./call_context.ts";
 import type { CallPlan, CallResult, CallRunner } from "./call_runner.ts";
 import type { Placement } from "./dispatch_desk.ts";
+import { convictedError } from "./isolation.ts";
 import type { OwnedShard } from "./owned_shard.ts";
 import { isUnsent, tryUpstreams } from "./try_upstreams.ts";
 
-const MAX_TRIES = 3;
+const MAX_TRIES = 4;
 /** An engine that sends nothing for this long has hung. */
 const STALL_LIMIT_MS = 10_000;
 const DOWN_MS = 2_000;
@@ -87,6 +93,7 @@
    * @throws {RequestError} when it failed before the answer began
    */
   async run(): Promise<void> {
+    this.#ctx.isolation.checkAllowed(this.#request.fingerprint);
     const plan = this.#createPlan();
     this.#plan = plan;
     const started = this.#runner.start(plan);
@@ -160,15 +167,74 @@
     const end = await tryUpstreams({
       first,
       maxTries: MAX_TRIES,
-      runOnce: (placement) => this.#runOnce(step, placement),
-      mayRetry: () => this.#mayRetry(),
+      runOnce: (placement) => this.#runGuarded(step, placement),
+      mayRetry: (err) => this.#mayRetry(err),
       noteFailure: (placement, err) => this.#noteFailure(placement, err),
       placeAgain: () => this.#placeAgain(step),
     });
     return this.#resultOf(end);
   }
 
-  #mayRetry(): boolean {
+  /** Runs a suspect alone; a crash then convicts it. */
+  async #runGuarded(
+    step: number,
+    placement: Placement,
+  ): Promise<CompletionEnd> {
+    const { isolation, timer } = this.#ctx;
+    const { fingerprint } = this.#request;
+    const startedAt = timer.now();
+    if (isolation.isSuspect(fingerprint)) {
+      await isolation.enter({ fingerprint, startedAt });
+      await this.#checkAlive(placement);
+    }
+    // A conviction meanwhile may have cleared the suspicion.
+    const isAlone = isolation.isSuspect(fingerprint);
+    try {
+      const end = await this.#runOnce(step, placement);
+      if (isAlone) await isolation.acquit(fingerprint);
+      return end;
+    } catch (err) {
+      const hasCrashed = isBrokenOff(err) &&
+        await this.#hasCrashed(placement.upstream);
+      if (hasCrashed && isAlone) throw await this.#convict();
+      if (hasCrashed) isolation.suspect(fingerprint);
+      else if (isAlone) await isolation.acquit(fingerprint);
+      throw err;
+    }
+  }
+
+  /** The engine may have crashed while the call waited for its turn. */
+  async #checkAlive(placement: Placement): Promise<void> {
+    if (!await this.#hasCrashed(placement.upstream)) return;
+    this.#runner.release(placement);
+    await this.#ctx.isolation.yieldTurn(this.#request.fingerprint);
+    throw goneError(placement.upstream);
+  }
+
+  /** An engine that cut a stream and still answers has not crashed. */
+  async #hasCrashed(upstream: string): Promise<boolean> {
+    const engine = this.#ctx.upstreams.engine(upstream);
+    try {
+      await engine?.load();
+      return false;
+    } catch (err) {
+      return isUnsent(err);
+    }
+  }
+
+  async #convict(): Promise<RequestError> {
+    const { fingerprint, program } = this.#request;
+    await this.#ctx.isolation.convict({
+      fingerprint,
+      program,
+      caller: this.#caller,
+      at: this.#ctx.timer.now(),
+    });
+    return convictedError("may_have_run");
+  }
+
+  #mayRetry(err: unknown): boolean {
+    if (err instanceof RequestError && err.status === 422) return false;
     const { timer, retries } = this.#ctx;
     return timer.now() < this.#deadlineAt && retries.take();
   }
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -10,6 +10,7 @@
 import type { Timeline } from "@toucantrestle/timeline";
 import type { Entry } from "./entry.ts";
 import type { Families } from "./families.ts";
+import type { Isolation } from "./isolation.ts";
 import type { LateOutcomes } from "./late_outcomes.ts";
 import type { LoadReader } from "./load_reader.ts";
 import type { Replicator } from "./replicator.ts";
@@ -27,6 +28,7 @@
   lates: LateOutcomes;
   entry: Entry;
   loads: LoadReader;
+  isolation: Isolation;
   net: () => SiblingNet;
   ownStatus: () => HostStatus;
   ownPrograms: () => ProgramSummary[];
@@ -51,6 +53,8 @@
     onAppend: (from, message) => parts.holder.append(from, message),
     onAppendAcks: (from, acks) => parts.replicator.takeAcks(from, acks),
     onTrim: (from, message) => parts.holder.trim(from, message),
+    onSuspect: (fingerprint) => parts.isolation.takeSuspect(fingerprint),
+    onConvicted: (conviction) => parts.isolation.takeConviction(conviction),
     onLoad: (digests) => parts.loads.take(digests),
     onCall: (caller, request, sink) =>
       parts.entry.handleHere(caller, request, sink),
@@ -91,6 +95,14 @@
       await lates.recordHere(args);
       return { recorded: true };
     },
+    isolate: async (args) => {
+      await parts.isolation.enterHere(args);
+      return { granted: true };
+    },
+    isolated: ({ fingerprint, isConvicted }) => {
+      parts.isolation.leaveHere(fingerprint, isConvicted);
+      return { noted: true };
+    },
     table: ({ above }) => ({
       table: view.table.revision > above ? view.table : undefined,
     }),
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -6,7 +6,7 @@
 import type { Role } from "@toucantrestle/http";
 import type { Logger } from "@toucantrestle/log";
 import type { HostRecord, ShardRecord } from "@toucantrestle/membership";
-import type { ClusterView } from "@toucantrestle/sibling";
+import type { ClusterView, Conviction } from "@toucantrestle/sibling";
 import {
   EMPTY_TABLE,
   type Table,
@@ -23,13 +23,8 @@
   createdAt: number;
 }
 
-/** A request that is known to crash upstreams. */
-export interface ConvictionRecord {
-  fingerprint: string;
-  caller: string;
-  program: string;
-  at: number;
-}
+/** A request that is known to crash upstreams, as it is kept. */
+export type ConvictionRecord = Conviction;
 
 /** A shard's record with the revision of its last change. */
 export interface KnownShard {
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -16,3 +16,4 @@
 export { RetryBudget } from "./retry_budget.ts";
 export { refusalDelayMs } from "./refusal.ts";
 export { Ring } from "./ring.ts";
+export { IsolationQueue, type Suspect } from "./isolation_queue.ts";
--- a/packages/sibling/src/incoming.ts
+++ b/packages/sibling/src/incoming.ts
@@ -40,6 +40,12 @@
       case "load":
         this.#handlers.onLoad(message.digests);
         return;
+      case "suspect":
+        this.#handlers.onSuspect(message.fingerprint);
+        return;
+      case "convicted":
+        this.#handlers.onConvicted(message.conviction);
+        return;
       case "rpc":
         this.#serveRpc(message);
         return;
--- a/packages/sibling/src/messages.ts
+++ b/packages/sibling/src/messages.ts
@@ -78,6 +78,26 @@
   events: CacheNotice[];
 }
 
+/** A request was in progress on an engine that crashed. */
+export interface SuspectNotice {
+  t: "suspect";
+  fingerprint: string;
+}
+
+/** A request that crashes engines. */
+export interface Conviction {
+  fingerprint: string;
+  caller: string;
+  program: string;
+  at: number;
+}
+
+/** A suspect was convicted; all others are free. */
+export interface ConvictedNotice {
+  t: "convicted";
+  conviction: Conviction;
+}
+
 /** Digests of engines' reports. */
 export interface Load {
   t: "load";
@@ -122,6 +142,16 @@
     };
     result: { recorded: true };
   };
+  /** Waits until a suspect may run alone. */
+  isolate: {
+    args: { fingerprint: string; startedAt: number };
+    result: { granted: true };
+  };
+  /** A suspect's run alone has ended. */
+  isolated: {
+    args: { fingerprint: string; isConvicted: boolean };
+    result: { noted: true };
+  };
   table: { args: { above: number }; result: { table: Table | undefined } };
   cluster: {
     args: { for: HostRun };
@@ -207,6 +237,8 @@
   | AppendAcks
   | Trim
   | Load
+  | SuspectNotice
+  | ConvictedNotice
   | RpcRequest
   | RpcResult
   | RpcFailure
--- a/packages/sibling/src/peer_handlers.ts
+++ b/packages/sibling/src/peer_handlers.ts
@@ -3,6 +3,7 @@
 import type {
   AppendAck,
   AppendBatch,
+  Conviction,
   Heartbeat,
   LoadDigest,
   RpcName,
@@ -25,6 +26,8 @@
   onAppend(from: HostRun, message: AppendBatch): AppendAck[];
   onAppendAcks(from: HostRun, acks: AppendAck[]): void;
   onTrim(from: HostRun, message: Trim): void;
+  onSuspect(fingerprint: string): void;
+  onConvicted(conviction: Conviction): void;
   onLoad(digests: LoadDigest[]): void;
   /** Runs a request that a sibling passed on. */
   onCall(
--- a/scenarios/src/language/grammar.peggy
+++ b/scenarios/src/language/grammar.peggy
@@ -89,6 +89,9 @@
   / "calls to the store at most" _ count:integer _ "a second" {
       return { kind: "expect_store_rate", count };
     }
+  / "at least" _ count:integer _ "of" _ prefix:name _ "running" {
+      return { kind: "expect_running", count, prefix };
+    }
   / "no new work on" _ name:name _ "within" _ ms:duration {
       return { kind: "expect_no_work", name, ms };
     }
--- a/scenarios/src/world/runner.ts
+++ b/scenarios/src/world/runner.ts
@@ -125,6 +125,14 @@
     const { busiest } = await readStoreRate(world(ctx).fleet);
     expect(busiest <= count, `the store saw ${busiest} calls in a second`);
   },
+  expect_running: ({ count, prefix }, ctx) => {
+    const running = [...world(ctx).fleet.upstreams.values()]
+      .filter((it) => it.name.startsWith(prefix) && it.process.isRunning);
+    expect(
+      running.length >= count,
+      `${running.length} of ${prefix} run, fewer than ${count}`,
+    );
+  },
   expect_no_work: async ({ name, ms }, ctx) => {
     await sleep(ms);
     const before = await countEngineExecutions(world(ctx).fleet, name);
