Limits of callers hold over the whole fleet

Cause: max_calls and tokens_per_s stood in the table and did nothing. Ruled out: a counter in the key-value service (a write for each call); an even split alone (a limit of 2 over 8 daemons lets nobody run). Change: one daemon grants parts of each limit by demand, for 2 s; a host uses no more than its kept part while it asks, and takes back what it lent only after every grant made on the strength of it has run out; whole calls for small limits. Conclusion: hosts that disagree on how many there are are not covered.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -20,6 +20,7 @@
 import { createTimeline, type Timeline } from "@toucantrestle/timeline";
 import { createSystemTimer, sleep, type Timer } from "@toucantrestle/timer";
 import { randomUUID } from "node:crypto";
+import { CallerLimits } from "./caller_limits.ts";
 import { Compactor } from "./compactor.ts";
 import { DispatchDesk } from "./dispatch_desk.ts";
 import { Entry } from "./entry.ts";
@@ -78,6 +79,7 @@
   readonly #lease: LeaseKeeper;
   readonly #keyring: Keyring;
   readonly #upstreams: Upstreams;
+  readonly #limits: CallerLimits;
   readonly #desk: DispatchDesk;
   readonly #loads: LoadReader;
   readonly #isolation: Isolation;
@@ -134,6 +136,7 @@
       timer: this.#timer,
       bootstrapKey: cfg.bootstrapKey,
     });
+    this.#limits = this.#createLimits();
     this.#desk = this.#createDesk();
     this.#upstreams = this.#createUpstreams();
     this.#loads = this.#createLoadReader();
@@ -245,9 +248,21 @@
     });
   }
 
+  #createLimits(): CallerLimits {
+    return new CallerLimits({
+      view: this.#view,
+      net: () => this.#net,
+      timer: this.#timer,
+      selfHost: this.#self.host,
+      waiting: () => this.#desk.dispatcher.waitingByCaller(),
+      onGranted: () => this.#desk.wake(),
+    });
+  }
+
   #createDesk(): DispatchDesk {
     return new DispatchDesk({
       policy: "toucantrestle",
+      limits: this.#limits,
       queueLimit: () => this.#view.tableView.system.queueLimit,
       timer: this.#timer,
       metrics: this.#metrics,
@@ -396,6 +411,7 @@
       entry: this.#entry,
       loads: this.#loads,
       isolation: this.#isolation,
+      limits: this.#limits,
       net: () => this.#net,
       ownStatus: () => reportStatus(this.#statusParts()),
       ownPrograms: () => reportPrograms(this.#statusParts()),
--- a/packages/daemon/src/dispatch_desk.ts
+++ b/packages/daemon/src/dispatch_desk.ts
@@ -2,6 +2,7 @@
 import {
   type Decision,
   Dispatcher,
+  type DispatchLimits,
   type PolicyName,
   type UpstreamInfo,
   type Work,
@@ -35,6 +36,7 @@
     opts: {
       policy: PolicyName;
       queueLimit: () => number;
+      limits: DispatchLimits;
       timer: Timer;
       metrics: Metrics;
     },
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -8,6 +8,7 @@
   SiblingNet,
 } from "@toucantrestle/sibling";
 import type { Timeline } from "@toucantrestle/timeline";
+import type { CallerLimits } from "./caller_limits.ts";
 import type { Entry } from "./entry.ts";
 import type { Families } from "./families.ts";
 import type { Isolation } from "./isolation.ts";
@@ -29,6 +30,7 @@
   entry: Entry;
   loads: LoadReader;
   isolation: Isolation;
+  limits: CallerLimits;
   net: () => SiblingNet;
   ownStatus: () => HostStatus;
   ownPrograms: () => ProgramSummary[];
@@ -95,6 +97,9 @@
       await lates.recordHere(args);
       return { recorded: true };
     },
+    shares: ({ host, demands }) => ({
+      grants: parts.limits.grant(host, demands),
+    }),
     isolate: async (args) => {
       await parts.isolation.enterHere(args);
       return { granted: true };
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -24,6 +24,19 @@
   decodeMs: number;
 }
 
+/** Limits of callers that the dispatcher keeps to. */
+export interface DispatchLimits {
+  allows(caller: string): boolean;
+  started(work: Work): void;
+  finished(work: Work): void;
+}
+
+const NO_LIMITS: DispatchLimits = {
+  allows: () => true,
+  started() {},
+  finished() {},
+};
+
 interface Target {
   queue: WaitQueue;
   speed: SpeedEstimate;
@@ -46,6 +59,7 @@
   readonly caches = new CacheView();
   readonly #policy: PolicyDef;
   readonly #queueLimit: () => number;
+  readonly #limits: DispatchLimits;
   readonly #upstreams = new Map<string, UpstreamState>();
   readonly #targets = new Map<string, Target>();
   readonly #lastUpstream = new Map<string, string>();
@@ -53,7 +67,15 @@
   #turn = 0;
   #waiting = 0;
 
-  constructor(opts: { policy: PolicyName; queueLimit: () => number }) {
+  constructor(
+    opts: {
+      policy: PolicyName;
+      queueLimit: () => number;
+      /** Limits of callers; none where it is absent. */
+      limits?: DispatchLimits;
+    },
+  ) {
+    this.#limits = opts.limits ?? NO_LIMITS;
     this.#policy = POLICIES[opts.policy];
     this.#queueLimit = opts.queueLimit;
   }
@@ -116,6 +138,17 @@
     return undefined;
   }
 
+  /** Waiting calls by caller. */
+  waitingByCaller(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const { queue } of this.#targets.values()) {
+      for (const [caller, count] of queue.waitingByCaller()) {
+        counts.set(caller, (counts.get(caller) ?? 0) + count);
+      }
+    }
+    return counts;
+  }
+
   /** Takes back a call that waits. */
   cancel(work: Work): void {
     if (this.#target(work.target).queue.remove(work.id)) this.#waiting -= 1;
@@ -136,6 +169,7 @@
     const work = this.#placed.get(id);
     if (!work) return;
     this.#placed.delete(id);
+    this.#limits.finished(work);
     const state = this.#upstreams.get(result.upstream);
     const send = state?.finished(id, result.now);
     if (result.contextTokens === undefined || work.kind !== "engine") return;
@@ -161,7 +195,9 @@
   #startOne(target: Target, now: number, decisions: Decision[]): boolean {
     if (target.queue.size === 0) return false;
     if (this.#policy.holds && !this.#hasRoom(target, now)) return false;
-    for (const work of target.queue.candidates(now, LOOKAHEAD)) {
+    const allows = (caller: string) => this.#limits.allows(caller);
+    const options = { now, limit: LOOKAHEAD, allows };
+    for (const work of target.queue.candidates(options)) {
       const input = this.#routeInput(target, work, now);
       if (input.candidates.length === 0) continue;
       const chosen = ROUTERS[this.#policy.router](input);
@@ -200,6 +236,7 @@
     this.#waiting -= 1;
     this.#turn += 1;
     this.#placed.set(work.id, work);
+    this.#limits.started(work);
     if (work.kind === "engine") this.#lastUpstream.set(work.program, name);
     return {
       kind: "start",
--- a/packages/policy/src/wait_queue.ts
+++ b/packages/policy/src/wait_queue.ts
@@ -3,13 +3,24 @@
 /** In which order waiting work is served. */
 export type OrderName = "fair" | "fifo";
 
+/** Which waiting work may be tried. */
+export interface CandidateOptions {
+  now: number;
+  /** Works to return at the most. */
+  limit: number;
+  /** Whether a caller may start a call. */
+  allows: (caller: string) => boolean;
+}
+
 /** Waiting work for one target. */
 export interface WaitQueue {
   readonly size: number;
   add(work: Work): void;
   remove(id: string): Work | undefined;
-  /** Work in the order in which it should be tried, at most `limit`. */
-  candidates(now: number, limit: number): Work[];
+  /** Work in the order in which it should be tried. */
+  candidates(opts: CandidateOptions): Work[];
+  /** Waiting calls by caller. */
+  waitingByCaller(): Map<string, number>;
   /** Charges a caller for work that was started, in ms of engine time. */
   charge(work: Work, costMs: number): void;
   values(): Iterable<Work>;
@@ -39,15 +50,23 @@
     return work;
   }
 
-  candidates(_now: number, limit: number): Work[] {
+  candidates({ limit, allows }: CandidateOptions): Work[] {
     const works: Work[] = [];
     for (const work of this.#works.values()) {
       if (works.length >= limit) break;
-      works.push(work);
+      if (allows(work.caller)) works.push(work);
     }
     return works;
   }
 
+  waitingByCaller(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const { caller } of this.#works.values()) {
+      counts.set(caller, (counts.get(caller) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   charge(): void {}
 
   values(): Iterable<Work> {
@@ -112,10 +131,10 @@
     return work;
   }
 
-  candidates(now: number, limit: number): Work[] {
-    const callers = [...this.#waiting.values()].sort((a, b) =>
-      this.#virtualOf(a.caller) - this.#virtualOf(b.caller)
-    );
+  candidates({ now, limit, allows }: CandidateOptions): Work[] {
+    const callers = [...this.#waiting.values()]
+      .filter((it) => allows(it.caller))
+      .sort((a, b) => this.#virtualOf(a.caller) - this.#virtualOf(b.caller));
     const ordered: Work[] = [];
     const isBulkTurn = this.#starts % BULK_TURN === BULK_TURN - 1;
     const classes: WorkClass[] = isBulkTurn
@@ -130,6 +149,12 @@
     return ordered.slice(0, limit);
   }
 
+  waitingByCaller(): Map<string, number> {
+    return new Map(
+      [...this.#waiting.values()].map((it) => [it.caller, it.works.size]),
+    );
+  }
+
   charge(work: Work, costMs: number): void {
     this.#starts += 1;
     const virtualMs = this.#virtualOf(work.caller);
--- a/packages/sibling/src/messages.ts
+++ b/packages/sibling/src/messages.ts
@@ -7,7 +7,12 @@
   ShardRecord,
   Tail,
 } from "@toucantrestle/membership";
-import type { CacheNotice, LoadReport } from "@toucantrestle/policy";
+import type {
+  CacheNotice,
+  Demand,
+  Grant,
+  LoadReport,
+} from "@toucantrestle/policy";
 import type { Outcome } from "@toucantrestle/program";
 import type { Table } from "@toucantrestle/table";
 import type {
@@ -142,6 +147,11 @@
     };
     result: { recorded: true };
   };
+  /** Asks for parts of callers' limits. */
+  shares: {
+    args: { host: string; demands: Demand[] };
+    result: { grants: Grant[] };
+  };
   /** Waits until a suspect may run alone. */
   isolate: {
     args: { fingerprint: string; startedAt: number };
--- a/scenarios/src/language/grammar.peggy
+++ b/scenarios/src/language/grammar.peggy
@@ -92,6 +92,9 @@
   / "at least" _ count:integer _ "of" _ prefix:name _ "running" {
       return { kind: "expect_running", count, prefix };
     }
+  / "at most" _ count:integer _ "calls on engines" {
+      return { kind: "expect_calls", count };
+    }
   / "no new work on" _ name:name _ "within" _ ms:duration {
       return { kind: "expect_no_work", name, ms };
     }
--- a/scenarios/src/language/step.ts
+++ b/scenarios/src/language/step.ts
@@ -63,6 +63,7 @@
   | { kind: "expect_released"; program: string; ms: number }
   | { kind: "expect_store_rate"; count: number }
   | { kind: "expect_running"; count: number; prefix: string }
+  | { kind: "expect_calls"; count: number }
   | { kind: "expect_no_work"; name: string; ms: number }
   | {
     kind: "expect_outcome";
--- a/scenarios/src/world/runner.ts
+++ b/scenarios/src/world/runner.ts
@@ -133,6 +133,10 @@
       `${running.length} of ${prefix} run, fewer than ${count}`,
     );
   },
+  expect_calls: async ({ count }, ctx) => {
+    const running = await countRunningCalls(world(ctx).fleet);
+    expect(running <= count, `${running} calls run, more than ${count}`);
+  },
   expect_no_work: async ({ name, ms }, ctx) => {
     await sleep(ms);
     const before = await countEngineExecutions(world(ctx).fleet, name);
@@ -331,6 +335,19 @@
   return executions.length;
 }
 
+async function countRunningCalls(fleet: Fleet): Promise<number> {
+  let count = 0;
+  for (const member of fleet.upstreams.values()) {
+    if (!member.name.startsWith("engine")) continue;
+    const res = await fetch(`http://${member.address}/record`);
+    const { executions } = await res.json() as {
+      executions: { state: string }[];
+    };
+    count += executions.filter((it) => it.state === "running").length;
+  }
+  return count;
+}
+
 async function findHolders(fleet: Fleet, program: string): Promise<string[]> {
   const holders: string[] = [];
   for (const member of fleet.upstreams.values()) {
