A page for phones; a crash check that survives old connections

Cause: operators edit cells from a phone; crashing_request lost four engines in a loaded test run, since a connection kept from before the crash made an engine that was gone look alive once. Ruled out: a framework for the page (three small files suffice); cookies (a key in a header allows no cross-site request). Change: page with table, edits followed to every host, status and time line of a program; a crash is told by up to four checks of the engine.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -14,7 +14,11 @@
   TailStore,
 } from "@toucantrestle/membership";
 import { createMetrics, type Metrics } from "@toucantrestle/metrics";
-import { type DaemonFaults, operatorRoutes } from "@toucantrestle/operator";
+import {
+  type DaemonFaults,
+  operatorRoutes,
+  pageRoutes,
+} from "@toucantrestle/operator";
 import { RetryBudget } from "@toucantrestle/policy";
 import { type PeerHandlers, SiblingNet } from "@toucantrestle/sibling";
 import { createTimeline, type Timeline } from "@toucantrestle/timeline";
@@ -426,6 +430,7 @@
         role: "none",
         handler: () => ({ ok: true, ready: this.#isReady() }),
       },
+      ...pageRoutes(),
       ...callerRoutes({
         handle: (caller, request, sink) =>
           this.#entry.handle(caller, request, sink),
--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -12,6 +12,7 @@
 } from "@toucantrestle/program";
 import type { AnswerSink, CompleteRequest } from "@toucantrestle/sibling";
 import type { ModelPolicy } from "@toucantrestle/table";
+import { sleep } from "@toucantrestle/timer";
 import {
   NotFoundError,
   problemOf,
@@ -38,6 +39,8 @@
 /** An engine that sends nothing for this long has hung. */
 const STALL_LIMIT_MS = 10_000;
 const DOWN_MS = 2_000;
+const CRASH_CHECKS = 4;
+const CRASH_CHECK_GAP_MS = 30;
 /** Bulk work runs after foreground work on an engine. */
 const ENGINE_PRIORITIES = { foreground: 0, bulk: 10 } as const;
 
@@ -214,12 +217,17 @@
   /** An engine that cut a stream and still answers has not crashed. */
   async #hasCrashed(upstream: string): Promise<boolean> {
     const engine = this.#ctx.upstreams.engine(upstream);
-    try {
-      await engine?.load();
-      return false;
-    } catch (err) {
-      return isUnsent(err);
+    for (let tries = 0; tries < CRASH_CHECKS; tries++) {
+      try {
+        await engine?.load();
+        return false;
+      } catch (err) {
+        if (isUnsent(err)) return true;
+        // A connection kept from before the crash fails once more.
+        await sleep(this.#ctx.timer, CRASH_CHECK_GAP_MS);
+      }
     }
+    return true;
   }
 
   async #convict(): Promise<RequestError> {
--- a/packages/operator/src/routes.ts
+++ b/packages/operator/src/routes.ts
@@ -1,5 +1,5 @@
 import type { HttpContext, HttpRoute } from "@toucantrestle/http";
-import { type Edit, tableWarnings } from "@toucantrestle/table";
+import { COLUMNS, type Edit, tableWarnings } from "@toucantrestle/table";
 import { randomUUID } from "node:crypto";
 import { z } from "zod";
 import type { OperatorHandlers } from "./api.ts";
@@ -52,6 +52,7 @@
     get("/table", () => handlers.table()),
     post("/table/edits", (ctx) => applyEdit(ctx, handlers)),
     get("/table/history", async () => ({ edits: await handlers.history() })),
+    get("/columns", () => ({ kinds: COLUMNS })),
     get("/status", () => handlers.status()),
     get("/programs", async () => ({ programs: await handlers.programs() })),
     get("/timeline", async (ctx) => ({
