--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,36 +1,28 @@
-import { callerRoutes } from "@toucantrestle/caller";
 import { HttpStore } from "@toucantrestle/config_store";
 import { createHostList } from "@toucantrestle/host_list";
-import {
-  createHttpServer,
-  type HttpRoute,
-  type HttpServer,
-} from "@toucantrestle/http";
+import type { HttpServer } from "@toucantrestle/http";
 import { createLoggers, type LoggerFactory } from "@toucantrestle/log";
 import {
   chooseHolders,
   type HostRun,
-  linkTargets,
   TailStore,
 } from "@toucantrestle/membership";
 import { createMetrics, type Metrics } from "@toucantrestle/metrics";
-import {
-  type DaemonFaults,
-  operatorRoutes,
-  pageRoutes,
-} from "@toucantrestle/operator";
-import { RetryBudget } from "@toucantrestle/policy";
+import type { DaemonFaults } from "@toucantrestle/operator";
 import { type PeerHandlers, SiblingNet } from "@toucantrestle/sibling";
 import { createTimeline, type Timeline } from "@toucantrestle/timeline";
-import { createSystemTimer, sleep, type Timer } from "@toucantrestle/timer";
+import { createSystemTimer, type Timer } from "@toucantrestle/timer";
 import { randomUUID } from "node:crypto";
 import { CallerLimits } from "./caller_limits.ts";
-import { Compactor } from "./compactor.ts";
+import { setUpCalls } from "./calls_setup.ts";
+import { createDaemonHttp } from "./daemon_http.ts";
 import { DispatchDesk } from "./dispatch_desk.ts";
 import { Entry } from "./entry.ts";
 import { Families } from "./families.ts";
 import { Flusher } from "./flusher.ts";
+import { stopGracefully } from "./graceful_stop.ts";
 import { Isolation } from "./isolation.ts";
+import { LinkKeeper } from "./link_keeper.ts";
 import { Journal } from "./journal.ts";
 import { Keyring } from "./keyring.ts";
 import { LateOutcomes } from "./late_outcomes.ts";
@@ -38,11 +30,10 @@
 import { LoadReader } from "./load_reader.ts";
 import { createOperatorHandlers } from "./operator_handlers.ts";
 import type { OwnedShard } from "./owned_shard.ts";
-import { Ownership } from "./ownership.ts";
-import { createPeerHandlers, learnCluster } from "./peer_handlers.ts";
-import { PieceBuffer } from "./piece_buffer.ts";
-import { ProgramCalls } from "./program_calls.ts";
-import { Reaper } from "./reaper.ts";
+import type { Ownership } from "./ownership.ts";
+import { setUpOwnership } from "./ownership_setup.ts";
+import { createPeerHandlers } from "./peer_handlers.ts";
+import type { ProgramCalls } from "./program_calls.ts";
 import { Replicator } from "./replicator.ts";
 import type { DaemonSettings } from "./settings.ts";
 import {
@@ -53,19 +44,12 @@
 import { StoreView } from "./store_view.ts";
 import { TableEditor } from "./table_editor.ts";
 import { TailHolder } from "./tail_holder.ts";
-import { Takeover } from "./takeover.ts";
 import { openTimelineFile } from "./timeline_file.ts";
 import { readTlsFiles, type TlsFiles } from "./tls_files.ts";
 import { Upstreams } from "./upstreams.ts";
 
 const TIMELINE_CAPACITY = 20_000;
 const BYTES_PER_MB = 1_000_000;
-const MAX_IDLE_LINKS = 16;
-const LINK_REFRESH_MS = 500;
-const STOP_PATIENCE_MS = 60_000;
-const DRAIN_POLL_MS = 50;
-/** Time for callers and siblings to learn that this host is leaving. */
-const LEAVE_NOTICE_MS = 500;
 
 /** One daemon: all roles, wired. */
 export class Daemon {
@@ -95,6 +79,7 @@
   readonly #families: Families;
   readonly #entry: Entry;
   readonly #net: SiblingNet;
+  readonly #links: LinkKeeper;
   readonly #http: HttpServer;
   readonly #tls: TlsFiles | undefined;
   #isStopping = false;
@@ -176,6 +161,13 @@
       selfAddress: this.#self.address,
     });
     this.#net = this.#createNet();
+    this.#links = new LinkKeeper({
+      ...shared,
+      self: this.#self,
+      net: this.#net,
+      shards: this.#shards,
+      joinAddresses: () => this.#joinAddresses(),
+    });
     this.#http = this.#createHttp();
   }
 
@@ -186,7 +178,7 @@
     this.#view.onChange(() => this.#upstreams.refresh());
     this.#view.start();
     this.#lease.start();
-    this.#timer.every(LINK_REFRESH_MS, () => this.#refreshLinks());
+    this.#links.start();
     this.#tls?.watch((files) => this.#http.setTls(files));
     this.#logs("daemon").info(
       `serves callers at ${this.#cfg.listen} as run ${this.#self.runId}`,
@@ -200,20 +192,17 @@
   async stop(): Promise<void> {
     if (this.#isStopping) return;
     this.#isStopping = true;
-    const log = this.#logs("daemon");
-    log.info("stops: no new programs are placed here");
-    await this.#lease.setState("leaving").catch(() => {});
-    await sleep(this.#timer, LEAVE_NOTICE_MS);
-    const deadline = this.#timer.now() + STOP_PATIENCE_MS;
-    await this.#ownership.stop(deadline);
-    await this.#http.drain();
-    await this.#flushBefore(deadline);
-    await this.#lease.close().catch(() => {});
-    this.#view.close();
-    this.#flusher.close();
-    await this.#net.close();
+    await stopGracefully({
+      timer: this.#timer,
+      log: this.#logs("daemon"),
+      lease: this.#lease,
+      ownership: this.#ownership,
+      http: this.#http,
+      flusher: this.#flusher,
+      view: this.#view,
+      net: this.#net,
+    });
     this.#metrics.close();
-    log.info("has stopped");
     this.#onStopped();
   }
 
@@ -222,17 +211,6 @@
     this.#onStopped = fn;
   }
 
-  async #flushBefore(deadline: number): Promise<void> {
-    const flushed = this.#flusher.flushAll();
-    let isFlushed = false;
-    flushed.then(() => {
-      isFlushed = true;
-    }, () => {});
-    while (!isFlushed && this.#timer.now() < deadline) {
-      await sleep(this.#timer, DRAIN_POLL_MS);
-    }
-  }
-
   #createView(): StoreView {
     return new StoreView({
       store: this.#store,
@@ -322,33 +300,17 @@
   }
 
   #createOwnership(): Ownership {
-    const takeover = new Takeover({
+    return setUpOwnership({
       store: this.#store,
-      net: () => this.#net,
-      timer: this.#timer,
-      log: this.#logs("owner"),
-      self: this.#self,
       tails: this.#tails,
-      chooseHolders: (shard) => this.#chooseHolders(shard),
-    });
-    new Compactor({
-      flusher: this.#flusher,
-      takeover,
-      view: this.#view,
-      timer: this.#timer,
-      log: this.#logs("journal"),
-      shards: this.#shards,
-    });
-    return new Ownership({
+      logs: this.#logs,
       self: this.#self,
       view: this.#view,
       lease: this.#lease,
       net: () => this.#net,
       timer: this.#timer,
-      log: this.#logs("owner"),
       timeline: this.#timeline,
       shards: this.#shards,
-      takeover,
       flusher: this.#flusher,
       chooseHolders: (shard) => this.#chooseHolders(shard),
       copies: this.#cfg.tailCopies,
@@ -357,33 +319,20 @@
   }
 
   #createCalls(): ProgramCalls {
-    const reaper = new Reaper({
+    return setUpCalls({
+      families: this.#families,
+      shards: this.#shards,
+      logs: this.#logs,
       timer: this.#timer,
       timeline: this.#timeline,
-      log: this.#logs("reaper"),
+      metrics: this.#metrics,
       journal: this.#journal,
-      families: this.#families,
-      upstreams: this.#upstreams,
       desk: this.#desk,
-      shards: this.#shards,
-    });
-    return new ProgramCalls({
-      families: this.#families,
-      reaper,
-      ctx: {
-        timer: this.#timer,
-        timeline: this.#timeline,
-        metrics: this.#metrics,
-        journal: this.#journal,
-        desk: this.#desk,
-        upstreams: this.#upstreams,
-        loads: this.#loads,
-        retries: new RetryBudget(),
-        pieces: new PieceBuffer(this.#timer),
-        isolation: this.#isolation,
-        table: () => this.#view.tableView,
-        reportLate: (late) => this.#lates.report(late),
-      },
+      upstreams: this.#upstreams,
+      loads: this.#loads,
+      isolation: this.#isolation,
+      table: () => this.#view.tableView,
+      reportLate: (late) => this.#lates.report(late),
     });
   }
 
@@ -423,31 +372,17 @@
   }
 
   #createHttp(): HttpServer {
-    const routes: HttpRoute[] = [
-      {
-        method: "GET",
-        path: "/health",
-        role: "none",
-        handler: () => ({ ok: true, ready: this.#isReady() }),
-      },
-      ...pageRoutes(),
-      ...callerRoutes({
-        handle: (caller, request, sink) =>
-          this.#entry.handle(caller, request, sink),
-        where: (program) => this.#entry.where(program),
-        ownShards: () => [...this.#shards.keys()],
-      }),
-      ...operatorRoutes(this.#createOperatorHandlers(), {
-        allowFaults: this.#cfg.allowFaults,
-      }),
-    ];
-    return createHttpServer({
-      routes,
+    return createDaemonHttp({
+      entry: this.#entry,
+      operator: this.#createOperatorHandlers(),
+      keyring: this.#keyring,
+      view: this.#view,
+      shards: this.#shards,
+      log: this.#logs("entry"),
+      isReady: () => this.#links.isReady,
+      allowFaults: this.#cfg.allowFaults,
       maxBodyBytes: this.#cfg.maxBodyMb * BYTES_PER_MB,
       tls: this.#tls?.current(),
-      authenticate: (key) => this.#keyring.authenticate(key),
-      isReady: () => this.#view.isUsable,
-      onError: (err) => this.#logs("entry").error(describeError(err)),
     });
   }
 
@@ -497,48 +432,11 @@
     });
   }
 
-  /** Every shard has an owner that this daemon can reach. */
-  #isReady(): boolean {
-    const { shards } = this.#view;
-    if (shards.size === 0) return false;
-    return [...shards.values()].every(({ record }) =>
-      record.owner.runId === this.#self.runId
-        ? this.#shards.has(record.shard)
-        : this.#net.session(record.owner) !== undefined
-    );
-  }
-
-  #refreshLinks(): void {
-    const hosts = [...this.#view.hosts.values()];
-    const targets = linkTargets(this.#self, hosts, MAX_IDLE_LINKS);
-    this.#net.setTargets([
-      ...targets.map((it) => it.siblingAddress),
-      ...this.#neededRuns().map((it) => it.siblingAddress),
-      ...(this.#view.isLoaded ? [] : this.#joinAddresses()),
-    ]);
-    const sessions = this.#net.sessions();
-    const turn = Math.floor(this.#timer.now() / LINK_REFRESH_MS);
-    const session = sessions[turn % sessions.length];
-    if (session) learnCluster(this.#view, session);
-  }
-
-  /** Owners and holders that this daemon must reach. */
-  #neededRuns(): HostRun[] {
-    const owners = [...this.#view.shards.values()].map((it) => it.record.owner);
-    const holders = [...this.#shards.values()]
-      .flatMap((it) => it.record.log.holders);
-    return [...owners, ...holders];
-  }
-
   #joinAddresses(): string[] {
     const given = this.#cfg.siblings.split(",").filter((it) => it !== "");
     const listed = this.#upstreams.entryHosts()
-      .map((it: { siblingAddress?: string | undefined }) => it.siblingAddress)
+      .map((it) => it.siblingAddress)
       .filter((it) => it !== undefined);
     return [...given, ...listed];
   }
 }
-
-function describeError(err: unknown): string {
-  return err instanceof Error ? err.stack ?? err.message : String(err);
-}
--- a/packages/daemon/src/isolation.ts
+++ b/packages/daemon/src/isolation.ts
@@ -16,7 +16,9 @@
 const SUSPICION_MS = 120_000;
 /** A conviction ends after this, since engines get mended. */
 const CONVICTION_MS = 3_600_000;
-const UNPROCESSABLE_STATUS = 422;
+
+/** Status of the answer to a request that crashes engines. */
+export const UNPROCESSABLE_STATUS = 422;
 
 /**
  * Isolates requests that were in progress on an engine that crashed, and
--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -1,8 +1,4 @@
-import {
-  type CompletionDelta,
-  type CompletionEnd,
-  isBrokenOff,
-} from "@toucantrestle/engine";
+import type { CompletionDelta, CompletionEnd } from "@toucantrestle/engine";
 import {
   type AnsweredOutcome,
   type ChatMessage,
@@ -12,15 +8,7 @@
 } from "@toucantrestle/program";
 import type { AnswerSink, CompleteRequest } from "@toucantrestle/sibling";
 import type { ModelPolicy } from "@toucantrestle/table";
-import { sleep } from "@toucantrestle/timer";
-import {
-  NotFoundError,
-  problemOf,
-  RequestError,
-  TimeoutError,
-  UpstreamError,
-  type Verdict,
-} from "@toucantrestle/verdict";
+import { NotFoundError, problemOf, RequestError } from "@toucantrestle/verdict";
 import {
   type CompletionIds,
   writeOutcome,
@@ -30,17 +18,15 @@
 } from "./answers.ts";
 import { type CallContext, requireLedger } from "./call_context.ts";
 import type { CallPlan, CallResult, CallRunner } from "./call_runner.ts";
+import { CrashGuard, goneError } from "./crash_guard.ts";
 import type { Placement } from "./dispatch_desk.ts";
-import { convictedError } from "./isolation.ts";
 import type { OwnedShard } from "./owned_shard.ts";
+import { UNPROCESSABLE_STATUS } from "./isolation.ts";
+import { watchForStall } from "./stall_watch.ts";
 import { isUnsent, tryUpstreams } from "./try_upstreams.ts";
 
 const MAX_TRIES = 4;
-/** An engine that sends nothing for this long has hung. */
-const STALL_LIMIT_MS = 10_000;
 const DOWN_MS = 2_000;
-const CRASH_CHECKS = 4;
-const CRASH_CHECK_GAP_MS = 30;
 /** Bulk work runs after foreground work on an engine. */
 const ENGINE_PRIORITIES = { foreground: 0, bulk: 10 } as const;
 
@@ -167,10 +153,20 @@
 
   async #runTries(step: number, first: Placement): Promise<CallResult> {
     this.#ctx.retries.firstTry(this.#ctx.table().system.retryShare);
+    const { fingerprint, program } = this.#request;
+    const guard = new CrashGuard(this.#ctx, {
+      fingerprint,
+      program,
+      caller: this.#caller,
+    });
     const end = await tryUpstreams({
       first,
       maxTries: MAX_TRIES,
-      runOnce: (placement) => this.#runGuarded(step, placement),
+      runOnce: (placement) =>
+        guard.run(placement, {
+          run: () => this.#runOnce(step, placement),
+          release: () => this.#runner.release(placement),
+        }),
       mayRetry: (err) => this.#mayRetry(err),
       noteFailure: (placement, err) => this.#noteFailure(placement, err),
       placeAgain: () => this.#placeAgain(step),
@@ -178,71 +174,10 @@
     return this.#resultOf(end);
   }
 
-  /** Runs a suspect alone; a crash then convicts it. */
-  async #runGuarded(
-    step: number,
-    placement: Placement,
-  ): Promise<CompletionEnd> {
-    const { isolation, timer } = this.#ctx;
-    const { fingerprint } = this.#request;
-    const startedAt = timer.now();
-    if (isolation.isSuspect(fingerprint)) {
-      await isolation.enter({ fingerprint, startedAt });
-      await this.#checkAlive(placement);
-    }
-    // A conviction meanwhile may have cleared the suspicion.
-    const isAlone = isolation.isSuspect(fingerprint);
-    try {
-      const end = await this.#runOnce(step, placement);
-      if (isAlone) await isolation.acquit(fingerprint);
-      return end;
-    } catch (err) {
-      const hasCrashed = isBrokenOff(err) &&
-        await this.#hasCrashed(placement.upstream);
-      if (hasCrashed && isAlone) throw await this.#convict();
-      if (hasCrashed) isolation.suspect(fingerprint);
-      else if (isAlone) await isolation.acquit(fingerprint);
-      throw err;
-    }
-  }
-
-  /** The engine may have crashed while the call waited for its turn. */
-  async #checkAlive(placement: Placement): Promise<void> {
-    if (!await this.#hasCrashed(placement.upstream)) return;
-    this.#runner.release(placement);
-    await this.#ctx.isolation.yieldTurn(this.#request.fingerprint);
-    throw goneError(placement.upstream);
-  }
-
-  /** An engine that cut a stream and still answers has not crashed. */
-  async #hasCrashed(upstream: string): Promise<boolean> {
-    const engine = this.#ctx.upstreams.engine(upstream);
-    for (let tries = 0; tries < CRASH_CHECKS; tries++) {
-      try {
-        await engine?.load();
-        return false;
-      } catch (err) {
-        if (isUnsent(err)) return true;
-        // A connection kept from before the crash fails once more.
-        await sleep(this.#ctx.timer, CRASH_CHECK_GAP_MS);
-      }
-    }
-    return true;
-  }
-
-  async #convict(): Promise<RequestError> {
-    const { fingerprint, program } = this.#request;
-    await this.#ctx.isolation.convict({
-      fingerprint,
-      program,
-      caller: this.#caller,
-      at: this.#ctx.timer.now(),
-    });
-    return convictedError("may_have_run");
-  }
-
   #mayRetry(err: unknown): boolean {
-    if (err instanceof RequestError && err.status === 422) return false;
+    if (err instanceof RequestError && err.status === UNPROCESSABLE_STATUS) {
+      return false;
+    }
     const { timer, retries } = this.#ctx;
     return timer.now() < this.#deadlineAt && retries.take();
   }
@@ -300,14 +235,13 @@
       startedAt: timer.now(),
       firstTokenAt: undefined,
     };
-    const abort = new AbortController();
-    const watchdog = this.#watch(abort);
+    const watch = watchForStall(timer, this.#deadlineAt);
     try {
       if (!engine) throw goneError(placement.upstream);
       const end = await engine.complete(this.#completionCall(step), {
-        signal: abort.signal,
+        signal: watch.signal,
         onDelta: (delta) => {
-          watchdog.touch();
+          watch.touch();
           current.firstTokenAt ??= timer.now();
           this.#onDelta(delta);
         },
@@ -318,7 +252,7 @@
       this.#runner.release(placement);
       throw err;
     } finally {
-      watchdog.cancel();
+      watch.cancel();
     }
   }
 
@@ -347,28 +281,6 @@
     this.#ctx.pieces.add(this.#sink, delta.events);
   }
 
-  /** Aborts a try whose engine sends nothing, or whose deadline is over. */
-  #watch(abort: AbortController): { touch(): void; cancel(): void } {
-    const { timer } = this.#ctx;
-    let touchedAt = timer.now();
-    const check = timer.every(STALL_LIMIT_MS / 20, () => {
-      const now = timer.now();
-      const hasStalled = now - touchedAt >= STALL_LIMIT_MS;
-      if (!hasStalled && now < this.#deadlineAt) return;
-      const verdict: Verdict = "may_have_run";
-      const message = hasStalled
-        ? "the engine sent nothing for too long"
-        : "the call did not end before its deadline";
-      abort.abort(new TimeoutError(message, { props: { verdict } }));
-    });
-    return {
-      touch: () => {
-        touchedAt = timer.now();
-      },
-      cancel: () => check.cancel(),
-    };
-  }
-
   #finishTry(current: Try, end: CompletionEnd): void {
     const { timer, desk } = this.#ctx;
     const now = timer.now();
@@ -406,13 +318,6 @@
   }
 }
 
-function goneError(upstream: string) {
-  const verdict: Verdict = "not_run";
-  return new UpstreamError(`upstream ${upstream} is gone`, {
-    props: { verdict },
-  });
-}
-
 /** Rough size of new messages, for placing the call. */
 function estimateTokens(messages: ChatMessage[]): number {
   const BYTES_PER_TOKEN = 4;
--- a/packages/daemon/src/ownership.ts
+++ b/packages/daemon/src/ownership.ts
@@ -83,7 +83,7 @@
   async stop(deadline: number): Promise<void> {
     this.#isStopping = true;
     const { shards, timer } = this.#opts;
-    while (shards.size > 0 && timer.now() < deadline) {
+    while (!this.#mayEnd() && timer.now() < deadline) {
       await Promise.all([...shards.values()].map((it) => this.#release(it)));
       await new Promise<void>((resolve) => {
         timer.after(CHECK_MS, resolve);
@@ -91,6 +91,13 @@
     }
   }
 
+  /** Nothing is left, or nothing runs and nobody is there to take over. */
+  #mayEnd(): boolean {
+    const shards = [...this.#opts.shards.values()];
+    const isIdle = shards.every((it) => it.attempts.size === 0);
+    return shards.length === 0 || (isIdle && this.#liveHosts().length === 0);
+  }
+
   #check(): void {
     if (this.#isStopping) return;
     this.#noteHosts();
--- a/packages/daemon/src/program_calls.ts
+++ b/packages/daemon/src/program_calls.ts
@@ -122,7 +122,6 @@
 
   async #complete(call: OwnerCall<CompleteRequest>): Promise<void> {
     const { shard, caller, request, sink } = call;
-    const { ctx } = { ctx: this.#ctx };
     if (request.isSingle && !shard.ledgers.has(request.program)) {
       await this.#create(call, {
         kind: "start",
@@ -132,8 +131,8 @@
         budgetTokens: undefined,
       });
     }
-    const runner = this.#runner;
-    await new ModelCall({ ctx, runner, shard, caller, request, sink }).run();
+    const parts = { ctx: this.#ctx, runner: this.#runner };
+    await new ModelCall({ ...parts, shard, caller, request, sink }).run();
     if (request.isSingle) {
       await this.#reaper.end(shard, request.program, "single_call");
     }
--- a/packages/daemon/src/service_call.ts
+++ b/packages/daemon/src/service_call.ts
@@ -5,13 +5,13 @@
 import {
   NotFoundError,
   TimeoutError,
-  UpstreamError,
   type Verdict,
 } from "@toucantrestle/verdict";
 import { sleep } from "@toucantrestle/timer";
 import { writeOutcome } from "./answers.ts";
 import type { CallContext } from "./call_context.ts";
 import type { CallPlan, CallResult, CallRunner } from "./call_runner.ts";
+import { goneError } from "./crash_guard.ts";
 import type { Placement } from "./dispatch_desk.ts";
 import type { OwnedShard } from "./owned_shard.ts";
 import { isUnsent, tryUpstreams } from "./try_upstreams.ts";
@@ -137,10 +137,7 @@
     const service = upstreams.service(placement.upstream);
     if (!service) {
       this.#runner.release(placement);
-      const verdict: Verdict = "not_run";
-      throw new UpstreamError(`upstream ${placement.upstream} is gone`, {
-        props: { verdict },
-      });
+      throw goneError(placement.upstream);
     }
     const { program, requestId, body } = this.#request;
     const answer = service.call({
