--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -10,6 +10,7 @@
 import type { z } from "zod";
 
 export { BadSettingError } from "./errors.ts";
+export { formatReference } from "./reference.ts";
 
 /** Kind of value a flag takes. */
 export type FlagType = "string" | "number" | "boolean";
