--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -1,15 +1,16 @@
 import { formatDifference } from "@toucantrestle/table";
 import { randomUUID } from "node:crypto";
 import { type Command, requireArg, textFlag } from "../command.ts";
+import { warnFirst } from "../warn_first.ts";
 import { compare } from "./plan.ts";
 
 /** Makes the table hold what a declaration says. */
 export const apply: Command = {
-  help: `apply FILE [--reason TEXT]
+  help: `apply FILE [--reason TEXT] [--force]
 
   Makes the table hold just what the declaration says. Applying the same file
   twice changes nothing. A broken declaration is refused whole.`,
-  flags: { reason: { type: "string" } },
+  flags: { reason: { type: "string" }, force: { type: "boolean" } },
   async handler(ctx) {
     const difference = await compare(
       ctx.client,
@@ -20,6 +21,7 @@
       ctx.print(["nothing to change"], { changed: false });
       return;
     }
+    warnFirst(ctx, await ctx.client.table(), difference);
     const answer = await ctx.client.edit({
       writeId: randomUUID(),
       reason: textFlag(ctx, "reason") ?? "apply",
--- a/packages/cli/src/commands/edit.ts
+++ b/packages/cli/src/commands/edit.ts
@@ -12,15 +12,21 @@
 } from "@toucantrestle/table";
 import { randomUUID } from "node:crypto";
 import { type Command, requireArg, textFlag, UsageError } from "../command.ts";
+import { warnFirst } from "../warn_first.ts";
 
 /** Changes some cells of a row. */
 export const edit: Command = {
-  help: `edit ROW CELL=VALUE... [--reason TEXT]
+  help: `edit ROW CELL=VALUE... [--reason TEXT] [--force]
        edit ROW --remove
 
   Changes cells of a row, or removes it. A cell that somebody else changed
-  meanwhile is refused, with both values.`,
-  flags: { reason: { type: "string" }, remove: { type: "boolean" } },
+  meanwhile is refused, with both values. A change that would starve the system
+  needs --force.`,
+  flags: {
+    reason: { type: "string" },
+    remove: { type: "boolean" },
+    force: { type: "boolean" },
+  },
   async handler(ctx) {
     const row = requireArg(ctx, 0, "ROW");
     const table = await ctx.client.table();
@@ -29,6 +35,7 @@
     if (changes.length + removals.length === 0) {
       throw new UsageError("CELL=VALUE is missing");
     }
+    warnFirst(ctx, table, { changes, removals });
     const answer = await ctx.client.edit({
       writeId: randomUUID(),
       reason: textFlag(ctx, "reason") ?? "",
