--- /dev/null
+++ b/packages/sibling/test/links_test.ts
@@ -0,0 +1,131 @@
+import type { HostRun } from "@toucantrestle/membership";
+import { createSystemTimer } from "@toucantrestle/timer";
+import { expect } from "earl";
+import { createServer } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { generate } from "selfsigned";
+import { type PeerHandlers, SiblingNet, type SiblingTls } from "../src/mod.ts";
+
+const PATIENCE_MS = 5_000;
+
+interface NetOptions {
+  key?: string;
+  tls?: SiblingTls;
+  cut?: Set<string>;
+}
+
+const nets: SiblingNet[] = [];
+
+async function freePort(): Promise<number> {
+  return await new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, "127.0.0.1", () => {
+      const address = server.address();
+      const port = typeof address === "object" ? address?.port ?? 0 : 0;
+      server.close(() => resolve(port));
+    });
+  });
+}
+
+async function createNet(host: string, opts: NetOptions = {}) {
+  const self: HostRun = {
+    runId: `run-${host}`,
+    host,
+    dataCentre: "dc",
+    address: "127.0.0.1:1",
+    siblingAddress: `127.0.0.1:${await freePort()}`,
+  };
+  const net = new SiblingNet({
+    self,
+    key: opts.key ?? "the-sibling-key",
+    timer: createSystemTimer(),
+    handlers: createHandlers(host),
+    heartbeat: () => ({ stamp: { ms: 0, count: 0 }, tableRevision: 0 }),
+    isCut: (other) => opts.cut?.has(other) ?? false,
+    isSiblingKey: () => false,
+    tls: opts.tls,
+  });
+  await net.listen();
+  nets.push(net);
+  return { net, self };
+}
+
+function createHandlers(host: string): PeerHandlers {
+  const handlers = {
+    rpcs: { heard: () => ({ silentMs: host.length }) },
+    onHeartbeat() {},
+    onAppendAcks() {},
+    onLinked() {},
+  };
+  return handlers as unknown as PeerHandlers;
+}
+
+async function waitForLink(net: SiblingNet, to: HostRun): Promise<boolean> {
+  const giveUpAt = Date.now() + PATIENCE_MS;
+  while (Date.now() < giveUpAt) {
+    if (net.session(to)) return true;
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  return false;
+}
+
+async function createCertificate(): Promise<SiblingTls> {
+  const name = [{ name: "commonName", value: "sibling" }];
+  const pems = await generate(name, {
+    extensions: [
+      { name: "basicConstraints", cA: true },
+      {
+        name: "subjectAltName",
+        altNames: [{ type: 7, ip: "127.0.0.1" }],
+      },
+    ],
+  });
+  return { cert: pems.cert, key: pems.private, ca: pems.cert };
+}
+
+describe("links between daemons", () => {
+  afterEach(async () => {
+    await Promise.all(nets.splice(0).map((net) => net.close()));
+  });
+
+  it("answer requests", async () => {
+    const a = await createNet("a");
+    const b = await createNet("bbb");
+    a.net.setTargets([b.self.siblingAddress]);
+    expect(await waitForLink(a.net, b.self)).toEqual(true);
+    const session = a.net.requireSession(b.self);
+    const { silentMs } = await session.rpc("heard", { runId: "x" }, 1_000);
+    expect(silentMs).toEqual(3);
+  });
+
+  it("are refused without the right key", async () => {
+    const a = await createNet("a", { key: "another-key" });
+    const b = await createNet("b");
+    a.net.setTargets([b.self.siblingAddress]);
+    await new Promise((resolve) => setTimeout(resolve, 500));
+    expect(a.net.session(b.self)).toEqual(undefined);
+  });
+
+  it("lose everything while they are cut, and say so in time", async () => {
+    const cut = new Set<string>();
+    const a = await createNet("a", { cut });
+    const b = await createNet("b");
+    a.net.setTargets([b.self.siblingAddress]);
+    expect(await waitForLink(a.net, b.self)).toEqual(true);
+    cut.add("b");
+    const session = a.net.requireSession(b.self);
+    await expect(session.rpc("heard", { runId: "x" }, 200))
+      .toBeRejectedWith("did not answer");
+  });
+
+  it("work over TLS, and not without it", async () => {
+    const tls = await createCertificate();
+    const a = await createNet("a", { tls });
+    const b = await createNet("b", { tls });
+    const plain = await createNet("c");
+    a.net.setTargets([b.self.siblingAddress]);
+    plain.net.setTargets([b.self.siblingAddress]);
+    expect(await waitForLink(a.net, b.self)).toEqual(true);
+    expect(plain.net.session(b.self)).toEqual(undefined);
+  });
+});
