--- /dev/null
+++ b/packages/http/test/tls_test.ts
@@ -0,0 +1,60 @@
+import { expect } from "earl";
+import { createServer } from "node:net";
+import { after, before, describe, it } from "node:test";
+import { connect } from "node:tls";
+import { generate } from "selfsigned";
+import { createHttpServer, type HttpServer, type HttpTls } from "../src/mod.ts";
+
+async function createTls(name: string): Promise<HttpTls> {
+  const pems = await generate([{ name: "commonName", value: name }]);
+  return { cert: pems.cert, key: pems.private };
+}
+
+async function freePort(): Promise<number> {
+  return await new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, "127.0.0.1", () => {
+      const address = server.address();
+      const port = typeof address === "object" ? address?.port ?? 0 : 0;
+      server.close(() => resolve(port));
+    });
+  });
+}
+
+/** Common name of the certificate that a port shows. */
+function servedName(port: number): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const opts = { host: "127.0.0.1", port, rejectUnauthorized: false };
+    const socket = connect(opts, () => {
+      resolve(String(socket.getPeerCertificate().subject.CN));
+      socket.destroy();
+    });
+    socket.on("error", reject);
+  });
+}
+
+describe("a server over TLS", () => {
+  let server: HttpServer;
+  let port: number;
+
+  before(async () => {
+    port = await freePort();
+    server = createHttpServer({
+      routes: [],
+      maxBodyBytes: 1_000,
+      tls: await createTls("first"),
+      authenticate: () => undefined,
+      isReady: () => true,
+      onError: () => {},
+    });
+    await server.listen(`127.0.0.1:${port}`);
+  });
+
+  after(() => server.drain());
+
+  it("takes a new certificate into use without a restart", async () => {
+    expect(await servedName(port)).toEqual("first");
+    server.setTls(await createTls("second"));
+    expect(await servedName(port)).toEqual("second");
+  });
+});
