--- a/bench/src/commands/policy.ts
+++ b/bench/src/commands/policy.ts
@@ -1,8 +1,10 @@
 import { POLICIES, type PolicyName } from "@toucantrestle/policy";
 import { DEFAULT_ENGINE_PARAMS } from "@toucantrestle/stand_ins";
+import { writeFileSync } from "node:fs";
 import process from "node:process";
 import type { BenchCommand } from "../command.ts";
 import { figuresOf, type RunFigures, shareErrorOf } from "../policy/figures.ts";
+import { formatReport } from "../policy/report.ts";
 import { Simulation } from "../policy/simulation.ts";
 import {
   createPrograms,
@@ -25,6 +27,7 @@
     load: { type: "string", default: "0.7,0.9,1.1" },
     policies: { type: "string", default: Object.keys(POLICIES).join(",") },
     seed: { type: "number", default: 1 },
+    report: { type: "string" },
   },
   handler(flags) {
     const workload = String(flags["workload"]) as WorkloadName;
@@ -37,6 +40,10 @@
       names.map((name) => runOne(def, { name, load, seed }))
     );
     printTable(runs);
+    if (typeof flags["report"] === "string") {
+      const title = `${workload}, seed ${seed}`;
+      writeFileSync(flags["report"], formatReport(title, runs));
+    }
     return Promise.resolve({ workload, seed, runs });
   },
 };
