Isolation: a turn that nobody takes ends early, waiting ends at the deadline

Change: a turn lasts 15 s at the most; waiting for it ends at the call's deadline with verdict may_have_run and a time to come back.

--- a/packages/daemon/src/crash_guard.ts
+++ b/packages/daemon/src/crash_guard.ts
@@ -1,4 +1,5 @@
 import { isBrokenOff } from "@toucantrestle/engine";
+import type { Suspect } from "@toucantrestle/policy";
 import { sleep } from "@toucantrestle/timer";
 import {
   type RequestError,
@@ -15,6 +16,8 @@
   fingerprint: string;
   program: string;
   caller: string;
+  /** Time until which it may wait, in ms since the epoch. */
+  deadlineAt: number;
 }
 
 const CRASH_CHECKS = 4;
@@ -42,7 +45,8 @@
     const { isolation, timer } = this.#ctx;
     const { fingerprint } = this.#request;
     if (isolation.isSuspect(fingerprint)) {
-      await isolation.enter({ fingerprint, startedAt: timer.now() });
+      const suspect = { fingerprint, startedAt: timer.now() };
+      await this.#enter(suspect, opts.release);
       await this.#checkAlive(placement, opts.release);
     }
     // A conviction meanwhile may have cleared the suspicion.
@@ -61,6 +65,15 @@
     }
   }
 
+  async #enter(suspect: Suspect, release: () => void): Promise<void> {
+    try {
+      await this.#ctx.isolation.enter(suspect, this.#request.deadlineAt);
+    } catch (err) {
+      release();
+      throw err;
+    }
+  }
+
   /** The engine may have crashed while the call waited for its turn. */
   async #checkAlive(
     placement: Placement,
@@ -89,8 +102,11 @@
   }
 
   async #convict(): Promise<RequestError> {
+    const { fingerprint, program, caller } = this.#request;
     await this.#ctx.isolation.convict({
-      ...this.#request,
+      fingerprint,
+      program,
+      caller,
       at: this.#ctx.timer.now(),
     });
     return convictedError("may_have_run");
--- a/packages/daemon/src/isolation.ts
+++ b/packages/daemon/src/isolation.ts
@@ -4,14 +4,19 @@
 import { IsolationQueue, type Suspect } from "@toucantrestle/policy";
 import type { SiblingNet } from "@toucantrestle/sibling";
 import { sleep, type Timer } from "@toucantrestle/timer";
-import { RequestError, type Verdict } from "@toucantrestle/verdict";
+import {
+  RequestError,
+  TimeoutError,
+  type Verdict,
+} from "@toucantrestle/verdict";
 import { CONVICTIONS } from "./keyspace.ts";
 import type { ConvictionRecord, StoreView } from "./store_view.ts";
 
 const POLL_MS = 50;
-const ENTER_TIMEOUT_MS = 120_000;
+const ENTER_TIMEOUT_MS = 30_000;
 const LEAVE_TIMEOUT_MS = 2_000;
 const RETRY_MS = 200;
+const NO_TURN_RETRY_MS = 2_000;
 /** Suspicion that nothing confirms ends by itself. */
 const SUSPICION_MS = 120_000;
 /** A conviction ends after this, since engines get mended. */
@@ -86,23 +91,37 @@
     this.#suspectUntil.set(fingerprint, until);
   }
 
-  /** Waits for a suspect's turn to run alone. */
-  async enter(suspect: Suspect): Promise<void> {
-    const giveUpAt = this.#timer.now() + ENTER_TIMEOUT_MS;
+  /**
+   * Waits for a suspect's turn to run alone.
+   *
+   * @throws {TimeoutError} when the turn did not come before the deadline
+   */
+  async enter(suspect: Suspect, deadlineAt: number): Promise<void> {
     while (this.isSuspect(suspect.fingerprint)) {
       this.checkAllowed(suspect.fingerprint);
+      const leftMs = deadlineAt - this.#timer.now();
+      if (leftMs <= 0) throw noTurnError();
       try {
-        const session = this.#coordinator();
-        if (!session) return await this.enterHere(suspect);
-        await session.rpc("isolate", suspect, ENTER_TIMEOUT_MS);
+        await this.#enterOnce(suspect, Math.min(leftMs, ENTER_TIMEOUT_MS));
         return;
       } catch {
-        if (this.#timer.now() >= giveUpAt) return;
         await sleep(this.#timer, RETRY_MS);
       }
     }
   }
 
+  async #enterOnce(suspect: Suspect, timeoutMs: number): Promise<void> {
+    const session = this.#coordinator();
+    if (session) {
+      await session.rpc("isolate", suspect, timeoutMs);
+      return;
+    }
+    const timeout = sleep(this.#timer, timeoutMs).then(() => {
+      throw noTurnError();
+    });
+    await Promise.race([this.enterHere(suspect), timeout]);
+  }
+
   /** Queues a suspect at this daemon, which grants the turns. */
   enterHere(suspect: Suspect): Promise<void> {
     return new Promise((grant) => {
@@ -173,6 +192,14 @@
   }
 }
 
+function noTurnError(): RequestError {
+  const verdict: Verdict = "may_have_run";
+  return new TimeoutError(
+    "the request was in progress at a crash and got no turn to run alone",
+    { props: { verdict, retryAfterMs: NO_TURN_RETRY_MS } },
+  );
+}
+
 /** The answer to a request that is known to crash engines. */
 export function convictedError(verdict: Verdict): RequestError {
   return new RequestError(
--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -158,6 +158,7 @@
       fingerprint,
       program,
       caller: this.#caller,
+      deadlineAt: this.#deadlineAt,
     });
     const end = await tryUpstreams({
       first,
--- a/packages/policy/src/isolation_queue.ts
+++ b/packages/policy/src/isolation_queue.ts
@@ -14,7 +14,7 @@
 /** Suspects of one crash are gathered for this long before the first runs. */
 const GATHER_MS = 150;
 /** A suspect that does not say how its run ended gives up its turn. */
-const TURN_LIMIT_MS = 90_000;
+const TURN_LIMIT_MS = 15_000;
 
 /**
  * Lets suspects run one at a time over the whole fleet, so that a crash during
