--- a/bench/src/fleet.ts
+++ b/bench/src/fleet.ts
@@ -1,6 +1,6 @@
 import { OperatorClient } from "@toucantrestle/operator";
 import { Fleet, type FleetSpec, OPERATOR_KEY } from "@toucantrestle/stand_ins";
-import type { CellChange, CellValue } from "@toucantrestle/table";
+import { type CellChange, newRow } from "@toucantrestle/table";
 import { randomUUID } from "node:crypto";
 
 /** A started fleet with a table in force and a caller's key. */
@@ -35,19 +35,6 @@
   return { fleet, operator, callerKey };
 }
 
-/** Changes that make a new row. */
-export function newRow(
-  row: string,
-  cells: Record<string, CellValue>,
-): CellChange[] {
-  return Object.entries(cells).map(([column, value]) => ({
-    row,
-    column,
-    seen: null,
-    value,
-  }));
-}
-
 function tableOf(spec: FleetSpec, fleet: Fleet): CellChange[] {
   return [
     ...newRow("caller/bench", {
--- a/packages/table/src/edit.ts
+++ b/packages/table/src/edit.ts
@@ -3,6 +3,7 @@
 import { COLUMNS, findColumn } from "./columns.ts";
 import {
   cellOf,
+  type Cells,
   findRow,
   parseRowId,
   type RecentWrite,
@@ -64,6 +65,16 @@
   };
 }
 
+/** Changes that make a new row. */
+export function newRow(row: string, cells: Cells): CellChange[] {
+  return Object.entries(cells).map(([column, value]) => ({
+    row,
+    column,
+    seen: null,
+    value,
+  }));
+}
+
 /** Finds an accepted edit by its write id. */
 export function findWrite(
   table: Table,
--- a/packages/table/src/mod.ts
+++ b/packages/table/src/mod.ts
@@ -35,6 +35,7 @@
   type Edit,
   type EditRecord,
   findWrite,
+  newRow,
 } from "./edit.ts";
 export type * from "./views.ts";
 export { viewTable } from "./views.ts";
--- a/scenarios/src/world/table.ts
+++ b/scenarios/src/world/table.ts
@@ -1,5 +1,5 @@
 import type { Fleet, FleetSpec, UpstreamSpec } from "@toucantrestle/stand_ins";
-import type { CellChange, CellValue } from "@toucantrestle/table";
+import { type CellChange, newRow } from "@toucantrestle/table";
 
 /** Changes that make the table of a scenario. */
 export function createTable(
@@ -63,15 +63,3 @@
     ],
   };
 }
-
-function newRow(
-  row: string,
-  cells: Record<string, CellValue>,
-): CellChange[] {
-  return Object.entries(cells).map(([column, value]) => ({
-    row,
-    column,
-    seen: null,
-    value,
-  }));
-}
