Platform: the whole path, thin, on the users' platform

Cause: nothing of the product ran there. State: turns and spending as records without an owner on replicas of a numbered view.

--- a/packages/config_store/src/mod.ts
+++ b/packages/config_store/src/mod.ts
@@ -8,3 +8,4 @@
 export { StoreError } from "./errors.ts";
 export { HttpStore, type HttpStoreOptions } from "./http_store.ts";
 export { prefixEnd } from "./wire.ts";
+export { follow, type FollowOptions } from "./follow.ts";
--- a/packages/config_store/src/store.ts
+++ b/packages/config_store/src/store.ts
@@ -55,12 +55,18 @@
   | { kind: "put"; item: Versioned }
   | { kind: "delete"; key: string };
 
+/** Why a watch has ended. */
+export type WatchEnd = "lost" | "compacted";
+
 /** What a watch calls. */
 export interface WatchHandlers {
   /** Called with the changes of one store revision. */
   onEvents(events: StoreEvent[], revision: number): void;
-  /** Called once when the watch has ended; it does not restart by itself. */
-  onEnd(): void;
+  /**
+   * Called once when the watch has ended; it does not restart by itself. A
+   * compacted history must be read anew.
+   */
+  onEnd(reason?: WatchEnd): void;
 }
 
 /** The platform's key-value service. All methods throw `StoreError`. */
--- /dev/null
+++ b/packages/front/src/attempt.ts
@@ -0,0 +1,158 @@
+import type { KnownUpstream } from "@toucantrestle/routing";
+import type {
+  AnswerHead,
+  ChannelFailure,
+  ChannelPool,
+} from "@toucantrestle/upstream_channel";
+import type { Call } from "./call.ts";
+import type { StreamEvent } from "./event_splitter.ts";
+import { EventSplitter } from "./event_splitter.ts";
+import { answerHeaders, upstreamHeaders } from "./headers.ts";
+import type { Protocol } from "./protocol.ts";
+
+/** How one attempt at an upstream ended. */
+export type AttemptResult =
+  /** The answer is complete; nothing of its end has reached the caller. */
+  | { kind: "complete"; head: AnswerHead; rest: Buffer[] }
+  /** The upstream did not run the request. */
+  | { kind: "declined"; status: number }
+  | { kind: "failed"; failure: ChannelFailure }
+  /** The time is over or the caller has left. */
+  | { kind: "stopped"; why: "deadline" | "abandoned"; hadHead: boolean };
+
+/** What an attempt needs. */
+export interface AttemptOptions {
+  call: Call;
+  upstream: KnownUpstream;
+  pool: ChannelPool;
+  protocol: Protocol;
+  body: Uint8Array;
+  urgency: number | undefined;
+  timeLeftMs: number;
+  /** Called with each event before it is passed on. */
+  onEvent: (event: StreamEvent) => void;
+  onFirstByte: () => void;
+}
+
+/** Answers up to this size are held until they are whole. */
+const MAX_HELD_BYTES = 262_144;
+/** A caller that reads this far behind is given up. */
+const MAX_UNREAD_BYTES = 4_000_000;
+
+/** An attempt in progress. */
+export interface Attempt {
+  result: Promise<AttemptResult>;
+  stop(why: "deadline" | "abandoned"): void;
+}
+
+/** Sends a request to an upstream and passes the answer on as it comes. */
+export function startAttempt(opts: AttemptOptions): Attempt {
+  const { call, protocol, pool } = opts;
+  const { res } = call;
+  const isStream = call.route.kind === "streaming";
+  const splitter = new EventSplitter();
+  let head: AnswerHead | undefined;
+  let held: Buffer[] = [];
+  let heldBytes = 0;
+  let isPassing = false;
+  let why: "deadline" | "abandoned" | undefined;
+  let resolveResult: (result: AttemptResult) => void;
+  const result = new Promise<AttemptResult>((resolve) => {
+    resolveResult = resolve;
+  });
+
+  function passHead(): void {
+    if (isPassing || !head) return;
+    isPassing = true;
+    res.writeHead(head.status, answerHeaders(head, isStream));
+    res.flushHeaders();
+  }
+
+  function write(bytes: Buffer): void {
+    passHead();
+    res.write(bytes);
+    if (res.writableLength > MAX_UNREAD_BYTES) res.destroy();
+  }
+
+  function onStreamData(chunk: Buffer): void {
+    for (const event of splitter.push(chunk)) {
+      opts.onEvent(event);
+      write(event.bytes);
+    }
+  }
+
+  function onPlainData(chunk: Buffer): void {
+    if (isPassing) return write(chunk);
+    held.push(Buffer.from(chunk));
+    heldBytes += chunk.length;
+    if (heldBytes <= MAX_HELD_BYTES) return;
+    for (const part of held) write(part);
+    held = [];
+  }
+
+  const exchange = pool.send(
+    {
+      id: call.head.id,
+      method: call.req.method ?? "GET",
+      path: call.req.url ?? "/",
+      headers: upstreamHeaders({
+        rawHeaders: call.req.rawHeaders,
+        protocol,
+        bodyBytes: opts.body.length,
+        method: call.req.method ?? "GET",
+        marks: {
+          timeLeftMs: opts.timeLeftMs,
+          upstreamId: opts.upstream.entry.id,
+          urgency: opts.urgency,
+        },
+      }),
+      body: opts.body,
+    },
+    {
+      onHead(answer) {
+        head = answer;
+        opts.onFirstByte();
+      },
+      onData(chunk) {
+        if (!head || protocol.isDeclined(head)) return;
+        if (isStream && head.status === 200) onStreamData(chunk);
+        else onPlainData(chunk);
+      },
+      onEnd() {
+        if (!head) return;
+        if (protocol.isDeclined(head)) {
+          resolveResult({ kind: "declined", status: head.status });
+          return;
+        }
+        if (splitter.hasPartial) {
+          resolveResult({ kind: "failed", failure: brokenMidway });
+          return;
+        }
+        resolveResult({ kind: "complete", head, rest: held });
+      },
+      onFailure(failure) {
+        if (why) {
+          resolveResult({ kind: "stopped", why, hadHead: isPassing });
+          return;
+        }
+        resolveResult({
+          kind: "failed",
+          failure: { ...failure, hadHead: isPassing },
+        });
+      },
+    },
+  );
+  return {
+    result,
+    stop(reason) {
+      why = reason;
+      exchange.cancel();
+    },
+  };
+}
+
+const brokenMidway: ChannelFailure = {
+  reason: "bad_answer",
+  verdict: "may_have_run",
+  hadHead: true,
+};
--- /dev/null
+++ b/packages/front/src/call.ts
@@ -0,0 +1,23 @@
+import type { Route, RoutingConfig } from "@toucantrestle/routing";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { CallHead } from "./protocol.ts";
+
+/** One request of a caller, as it is served. */
+export interface Call {
+  req: IncomingMessage;
+  res: ServerResponse;
+  head: CallHead;
+  body: Buffer;
+  route: Route;
+  service: string;
+  config: RoutingConfig;
+  arrivedAt: number;
+  /** When the caller must have its answer, in ms on the steady clock. */
+  deadlineAt: number;
+  /** Known again when the same request comes back. */
+  fingerprint: string;
+  /** True once the caller has left. */
+  isAbandoned: boolean;
+  /** Called when the caller leaves. */
+  onAbandon: (() => void) | undefined;
+}
--- /dev/null
+++ b/packages/front/src/config_watch.ts
@@ -0,0 +1,70 @@
+import { type ConfigStore, follow } from "@toucantrestle/config_store";
+import type { Logger } from "@toucantrestle/log";
+import type { RoutingConfig } from "@toucantrestle/routing";
+import type { Timer } from "@toucantrestle/timer";
+import type { Protocol } from "./protocol.ts";
+
+/** The operators' configuration in force; it never goes back. */
+export class ConfigWatch {
+  readonly #protocol: Protocol;
+  readonly #log: Logger;
+  readonly #listeners: ((config: RoutingConfig) => void)[] = [];
+  #config: RoutingConfig | undefined;
+  #text = "";
+
+  constructor(opts: { protocol: Protocol; log: Logger }) {
+    this.#protocol = opts.protocol;
+    this.#log = opts.log;
+  }
+
+  get config(): RoutingConfig | undefined {
+    return this.#config;
+  }
+
+  /** The configuration as the operators wrote it, for siblings. */
+  get text(): string {
+    return this.#text;
+  }
+
+  onConfig(fn: (config: RoutingConfig) => void): void {
+    this.#listeners.push(fn);
+  }
+
+  /** Follows the configuration in the platform's store. */
+  start(opts: { store: ConfigStore; timer: Timer }): void {
+    const { configKey } = this.#protocol;
+    follow({
+      ...opts,
+      prefix: configKey,
+      log: this.#log,
+      onSnapshot: (items) => {
+        for (const item of items) {
+          if (item.key === configKey) this.take(item.value, "store");
+        }
+      },
+      onEvents: (events) => {
+        for (const event of events) {
+          if (event.kind !== "put" || event.item.key !== configKey) continue;
+          this.take(event.item.value, "store");
+        }
+      },
+    });
+  }
+
+  /** Puts a configuration in force if it is newer. */
+  take(text: string, source: string): void {
+    const config = this.#protocol.readConfig(text);
+    if (!config) {
+      this.#log.error(`configuration from ${source} cannot be read; ignored`);
+      return;
+    }
+    if (this.#config && config.version <= this.#config.version) return;
+    this.#config = config;
+    this.#text = text;
+    this.#log.info(
+      `version ${config.version} from ${source} is in force, ` +
+        `${config.routes.length} routes`,
+    );
+    for (const fn of this.#listeners) fn(config);
+  }
+}
--- /dev/null
+++ b/packages/front/src/front.ts
@@ -0,0 +1,349 @@
+import type { ConfigStore } from "@toucantrestle/config_store";
+import type { Fleet } from "@toucantrestle/fleet";
+import type { LoggerFactory } from "@toucantrestle/log";
+import { hash64 } from "@toucantrestle/membership";
+import {
+  type ChooserName,
+  CrashList,
+  findRoute,
+  PrefixCache,
+  type RoutingConfig,
+  serviceFor,
+  UpstreamBook,
+} from "@toucantrestle/routing";
+import type { Timer } from "@toucantrestle/timer";
+import { TurnStoreClient } from "@toucantrestle/turn_store";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { refuse, sendText } from "./answers.ts";
+import type { Call } from "./call.ts";
+import { ConfigWatch } from "./config_watch.ts";
+import { directoryAnswer } from "./directory.ts";
+import type { Digest, Protocol } from "./protocol.ts";
+import { readBody } from "./read_body.ts";
+import { serveCall, type ServeOptions } from "./serve_call.ts";
+import { Siblings } from "./siblings.ts";
+import { UpstreamPools } from "./upstream_pools.ts";
+import { UpstreamWatch } from "./upstream_watch.ts";
+
+/** Settings of a front. */
+export interface FrontOptions {
+  host: string;
+  dataCentre: string;
+  /** Where callers connect. */
+  callerAddress: string;
+  /** Where the platform asks whether this front is ready. */
+  readyAddress: string;
+  /** Where callers ask where to connect. */
+  directoryAddress: string;
+  linkAddress: string;
+  seeds: string[];
+  /** Time from the order to stop until the process is killed, in ms. */
+  graceMs: number;
+  chooser: ChooserName;
+  protocol: Protocol;
+  store: ConfigStore;
+  fleet: Fleet;
+  timer: Timer;
+  loggers: LoggerFactory;
+}
+
+/** Largest head of a request that is read at all, in bytes. */
+const MAX_HEAD_BYTES = 65_536;
+const CHECK_CONNECTIONS_MS = 500;
+/** Kept connections outlive the announced idle time by this much. */
+const IDLE_SLACK_MS = 1_000;
+/** Time before the kill in which no new request is taken. */
+const LAST_CALLS_MS = 1_800;
+/** Time before the kill at which the process ends by itself. */
+const EXIT_MARGIN_MS = 300;
+const CRASH_NEWS_MS = 3_000;
+const SWEEP_MS = 10_000;
+
+/** One front: serves callers, tells them where to connect, and drains. */
+export class Front {
+  readonly #opts: FrontOptions;
+  readonly #configs: ConfigWatch;
+  readonly #upstreams: UpstreamWatch;
+  readonly #siblings: Siblings;
+  readonly #turns: TurnStoreClient;
+  readonly #book: UpstreamBook;
+  readonly #serve: ServeOptions;
+  readonly #callers: Server;
+  readonly #servers: Server[] = [];
+  readonly #calls = new Set<Call>();
+  #isStopping = false;
+
+  constructor(opts: FrontOptions) {
+    this.#opts = opts;
+    const { protocol, timer, loggers, host, dataCentre, fleet } = opts;
+    const caches = new PrefixCache();
+    const pools = new UpstreamPools({
+      timer,
+      log: loggers("upstream"),
+      answeredId: (head) => protocol.answeredId(head),
+    });
+    this.#book = new UpstreamBook({
+      onGone: (id) => {
+        caches.forget(id);
+        pools.forget(id);
+      },
+    });
+    this.#configs = new ConfigWatch({ protocol, log: loggers("config") });
+    this.#upstreams = new UpstreamWatch({
+      protocol,
+      book: this.#book,
+      timer,
+      log: loggers("upstream"),
+    });
+    this.#turns = new TurnStoreClient({
+      self: host,
+      dataCentre,
+      timer,
+      log: loggers("turns"),
+      onView: (view) => fleet.takeView(view),
+    });
+    this.#serve = {
+      protocol,
+      book: this.#book,
+      caches,
+      crashes: new CrashList(),
+      pools,
+      turns: this.#turns,
+      chooser: opts.chooser,
+      host,
+      dataCentre,
+      timer,
+      log: loggers("call"),
+    };
+    this.#siblings = new Siblings({
+      self: host,
+      linkAddress: opts.linkAddress,
+      seeds: opts.seeds,
+      fleet,
+      configs: this.#configs,
+      digest: () => this.#digest(),
+      onDigest: (digest) => this.#takeDigest(digest),
+      upstreams: () => this.#book.all().map((it) => it.entry),
+      onUpstreams: (entries) => this.#upstreams.takeFromSibling(entries),
+      timer,
+      log: loggers("sibling"),
+    });
+    this.#callers = this.#createServer((req, res) => this.#onCall(req, res));
+  }
+
+  /** Starts to serve; callers are refused until a configuration is known. */
+  async start(): Promise<void> {
+    const { fleet, store, timer } = this.#opts;
+    fleet.onView((view) => this.#turns.takeView(view));
+    if (fleet.view) this.#turns.takeView(fleet.view);
+    this.#configs.onConfig((config) => this.#applyLimits(config));
+    this.#configs.start({ store, timer });
+    this.#upstreams.start(store);
+    await this.#siblings.start();
+    await listen(this.#callers, this.#opts.callerAddress);
+    await this.#listenOther(this.#opts.readyAddress);
+    await this.#listenOther(this.#opts.directoryAddress);
+    timer.every(SWEEP_MS, () => this.#serve.crashes.sweep(timer.steady()));
+  }
+
+  /** Stops after the requests in progress; resolves when the process may end. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const { graceMs, timer, fleet, loggers } = this.#opts;
+    loggers("front").info(`stopping, ${this.#calls.size} calls in progress`);
+    this.#siblings.tellNow();
+    const leaving = fleet.leave();
+    await sleepMs(timer, graceMs - LAST_CALLS_MS);
+    this.#callers.close();
+    this.#callers.closeIdleConnections();
+    const endAt = timer.steady() + LAST_CALLS_MS - EXIT_MARGIN_MS;
+    while (this.#calls.size > 0 && timer.steady() < endAt) {
+      await sleepMs(timer, 50);
+    }
+    await Promise.race([leaving, sleepMs(timer, 100)]);
+    loggers("front").info(`stopped, ${this.#calls.size} calls cut off`);
+  }
+
+  get #isReady(): boolean {
+    return !this.#isStopping && this.#configs.config !== undefined;
+  }
+
+  #createServer(
+    handler: (req: IncomingMessage, res: ServerResponse) => void,
+  ): Server {
+    return createServer({
+      maxHeaderSize: MAX_HEAD_BYTES,
+      connectionsCheckingInterval: CHECK_CONNECTIONS_MS,
+      requestTimeout: 0,
+      noDelay: true,
+    }, handler);
+  }
+
+  async #listenOther(address: string): Promise<void> {
+    const server = this.#createServer((req, res) => this.#onOther(req, res));
+    this.#servers.push(server);
+    await listen(server, address);
+  }
+
+  #applyLimits(config: RoutingConfig): void {
+    this.#callers.headersTimeout = config.limits.headerTimeoutMs;
+    this.#callers.keepAliveTimeout = config.limits.idleTimeoutMs +
+      IDLE_SLACK_MS;
+  }
+
+  /** Answers whether this front is ready, and where to connect. */
+  #onOther(req: IncomingMessage, res: ServerResponse): void {
+    const { protocol } = this.#opts;
+    const path = (req.url ?? "/").split("?")[0];
+    if (path === protocol.readyPath) {
+      sendText(res, this.#isReady ? 200 : 503, "");
+    } else if (path === protocol.directoryPath) {
+      this.#answerDirectory(res);
+    } else sendText(res, 404, "no such path");
+  }
+
+  #answerDirectory(res: ServerResponse): void {
+    const { fleet, host, callerAddress, protocol } = this.#opts;
+    const answer = directoryAnswer({
+      fleet,
+      siblings: this.#siblings,
+      self: host,
+      own: this.#isReady ? callerAddress : undefined,
+    });
+    if (answer.addresses.length === 0) {
+      return sendText(res, 503, "no front is ready");
+    }
+    const body = protocol.directoryAnswer(answer);
+    res.writeHead(200, {
+      "content-type": "application/json",
+      "content-length": String(Buffer.byteLength(body)),
+    });
+    res.end(body);
+  }
+
+  async #onCall(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (this.#isStopping) res.setHeader("connection", "close");
+    try {
+      const call = await this.#readCall(req, res);
+      if (!call) return;
+      this.#calls.add(call);
+      res.on("close", () => this.#onClose(call));
+      await serveCall(call, this.#serve);
+    } catch (err) {
+      const text = err instanceof Error ? err.stack ?? err.message : err;
+      this.#opts.loggers("call").error(`call failed: ${text}`);
+      sendText(res, 500, "internal error");
+    }
+  }
+
+  #onClose(call: Call): void {
+    this.#calls.delete(call);
+    if (call.res.writableFinished) return;
+    call.isAbandoned = true;
+    call.onAbandon?.();
+  }
+
+  /** Reads a request; answers it and returns nothing where it cannot be served. */
+  async #readCall(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<Call | undefined> {
+    const arrivedAt = this.#opts.timer.steady();
+    const config = this.#configs.config;
+    const limit = config?.limits.bodyBytes ?? MAX_HEAD_BYTES;
+    const read = await readBody(req, limit);
+    if (read.kind === "cut") return undefined;
+    if (read.kind === "too_large") {
+      res.setHeader("connection", "close");
+      sendText(res, 413, "the body is too large");
+      return undefined;
+    }
+    if (!config) {
+      refuse(res, "no_config");
+      return undefined;
+    }
+    const path = req.url ?? "/";
+    const route = findRoute(config, req.headers.host ?? "", path);
+    const service = route && serviceFor(route, Math.random());
+    if (!route || !service) {
+      sendText(res, 404, "no route matches");
+      return undefined;
+    }
+    const head = this.#opts.protocol.readHead(req.headers);
+    if (!head) {
+      sendText(res, 400, "the request has no id");
+      return undefined;
+    }
+    const timeMs = Math.min(head.timeLeftMs ?? Infinity, route.timeoutMs);
+    return {
+      req,
+      res,
+      head,
+      body: read.body,
+      route,
+      service,
+      config,
+      arrivedAt,
+      deadlineAt: arrivedAt + timeMs,
+      fingerprint: fingerprintOf(req, read.body, head.previousTurn),
+      isAbandoned: false,
+      onAbandon: undefined,
+    };
+  }
+
+  #digest(): Digest {
+    const loads: Digest["loads"] = {};
+    for (const { entry, own } of this.#book.all()) {
+      if (own.running > 0) loads[entry.id] = { ...own };
+    }
+    const { timer, host } = this.#opts;
+    return {
+      host,
+      isReady: this.#isReady,
+      configVersion: this.#configs.config?.version ?? -1,
+      loads,
+      crashes: this.#serve.crashes.since(timer.steady() - CRASH_NEWS_MS),
+    };
+  }
+
+  #takeDigest(digest: Digest): void {
+    const now = this.#opts.timer.steady();
+    this.#book.noteOthers(digest.host, digest.loads, now);
+    for (const { fingerprint, upstreams } of digest.crashes) {
+      for (const id of upstreams) {
+        this.#serve.crashes.note(fingerprint, id, now);
+      }
+    }
+  }
+}
+
+/** Two requests with the same method, path, body and history are the same. */
+function fingerprintOf(
+  req: IncomingMessage,
+  body: Buffer,
+  previousTurn: string | undefined,
+): string {
+  const text = `${req.method} ${req.url} ${previousTurn ?? ""} ` +
+    body.toString("latin1");
+  return hash64(text).toString(36);
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const url = new URL(`tcp://${address}`);
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(Number(url.port), url.hostname, resolve);
+  });
+}
+
+function sleepMs(timer: Timer, ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    timer.after(ms, resolve);
+  });
+}
--- /dev/null
+++ b/packages/front/src/headers.ts
@@ -0,0 +1,70 @@
+import type { AnswerHead } from "@toucantrestle/upstream_channel";
+import type { Protocol, UpstreamMarks } from "./protocol.ts";
+
+/** Headers that concern one connection only, RFC 9110 section 7.6.1. */
+const HOP_BY_HOP = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+]);
+
+/** Names that a `Connection` header lists, in lower case. */
+function namedByConnection(rawHeaders: string[]): Set<string> {
+  const named = new Set<string>();
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    if (rawHeaders[i]?.toLowerCase() !== "connection") continue;
+    for (const name of (rawHeaders[i + 1] ?? "").split(",")) {
+      named.add(name.trim().toLowerCase());
+    }
+  }
+  return named;
+}
+
+/** Headers of a request to an upstream: the caller's and this process's. */
+export function upstreamHeaders(
+  opts: {
+    rawHeaders: string[];
+    protocol: Protocol;
+    method: string;
+    bodyBytes: number;
+    marks: UpstreamMarks;
+  },
+): string[] {
+  const { rawHeaders, protocol } = opts;
+  const named = namedByConnection(rawHeaders);
+  const headers: string[] = [];
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    const name = (rawHeaders[i] as string).toLowerCase();
+    if (HOP_BY_HOP.has(name) || name === "content-length") continue;
+    if (named.has(name) || protocol.isReserved(name)) continue;
+    headers.push(rawHeaders[i] as string, rawHeaders[i + 1] as string);
+  }
+  const hasBody = opts.bodyBytes > 0 || opts.method !== "GET";
+  if (hasBody) headers.push("Content-Length", String(opts.bodyBytes));
+  headers.push(...protocol.marks(opts.marks));
+  return headers;
+}
+
+/** Headers of an answer to a caller. */
+export function answerHeaders(head: AnswerHead, isStream: boolean): string[] {
+  const named = namedByConnection(head.rawHeaders);
+  const headers: string[] = [];
+  for (let i = 0; i + 1 < head.rawHeaders.length; i += 2) {
+    const name = (head.rawHeaders[i] as string).toLowerCase();
+    if (HOP_BY_HOP.has(name) || named.has(name)) continue;
+    // The end of a stream is marked by its last chunk, which may be held.
+    if (isStream && name === "content-length") continue;
+    headers.push(
+      head.rawHeaders[i] as string,
+      head.rawHeaders[i + 1] as string,
+    );
+  }
+  return headers;
+}
--- /dev/null
+++ b/packages/front/src/turn_state.ts
@@ -0,0 +1,124 @@
+import type { Timer } from "@toucantrestle/timer";
+import type { BudgetVerdict, LookupVerdict } from "@toucantrestle/turn_log";
+import type { TurnStoreClient } from "@toucantrestle/turn_store";
+import type { Call } from "./call.ts";
+import type { StreamEvent } from "./event_splitter.ts";
+
+/** What stands in the way of a turn. */
+export type TurnObstacle = "budget_spent" | "no_such_turn" | "unknown";
+
+/** Settings of the turns of one front. */
+export interface TurnsOptions {
+  store: TurnStoreClient;
+  timer: Timer;
+}
+
+const LINE_FEED = Buffer.from("\n");
+
+/** The turn that a call runs: its prompt, what it hands out, what it spends. */
+export class TurnState {
+  readonly #store: TurnStoreClient;
+  readonly #call: Call;
+  readonly #tokensPerEvent: number;
+  readonly #outputs: Buffer[] = [];
+  #prompt: Buffer;
+  #events = 0;
+  #isReserved = false;
+  #isSettled = false;
+  lastUpstream: string | undefined;
+  /** Tokens of the turns before. */
+  contextTokens = 0;
+
+  constructor(opts: { store: TurnStoreClient; call: Call }) {
+    this.#store = opts.store;
+    this.#call = opts.call;
+    this.#prompt = opts.call.body;
+    const service = opts.call.config.services.find((it) =>
+      it.name === opts.call.service
+    );
+    this.#tokensPerEvent = service?.engine?.tokensPerEvent ?? 1;
+  }
+
+  /** What the upstream is to read. */
+  get prompt(): Buffer {
+    return this.#prompt;
+  }
+
+  get events(): number {
+    return this.#events;
+  }
+
+  /** Reserves tokens and finds the turn before; both at the same time. */
+  async prepare(): Promise<TurnObstacle | undefined> {
+    const [budget, previous] = await Promise.all([
+      this.#reserve(),
+      this.#findPrevious(),
+    ]);
+    if (previous?.kind === "absent") return "no_such_turn";
+    if (previous?.kind === "unknown") return "unknown";
+    if (budget === "spent") return "budget_spent";
+    if (budget === "unknown") return "unknown";
+    if (previous?.kind === "found") {
+      this.#prompt = Buffer.concat([previous.turn.prompt, this.#call.body]);
+      this.lastUpstream = previous.turn.upstream;
+      this.contextTokens = previous.turn.tokens;
+    }
+    return undefined;
+  }
+
+  /** Notes an event that is handed to the caller. */
+  noteEvent(event: StreamEvent): void {
+    this.#events += 1;
+    if (!this.#call.route.keepsTurns) return;
+    this.#outputs.push(Buffer.from(event.data), LINE_FEED);
+  }
+
+  /** Keeps the finished turn; false when it is not surely kept. */
+  async keep(upstream: string): Promise<boolean> {
+    const { route, head, deadlineAt } = this.#call;
+    if (!route.keepsTurns) return true;
+    const prompt = Buffer.concat([this.#prompt, ...this.#outputs]);
+    const tokens = (head.promptTokens ?? 0) +
+      this.#events * this.#tokensPerEvent;
+    return await this.#store.put(
+      { id: head.id, prompt, upstream, tokens },
+      { keepMs: route.keepMs, deadlineMs: deadlineAt },
+    );
+  }
+
+  /** Tells what the turn has handed out in the end. */
+  settle(): void {
+    if (!this.#isReserved || this.#isSettled) return;
+    this.#isSettled = true;
+    const { head, route } = this.#call;
+    this.#store.settle({
+      program: head.program ?? "",
+      turn: head.id,
+      reserved: head.maxOutputTokens ?? 0,
+      settled: this.#events * this.#tokensPerEvent,
+      keepMs: route.keepMs,
+    });
+  }
+
+  async #reserve(): Promise<BudgetVerdict> {
+    const { head, route, deadlineAt } = this.#call;
+    if (head.tokenBudget === undefined || !head.program) return "granted";
+    this.#isReserved = true;
+    return await this.#store.reserve(
+      {
+        program: head.program,
+        turn: head.id,
+        tokens: head.maxOutputTokens ?? 0,
+        keepMs: route.keepMs,
+        budget: head.tokenBudget,
+      },
+      deadlineAt,
+    );
+  }
+
+  async #findPrevious(): Promise<LookupVerdict | undefined> {
+    const { head, route, deadlineAt } = this.#call;
+    if (!route.keepsTurns || !head.previousTurn) return undefined;
+    return await this.#store.find(head.previousTurn, deadlineAt);
+  }
+}
--- /dev/null
+++ b/packages/front/src/upstream_watch.ts
@@ -0,0 +1,99 @@
+import {
+  type ConfigStore,
+  follow,
+  type StoreEvent,
+  type Versioned,
+} from "@toucantrestle/config_store";
+import type { Logger } from "@toucantrestle/log";
+import type { UpstreamBook, UpstreamEntry } from "@toucantrestle/routing";
+import type { Timer } from "@toucantrestle/timer";
+import type { Protocol } from "./protocol.ts";
+
+const SWEEP_MS = 200;
+
+/** Keeps the book of upstreams up to date with the platform's store. */
+export class UpstreamWatch {
+  readonly #opts: {
+    protocol: Protocol;
+    book: UpstreamBook;
+    timer: Timer;
+    log: Logger;
+  };
+  #isReachable = false;
+
+  constructor(
+    opts: {
+      protocol: Protocol;
+      book: UpstreamBook;
+      timer: Timer;
+      log: Logger;
+    },
+  ) {
+    this.#opts = opts;
+  }
+
+  /** True while the store answers. */
+  get isReachable(): boolean {
+    return this.#isReachable;
+  }
+
+  start(store: ConfigStore): void {
+    const { protocol, timer, log, book } = this.#opts;
+    follow({
+      store,
+      prefix: protocol.upstreamPrefix,
+      timer,
+      log,
+      onSnapshot: (items) => this.#takeAll(items),
+      onEvents: (events) => events.forEach((it) => this.#take(it)),
+      onReachable: (isReachable) => this.#isReachable = isReachable,
+    });
+    timer.every(SWEEP_MS, () => {
+      if (!this.#isReachable) return;
+      for (const id of book.sweep(timer.steady())) {
+        log.info(`upstream ${id} stayed away; dropped`);
+      }
+    });
+  }
+
+  /** Takes a sibling's list, while the store does not answer. */
+  takeFromSibling(entries: UpstreamEntry[]): void {
+    if (this.#isReachable) return;
+    for (const entry of entries) this.#put(entry);
+  }
+
+  #takeAll(items: Versioned[]): void {
+    const entries = items
+      .map((it) => this.#read(it.key, it.value))
+      .filter((it) => it !== undefined);
+    const { book, timer, log } = this.#opts;
+    book.replaceAll(entries, timer.steady());
+    log.info(`${entries.length} upstreams are registered`);
+  }
+
+  #take(event: StoreEvent): void {
+    const { protocol, book, log } = this.#opts;
+    if (event.kind === "put") {
+      const entry = this.#read(event.item.key, event.item.value);
+      if (entry) this.#put(entry);
+      return;
+    }
+    const id = event.key.slice(protocol.upstreamPrefix.length);
+    log.info(`upstream ${id} is gone`);
+    book.remove(id);
+  }
+
+  #put(entry: UpstreamEntry): void {
+    const change = this.#opts.book.put(entry);
+    if (!change) return;
+    this.#opts.log.info(
+      `upstream ${entry.id} of ${entry.service} at ${entry.address}: ${change}`,
+    );
+  }
+
+  #read(key: string, text: string): UpstreamEntry | undefined {
+    const entry = this.#opts.protocol.readUpstream(key, text);
+    if (!entry) this.#opts.log.warn(`entry ${key} names no upstream`);
+    return entry;
+  }
+}
--- /dev/null
+++ b/packages/link/src/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Links between processes: typed requests and notices over ws with msgpackr.
+ *
+ * @module
+ */
+export { LinkClient, type LinkClientOptions } from "./client.ts";
+export { LinkError } from "./errors.ts";
+export type {
+  Hello,
+  LinkMessage,
+  MethodTable,
+  NoticeTable,
+} from "./messages.ts";
+export { LinkServer, type LinkServerOptions } from "./server.ts";
--- a/packages/timer/src/manual_timer.ts
+++ b/packages/timer/src/manual_timer.ts
@@ -38,6 +38,7 @@
 
   return {
     now: () => now,
+    steady: () => now,
     after: (delayMs, fn) =>
       subscribe({ dueAt: now + delayMs, intervalMs: undefined, fn }),
     every: (intervalMs, fn) =>
--- a/packages/timer/src/system_timer.ts
+++ b/packages/timer/src/system_timer.ts
@@ -1,8 +1,14 @@
+import { performance } from "node:perf_hooks";
 import type { Subscription, Timer } from "./timer.ts";
 
 /** Creates a timer on the clock of the operating system. */
 export function createSystemTimer(): Timer {
-  return { now: () => Date.now(), after, every };
+  return {
+    now: () => Date.now(),
+    steady: () => performance.now(),
+    after,
+    every,
+  };
 }
 
 function after(delayMs: number, fn: () => void): Subscription {
--- a/packages/timer/src/timer.ts
+++ b/packages/timer/src/timer.ts
@@ -7,6 +7,8 @@
 export interface Timer {
   /** Wall-clock time in milliseconds since the Unix epoch. */
   now(): number;
+  /** Milliseconds on a clock that never jumps; for measuring spans. */
+  steady(): number;
   /** Calls `fn` once after `delayMs`. */
   after(delayMs: number, fn: () => void): Subscription;
   /** Calls `fn` every `intervalMs`, first after one interval. */
--- /dev/null
+++ b/packages/turn_journal/src/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Append-only journal on a disk: checksummed frames, group commit, expiry by
+ * whole segment; and a small state file that is replaced atomically.
+ *
+ * @module
+ */
+export { decodeFrames, encodeFrame } from "./frame.ts";
+export {
+  Journal,
+  JournalFullError,
+  type JournalOptions,
+  syncFolder,
+} from "./journal.ts";
+export { readState, writeState } from "./state_file.ts";
--- /dev/null
+++ b/packages/turn_log/src/mod.ts
@@ -0,0 +1,27 @@
+/**
+ * Records of finished turns and of spent tokens: the state of one replica,
+ * numbered views of the replicas, and what a set of replies proves. No I/O.
+ *
+ * @module
+ */
+export {
+  type BudgetVerdict,
+  decideBudget,
+  decideLookup,
+  type LookupVerdict,
+  mergeSpending,
+} from "./quorum.ts";
+export {
+  type Inventory,
+  Replica,
+  type ReplicaOptions,
+  type ReserveReply,
+} from "./replica.ts";
+export type {
+  Spending,
+  SpendRecord,
+  TurnLogRecord,
+  TurnRecord,
+} from "./record.ts";
+export { decideView, type HostState, type ViewInput } from "./next_view.ts";
+export { quorumOf, type ReplicaHost, replicasOf, type View } from "./view.ts";
--- /dev/null
+++ b/packages/turn_log/src/record.ts
@@ -0,0 +1,32 @@
+/** A turn that was answered whole. It never changes. */
+export interface TurnRecord {
+  kind: "turn";
+  /** Request id of the turn. */
+  id: string;
+  /** Text that a next turn's input is appended to. */
+  prompt: Uint8Array;
+  /** Upstream that ran the turn, whose cache has its prompt. */
+  upstream: string;
+  /** Size of `prompt` and of what all turns before it produced, in tokens. */
+  tokens: number;
+  /** Wall-clock time in ms after which it may be forgotten. */
+  expiresAt: number;
+}
+
+/** Tokens that one turn of a program may hand out, or has handed out. */
+export interface SpendRecord {
+  kind: "spend";
+  program: string;
+  turn: string;
+  /** Most tokens that the turn may hand out. */
+  reserved: number;
+  /** Tokens that it did hand out; undefined while it is not known. */
+  settled: number | undefined;
+  expiresAt: number;
+}
+
+/** Everything that a replica keeps. */
+export type TurnLogRecord = TurnRecord | SpendRecord;
+
+/** Tokens by turn of one program. */
+export type Spending = Record<string, { reserved: number; settled?: number }>;
--- /dev/null
+++ b/packages/turn_log/src/replica.ts
@@ -0,0 +1,190 @@
+import type {
+  Spending,
+  SpendRecord,
+  TurnLogRecord,
+  TurnRecord,
+} from "./record.ts";
+import { replicasOf, type View } from "./view.ts";
+
+/** Settings of one replica. */
+export interface ReplicaOptions {
+  /** Identity of this replica's disk. */
+  id: string;
+}
+
+/** Reply to a reservation: everything known of the program's spending. */
+export interface ReserveReply {
+  spending: Spending;
+  /** Record to be written to the disk before the reply is sent. */
+  record: SpendRecord;
+}
+
+/** What a replica holds, without contents, to find what another lacks. */
+export interface Inventory {
+  turns: string[];
+  spends: SpendRecord[];
+}
+
+interface Program {
+  spends: Map<string, SpendRecord>;
+  expiresAt: number;
+}
+
+/**
+ * State of one replica. It answers for a key only when it surely has all that
+ * a quorum of an earlier view kept for it.
+ */
+export class Replica {
+  readonly #id: string;
+  readonly #turns = new Map<string, TurnRecord>();
+  readonly #programs = new Map<string, Program>();
+  #view: View | undefined;
+  #base: View | undefined;
+  #isComplete = false;
+  #bytes = 0;
+
+  constructor(opts: ReplicaOptions) {
+    this.#id = opts.id;
+  }
+
+  get view(): View | undefined {
+    return this.#view;
+  }
+
+  /** True when everything that the current view asks for has been copied. */
+  get isComplete(): boolean {
+    return this.#isComplete;
+  }
+
+  /** View in which this replica was last complete. */
+  get base(): View | undefined {
+    return this.#base;
+  }
+
+  /** Bytes of prompts in memory. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  get turnCount(): number {
+    return this.#turns.size;
+  }
+
+  /** Takes up what was written to the disk before a restart. */
+  restore(saved: { view: View; base: View | undefined; isComplete: boolean }) {
+    this.#view = saved.view;
+    this.#base = saved.base;
+    this.#isComplete = saved.isComplete;
+  }
+
+  /**
+   * Moves to a newer view; an older one is ignored. Returns true where it
+   * moved.
+   */
+  adoptView(view: View): boolean {
+    if (this.#view && view.number <= this.#view.number) return false;
+    const isNext = this.#base?.number === view.number - 1;
+    if (!isNext) this.#base = undefined;
+    this.#view = view;
+    this.#isComplete = view.number === 1;
+    if (this.#isComplete) this.#base = view;
+    return true;
+  }
+
+  /** Marks the current view's records as copied, unless the view has moved. */
+  markComplete(viewNumber: number): boolean {
+    if (this.#view?.number !== viewNumber) return false;
+    this.#isComplete = true;
+    this.#base = this.#view;
+    return true;
+  }
+
+  /** Whether this replica may answer for a key in the current view. */
+  canServe(key: string): boolean {
+    const view = this.#view;
+    if (!view || !this.#isReplica(view, key)) return false;
+    if (this.#isComplete) return true;
+    return this.#base !== undefined && this.#isReplica(this.#base, key);
+  }
+
+  findTurn(id: string): TurnRecord | undefined {
+    return this.#turns.get(id);
+  }
+
+  /** Whether a turn is known. */
+  hasTurn(id: string): boolean {
+    return this.#turns.has(id);
+  }
+
+  /** Enters a record. Records are immutable or only grow, so order is free. */
+  apply(record: TurnLogRecord): void {
+    if (record.kind === "turn") this.#applyTurn(record);
+    else this.#applySpend(record);
+  }
+
+  /** Spending of a program as this replica knows it. */
+  spendingOf(program: string): Spending {
+    const spending: Spending = {};
+    for (const it of this.#programs.get(program)?.spends.values() ?? []) {
+      spending[it.turn] = it.settled === undefined
+        ? { reserved: it.reserved }
+        : { reserved: it.reserved, settled: it.settled };
+    }
+    return spending;
+  }
+
+  /** What this replica holds of the keys that a member of a view keeps. */
+  inventoryFor(view: View, member: string): Inventory {
+    const isWanted = (key: string) =>
+      replicasOf(view, key).some((it) => it.id === member);
+    const turns = [...this.#turns.keys()].filter(isWanted);
+    const spends: SpendRecord[] = [];
+    for (const [name, program] of this.#programs) {
+      if (isWanted(name)) spends.push(...program.spends.values());
+    }
+    return { turns, spends };
+  }
+
+  /** Forgets what has expired. */
+  sweep(now: number): void {
+    for (const [id, turn] of this.#turns) {
+      if (turn.expiresAt > now) continue;
+      this.#turns.delete(id);
+      this.#bytes -= turn.prompt.length;
+    }
+    for (const [name, program] of this.#programs) {
+      if (program.expiresAt > now) continue;
+      this.#programs.delete(name);
+    }
+  }
+
+  /** All records, for tests and reports. */
+  *records(): Iterable<TurnLogRecord> {
+    yield* this.#turns.values();
+    for (const program of this.#programs.values()) {
+      yield* program.spends.values();
+    }
+  }
+
+  #isReplica(view: View, key: string): boolean {
+    return replicasOf(view, key).some((it) => it.id === this.#id);
+  }
+
+  #applyTurn(record: TurnRecord): void {
+    if (this.#turns.has(record.id)) return;
+    this.#turns.set(record.id, record);
+    this.#bytes += record.prompt.length;
+  }
+
+  #applySpend(record: SpendRecord): void {
+    let program = this.#programs.get(record.program);
+    if (!program) {
+      program = { spends: new Map(), expiresAt: 0 };
+      this.#programs.set(record.program, program);
+    }
+    program.expiresAt = Math.max(program.expiresAt, record.expiresAt);
+    const known = program.spends.get(record.turn);
+    if (known?.settled !== undefined) return;
+    program.spends.set(record.turn, record);
+  }
+}
--- /dev/null
+++ b/packages/turn_store/src/messages.ts
@@ -0,0 +1,72 @@
+import type { FleetSnapshot } from "@toucantrestle/fleet";
+import type {
+  Inventory,
+  Spending,
+  TurnRecord,
+  View,
+} from "@toucantrestle/turn_log";
+
+/** Why a replica did not serve a request. */
+export type Refusal =
+  /** It knows a newer view, which it hands out. */
+  | { status: "moved"; view: View }
+  /** It does not know the view of the request yet. */
+  | { status: "behind" }
+  /** It still copies what it must have before it may answer. */
+  | { status: "copying" };
+
+/** Reply of a replica. */
+export type Reply<T> = Refusal | ({ status: "ok" } & T);
+
+/** A turn without its expiry, which the replica sets by its own clock. */
+export type NewTurn = Omit<TurnRecord, "kind" | "expiresAt">;
+
+/** Reservation of tokens for one turn. */
+export interface ReserveArgs {
+  viewNumber: number;
+  program: string;
+  turn: string;
+  /** Most tokens that the turn may hand out. */
+  tokens: number;
+  /** How long it must be remembered, in ms. */
+  keepMs: number;
+}
+
+/** Tokens that a turn has handed out in the end. */
+export interface SettleNotice {
+  program: string;
+  turn: string;
+  reserved: number;
+  settled: number;
+  keepMs: number;
+}
+
+/** Requests to a turn store. */
+export type StoreMethods = {
+  reserve: { args: ReserveArgs; result: Reply<{ spending: Spending }> };
+  find: {
+    args: { viewNumber: number; id: string };
+    result: Reply<{ turn: TurnRecord | undefined }>;
+  };
+  put: {
+    args: { viewNumber: number; turn: NewTurn; keepMs: number };
+    result: Reply<object>;
+  };
+  /** What this store holds of the keys that a member of a view keeps. */
+  inventory: {
+    args: { view: View; member: string };
+    result: Reply<{ inventory: Inventory }>;
+  };
+  fetch: { args: { ids: string[] }; result: { turns: TurnRecord[] } };
+  status: {
+    args: Record<string, never>;
+    result: { id: string; viewNumber: number; isComplete: boolean };
+  };
+  fleet: { args: Record<string, never>; result: FleetSnapshot };
+};
+
+/** Notices to a turn store. */
+export type StoreNotices = {
+  settle: SettleNotice;
+  view: View;
+};
--- /dev/null
+++ b/packages/upstream_channel/src/channel.ts
@@ -0,0 +1,226 @@
+import type { Logger } from "@toucantrestle/log";
+import type { Subscription, Timer } from "@toucantrestle/timer";
+import { HTTPParser, type HTTPParserJS } from "http-parser-js";
+import { connect, type Socket } from "node:net";
+import type {
+  AnswerHandlers,
+  AnswerHead,
+  ChannelFailure,
+  OutgoingRequest,
+} from "./exchange.ts";
+
+/** Settings of one connection. */
+export interface ChannelOptions {
+  address: string;
+  timer: Timer;
+  log: Logger;
+  connectTimeoutMs: number;
+  /** Request id that an answer names; undefined when it names none. */
+  answeredId: (head: AnswerHead) => string | undefined;
+  onClosed: (channel: Channel) => void;
+  /** Called when the channel can take another request. */
+  onIdle: (channel: Channel) => void;
+}
+
+interface Exchange {
+  req: OutgoingRequest;
+  handlers: AnswerHandlers;
+  hadHead: boolean;
+  isSent: boolean;
+}
+
+/** A kept connection is not used in the last part of its idle time. */
+const IDLE_MARGIN_MS = 500;
+/** Idle time of a connection whose upstream names none. */
+const DEFAULT_IDLE_MS = 4_000;
+
+/** One connection to an upstream. */
+export class Channel {
+  readonly #opts: ChannelOptions;
+  readonly #socket: Socket;
+  readonly #connectTimeout: Subscription;
+  #parser: HTTPParserJS;
+  #exchange: Exchange | undefined;
+  /** True while the answer being read belongs to no waiting request. */
+  #isStray = false;
+  #isConnected = false;
+  #isClosed = false;
+  #mayKeep = true;
+  #idleMs = DEFAULT_IDLE_MS;
+  #idleSince = 0;
+
+  constructor(opts: ChannelOptions) {
+    this.#opts = opts;
+    this.#parser = this.#createParser();
+    const url = new URL(`tcp://${opts.address}`);
+    this.#socket = connect({
+      host: url.hostname,
+      port: Number(url.port),
+      noDelay: true,
+    });
+    this.#connectTimeout = opts.timer.after(
+      opts.connectTimeoutMs,
+      () => this.#close("connect_timeout"),
+    );
+    this.#socket.on("connect", () => this.#onConnect());
+    this.#socket.on("data", (chunk) => this.#onData(chunk));
+    this.#socket.on("end", () => this.#onEnd());
+    this.#socket.on("error", (err) => this.#onError(err));
+    this.#socket.on("close", () => this.#close("connection_lost"));
+  }
+
+  get isBusy(): boolean {
+    return this.#exchange !== undefined;
+  }
+
+  /** Whether a kept connection has idle time left. */
+  isUsable(now: number): boolean {
+    if (this.#isClosed || this.#exchange) return false;
+    return now - this.#idleSince < this.#idleMs - IDLE_MARGIN_MS;
+  }
+
+  /** Sends a request; the connection must be idle or new. */
+  send(req: OutgoingRequest, handlers: AnswerHandlers): void {
+    this.#exchange = { req, handlers, hadHead: false, isSent: false };
+    if (this.#isConnected) this.#write();
+  }
+
+  /** Gives up a request by closing its connection. */
+  cancel(id: string): void {
+    if (this.#exchange?.req.id === id) this.#close("cancelled");
+  }
+
+  close(): void {
+    this.#close("cancelled");
+  }
+
+  #onConnect(): void {
+    this.#connectTimeout.cancel();
+    this.#isConnected = true;
+    this.#idleSince = this.#opts.timer.steady();
+    if (this.#exchange) this.#write();
+  }
+
+  #write(): void {
+    const exchange = this.#exchange as Exchange;
+    const { method, path, headers, body } = exchange.req;
+    let head = `${method} ${path} HTTP/1.1\r\n`;
+    for (let i = 0; i + 1 < headers.length; i += 2) {
+      head += `${headers[i]}: ${headers[i + 1]}\r\n`;
+    }
+    exchange.isSent = true;
+    this.#socket.cork();
+    this.#socket.write(`${head}\r\n`, "latin1");
+    if (body.length > 0) this.#socket.write(body);
+    this.#socket.uncork();
+  }
+
+  #onData(chunk: Buffer): void {
+    if (this.#isClosed) return;
+    if (!this.#exchange) return this.#close("bad_answer");
+    const parsed = this.#parser.execute(chunk);
+    if (parsed instanceof Error && !this.#isClosed) this.#close("bad_answer");
+  }
+
+  #onEnd(): void {
+    const err = this.#isClosed ? undefined : this.#parser.finish() as unknown;
+    if (err instanceof Error) this.#close("connection_lost");
+    this.#close("connection_lost");
+  }
+
+  #onError(err: Error): void {
+    const { code } = err as NodeJS.ErrnoException;
+    const isRefused = !this.#isConnected && code !== "ETIMEDOUT";
+    this.#close(isRefused ? "connect_refused" : "connection_lost");
+  }
+
+  #createParser(): HTTPParserJS {
+    const parser = new HTTPParser(HTTPParser.RESPONSE);
+    parser[HTTPParser.kOnHeadersComplete] = (info) => {
+      this.#onHead(info.statusCode, info.headers, info.shouldKeepAlive);
+    };
+    parser[HTTPParser.kOnBody] = (buffer, offset, length) => {
+      if (this.#isStray || !this.#exchange) return;
+      this.#exchange.handlers.onData(buffer.subarray(offset, offset + length));
+    };
+    parser[HTTPParser.kOnMessageComplete] = () => this.#onComplete();
+    return parser;
+  }
+
+  #onHead(status: number, rawHeaders: string[], mayKeep: boolean): void {
+    const exchange = this.#exchange;
+    if (!exchange) return this.#close("bad_answer");
+    const head = { status, rawHeaders, headers: headerMap(rawHeaders) };
+    const answeredId = this.#opts.answeredId(head);
+    const isInterim = status < 200;
+    this.#isStray = isInterim ||
+      (answeredId !== undefined && answeredId !== exchange.req.id);
+    if (this.#isStray) {
+      if (!isInterim) {
+        this.#opts.log.warn(
+          `answer to ${answeredId} came instead of ${exchange.req.id}`,
+        );
+      }
+      return;
+    }
+    this.#mayKeep = mayKeep;
+    this.#idleMs = announcedIdleMs(head.headers) ?? DEFAULT_IDLE_MS;
+    exchange.hadHead = true;
+    exchange.handlers.onHead(head);
+  }
+
+  #onComplete(): void {
+    if (this.#isClosed) return;
+    if (this.#isStray) {
+      this.#isStray = false;
+      return;
+    }
+    const exchange = this.#exchange;
+    if (!exchange) return;
+    this.#exchange = undefined;
+    this.#idleSince = this.#opts.timer.steady();
+    const { offset, end } = this.#parser as unknown as ParserPosition;
+    const hasExtraBytes = offset < end;
+    if (hasExtraBytes || !this.#mayKeep) this.#close("cancelled");
+    else this.#opts.onIdle(this);
+    exchange.handlers.onEnd();
+  }
+
+  #close(reason: ChannelFailure["reason"]): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    this.#connectTimeout.cancel();
+    this.#socket.destroy();
+    this.#opts.onClosed(this);
+    const exchange = this.#exchange;
+    this.#exchange = undefined;
+    exchange?.handlers.onFailure({
+      reason,
+      verdict: exchange.isSent ? "may_have_run" : "not_run",
+      hadHead: exchange.hadHead,
+    });
+  }
+}
+
+/** Where the parser stands in the chunk that it reads. */
+interface ParserPosition {
+  offset: number;
+  end: number;
+}
+
+function headerMap(rawHeaders: string[]): Map<string, string> {
+  const headers = new Map<string, string>();
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    headers.set(
+      (rawHeaders[i] as string).toLowerCase(),
+      rawHeaders[i + 1] as string,
+    );
+  }
+  return headers;
+}
+
+/** Idle time that a `Keep-Alive` header announces, in ms. */
+function announcedIdleMs(headers: Map<string, string>): number | undefined {
+  const match = /timeout=(\d+)/i.exec(headers.get("keep-alive") ?? "");
+  return match ? Number(match[1]) * 1_000 : undefined;
+}
--- /dev/null
+++ b/packages/upstream_channel/src/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * HTTP/1.1 connections to upstreams: one request at a time on each, answers
+ * matched by request id, and a verdict on every failure.
+ *
+ * @module
+ */
+export type {
+  AnswerHandlers,
+  AnswerHead,
+  ChannelFailure,
+  OutgoingRequest,
+} from "./exchange.ts";
+export { ChannelPool, type ChannelPoolOptions } from "./channel_pool.ts";
