--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -170,6 +170,17 @@
     loggers("front").info(`stopped, ${this.#calls.size} calls cut off`);
   }
 
+  /** Stops at once, as in tests. */
+  close(): void {
+    this.#siblings.close();
+    this.#turns.close();
+    this.#serve.pools.close();
+    for (const server of [this.#callers, ...this.#servers]) {
+      server.closeAllConnections();
+      server.close();
+    }
+  }
+
   get #isReady(): boolean {
     return !this.#isStopping && this.#configs.config !== undefined;
   }
--- a/packages/front/src/upstream_pools.ts
+++ b/packages/front/src/upstream_pools.ts
@@ -40,6 +40,10 @@
     return pool;
   }
 
+  close(): void {
+    for (const { pool } of this.#pools.values()) pool.close();
+  }
+
   /** Forgets an upstream; requests in progress go on. */
   forget(id: string): void {
     const known = this.#pools.get(id);
--- /dev/null
+++ b/packages/front/test/memory_store.ts
@@ -0,0 +1,102 @@
+import type {
+  ConfigStore,
+  StoreEvent,
+  Txn,
+  TxnResult,
+  Versioned,
+  WatchHandlers,
+} from "@toucantrestle/config_store";
+
+/** A store in memory, which can be away. */
+export class MemoryStore implements ConfigStore {
+  isAway = false;
+  readonly #items = new Map<string, Versioned>();
+  readonly #watches = new Set<{ prefix: string; handlers: WatchHandlers }>();
+  #revision = 1;
+
+  /** Writes as somebody else does. */
+  put(key: string, value: unknown): void {
+    this.#write([{ key, value: JSON.stringify(value) }], []);
+  }
+
+  delete(key: string): void {
+    this.#write([], [key]);
+  }
+
+  /** Ends all watches, as an outage does. */
+  cut(): void {
+    this.isAway = true;
+    for (const watch of [...this.#watches]) {
+      this.#watches.delete(watch);
+      watch.handlers.onEnd("lost");
+    }
+  }
+
+  async get(key: string) {
+    this.#check();
+    return await Promise.resolve(this.#items.get(key));
+  }
+
+  async list(prefix: string) {
+    this.#check();
+    const items = [...this.#items.values()]
+      .filter((it) => it.key.startsWith(prefix));
+    return await Promise.resolve({ items, revision: this.#revision });
+  }
+
+  async txn(txn: Txn): Promise<TxnResult> {
+    this.#check();
+    const holds = txn.compares.every((it) =>
+      (this.#items.get(it.key)?.modRevision ?? 0) === it.modRevision
+    );
+    if (holds) this.#write(txn.puts, txn.deletes.map((it) => it.from));
+    return await Promise.resolve({
+      succeeded: holds,
+      revision: this.#revision,
+      current: [],
+    });
+  }
+
+  grantLease(): Promise<string> {
+    this.#check();
+    return Promise.resolve("1");
+  }
+
+  keepLease(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
+  revokeLease(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  watch(prefix: string, opts: { handlers: WatchHandlers }) {
+    const watch = { prefix, handlers: opts.handlers };
+    if (this.isAway) setTimeout(() => opts.handlers.onEnd("lost"), 5);
+    else this.#watches.add(watch);
+    return { cancel: () => this.#watches.delete(watch) };
+  }
+
+  #check(): void {
+    if (this.isAway) throw new Error("the store is away");
+  }
+
+  #write(puts: { key: string; value: string }[], deletes: string[]): void {
+    const events: StoreEvent[] = [];
+    this.#revision += 1;
+    for (const { key, value } of puts) {
+      const item = { key, value, modRevision: this.#revision };
+      this.#items.set(key, item);
+      events.push({ kind: "put", item });
+    }
+    for (const key of deletes) {
+      if (this.#items.delete(key)) events.push({ kind: "delete", key });
+    }
+    for (const { prefix, handlers } of this.#watches) {
+      const seen = events.filter((it) =>
+        (it.kind === "put" ? it.item.key : it.key).startsWith(prefix)
+      );
+      if (seen.length > 0) handlers.onEvents(seen, this.#revision);
+    }
+  }
+}
--- /dev/null
+++ b/packages/front/test/test_protocol.ts
@@ -0,0 +1,52 @@
+import type { RoutingConfig, UpstreamEntry } from "@toucantrestle/routing";
+import type { IncomingHttpHeaders } from "node:http";
+import type { Protocol } from "../src/mod.ts";
+
+/** A protocol with plain names, for tests. */
+export const testProtocol: Protocol = {
+  directoryPath: "/where",
+  readyPath: "/ready",
+  configKey: "config",
+  upstreamPrefix: "upstreams/",
+  readHead(headers) {
+    const id = text(headers, "x-id");
+    if (!id) return undefined;
+    return {
+      id,
+      timeLeftMs: number(headers, "x-time-left"),
+      program: text(headers, "x-program"),
+      session: undefined,
+      finishMs: undefined,
+      tokenBudget: number(headers, "x-budget"),
+      promptTokens: number(headers, "x-prompt-tokens"),
+      maxOutputTokens: number(headers, "x-max-output"),
+      expectedOutputTokens: undefined,
+      promptParts: [],
+      previousTurn: text(headers, "x-previous"),
+      lastEventId: undefined,
+      affinityKey: undefined,
+    };
+  },
+  isReserved: (name) => name === "x-time-left" || name === "x-upstream",
+  marks: ({ timeLeftMs, upstreamId }) => [
+    "x-time-left",
+    String(timeLeftMs),
+    "x-upstream",
+    upstreamId,
+  ],
+  answeredId: (head) => head.headers.get("x-id"),
+  isDeclined: (head) => head.headers.has("x-not-run"),
+  isGenuine: (head) => head.headers.has("x-mark"),
+  directoryAnswer: (answer) => JSON.stringify(answer),
+  readConfig: (value) => JSON.parse(value) as RoutingConfig,
+  readUpstream: (_key, value) => JSON.parse(value) as UpstreamEntry,
+};
+
+function text(headers: IncomingHttpHeaders, name: string): string | undefined {
+  return headers[name] as string | undefined;
+}
+
+function number(headers: IncomingHttpHeaders, name: string) {
+  const value = text(headers, name);
+  return value === undefined ? undefined : Number(value);
+}
--- /dev/null
+++ b/packages/front/test/world.ts
@@ -0,0 +1,313 @@
+import { Fleet, type HostEntry } from "@toucantrestle/fleet";
+import { createSilentLoggers } from "@toucantrestle/log";
+import type { Route, UpstreamEntry } from "@toucantrestle/routing";
+import { createSystemTimer, createTimerScope } from "@toucantrestle/timer";
+import { writeState } from "@toucantrestle/turn_journal";
+import { TurnStoreServer } from "@toucantrestle/turn_store";
+import { mkdtemp, rm } from "node:fs/promises";
+import {
+  createServer,
+  type IncomingMessage,
+  request,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { type AddressInfo, createServer as createTcpServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Front } from "../src/mod.ts";
+import { MemoryStore } from "./memory_store.ts";
+import { testProtocol } from "./test_protocol.ts";
+
+const timer = createTimerScope(createSystemTimer());
+const loggers = createSilentLoggers();
+const READY_LIMIT_MS = 8_000;
+
+/** A request as an upstream got it. */
+export interface Seen {
+  id: string;
+  path: string;
+  body: string;
+  headers: IncomingMessage["headers"];
+}
+
+/** How an upstream answers; the default is one event or a short text. */
+export type UpstreamHandler = (seen: Seen, res: ServerResponse) => void;
+
+/** What a caller got. */
+export interface Got {
+  status: number;
+  body: string;
+  /** False when the answer broke off. */
+  isWhole: boolean;
+  headers: IncomingMessage["headers"];
+}
+
+/** Fronts, turn stores, upstreams and the store of one test. */
+export class World {
+  readonly store = new MemoryStore();
+  readonly fronts: Front[] = [];
+  readonly seen: Seen[] = [];
+  readonly callerAddresses: string[] = [];
+  readonly directoryAddresses: string[] = [];
+  readonly #servers: Server[] = [];
+  readonly #turnStores: TurnStoreServer[] = [];
+  readonly #fleets: Fleet[] = [];
+  readonly #folders: string[] = [];
+  #version = 0;
+
+  configure(routes: Partial<Route>[]): void {
+    this.#version += 1;
+    this.store.put(testProtocol.configKey, {
+      version: this.#version,
+      routes: routes.map((it) => ({ ...defaultRoute, ...it })),
+      services: [{
+        name: "s",
+        maxConnections: 100,
+        engine: { slots: 4, cacheTokens: 1_000, tokensPerEvent: 1 },
+      }],
+      limits: {
+        headerBytes: 16_384,
+        bodyBytes: 100_000,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs: 5_000,
+      },
+    });
+  }
+
+  async addTurnStores(count: number): Promise<void> {
+    for (let i = 0; i < count; i++) await this.#addTurnStore(`store-${i}`);
+  }
+
+  async addFront(): Promise<Front> {
+    const [callerAddress, readyAddress, directoryAddress, linkAddress] =
+      await Promise.all([0, 1, 2, 3].map(freeAddress)) as [
+        string,
+        string,
+        string,
+        string,
+      ];
+    const host = `front-${this.fronts.length}`;
+    const fleet = this.#createFleet({
+      id: host,
+      host,
+      role: "front",
+      linkAddress,
+      callerAddress,
+      dataCentre: "a",
+    });
+    const front = new Front({
+      host,
+      dataCentre: "a",
+      callerAddress,
+      readyAddress,
+      directoryAddress,
+      linkAddress,
+      seeds: [],
+      graceMs: 3_000,
+      chooser: "expected_finish",
+      protocol: testProtocol,
+      store: this.store,
+      fleet,
+      timer,
+      loggers,
+    });
+    await front.start();
+    fleet.start();
+    this.fronts.push(front);
+    this.callerAddresses.push(callerAddress);
+    this.directoryAddresses.push(directoryAddress);
+    return front;
+  }
+
+  async addUpstream(
+    id: string,
+    handler: UpstreamHandler = answerShort,
+  ): Promise<UpstreamEntry> {
+    const server = createServer((req, res) => {
+      const chunks: Buffer[] = [];
+      req.on("data", (chunk) => chunks.push(chunk));
+      req.on("end", () => {
+        const seen: Seen = {
+          id: String(req.headers["x-id"]),
+          path: req.url ?? "",
+          body: Buffer.concat(chunks).toString(),
+          headers: req.headers,
+        };
+        this.seen.push(seen);
+        res.setHeader("x-id", seen.id);
+        res.setHeader("x-mark", id);
+        handler(seen, res);
+      });
+    });
+    const address = await listenAnywhere(server);
+    this.#servers.push(server);
+    const entry: UpstreamEntry = {
+      id,
+      service: "s",
+      address,
+      dataCentre: "a",
+      slots: 4,
+      isDraining: false,
+      coldLeftMs: 0,
+      startedAt: 0,
+    };
+    this.store.put(testProtocol.upstreamPrefix + id, entry);
+    return entry;
+  }
+
+  /** Sends a request to a front and reads the answer. */
+  call(
+    path: string,
+    opts: {
+      headers?: Record<string, string>;
+      body?: string;
+      front?: number;
+    } = {},
+  ): Promise<Got> {
+    const address = this.callerAddresses[opts.front ?? 0] ?? "";
+    return callAddress(address, path, opts);
+  }
+
+  /** Waits until calls are served, by trying one. */
+  async ready(path: string, headers: Record<string, string> = {}) {
+    const endAt = timer.steady() + READY_LIMIT_MS;
+    while (timer.steady() < endAt) {
+      const ids = { "x-id": `probe${this.seen.length}${timer.steady()}` };
+      const statuses = await Promise.all(
+        this.callerAddresses.map((_, front) =>
+          this.call(path, { front, headers: { ...ids, ...headers } })
+            .then((it) => it.status)
+        ),
+      );
+      if (statuses.every((it) => it === 200)) {
+        this.seen.length = 0;
+        return;
+      }
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    throw new Error("the fronts do not become ready");
+  }
+
+  async close(): Promise<void> {
+    timer.end();
+    for (const front of this.fronts) front.close();
+    for (const it of this.#turnStores) it.close();
+    for (const fleet of this.#fleets) await fleet.leave();
+    for (const server of this.#servers) {
+      server.closeAllConnections();
+      server.close();
+    }
+    for (const folder of this.#folders) {
+      await rm(folder, { recursive: true, force: true });
+    }
+  }
+
+  async #addTurnStore(host: string): Promise<void> {
+    const folder = await mkdtemp(join(tmpdir(), "turns-"));
+    this.#folders.push(folder);
+    await writeState(folder, { id: host });
+    const self: HostEntry = {
+      id: host,
+      host,
+      role: "turn_store",
+      linkAddress: await freeAddress(),
+      callerAddress: null,
+      dataCentre: "a",
+    };
+    const fleet = this.#createFleet(self);
+    const server = new TurnStoreServer({
+      self,
+      fleet,
+      folder,
+      maxBytes: 50_000_000,
+      isFirstStart: true,
+      tolerate: 1,
+      retiring: () => [],
+      onRetired: () => {},
+      timer,
+      loggers,
+    });
+    await server.start();
+    fleet.start();
+    this.#turnStores.push(server);
+  }
+
+  #createFleet(self: HostEntry): Fleet {
+    const log = loggers("fleet");
+    const fleet = new Fleet({ self, store: this.store, timer, log });
+    this.#fleets.push(fleet);
+    return fleet;
+  }
+}
+
+const defaultRoute: Route = {
+  name: "r",
+  host: "x.example",
+  prefix: "/plain/",
+  kind: "idempotent",
+  timeoutMs: 2_000,
+  targetLatencyMs: 100,
+  rank: 0,
+  services: [{ service: "s", weight: 1 }],
+  maxRuns: 2,
+  keepsTurns: false,
+  keepMs: 60_000,
+  isResumable: false,
+};
+
+const answerShort: UpstreamHandler = (seen, res) => res.end(`did ${seen.id}`);
+
+/** Answers with a stream of events. */
+export function answerEvents(...data: string[]): UpstreamHandler {
+  return (_seen, res) => {
+    res.writeHead(200, { "content-type": "text/event-stream" });
+    data.forEach((it, i) => res.write(`id: ${i + 1}\ndata: ${it}\n\n`));
+    res.end();
+  };
+}
+
+/** Sends a request to an address and reads the answer. */
+export function callAddress(
+  address: string,
+  path: string,
+  opts: { headers?: Record<string, string>; body?: string } = {},
+): Promise<Got> {
+  const url = new URL(`http://${address}`);
+  return new Promise((resolve, reject) => {
+    const req = request({
+      host: url.hostname,
+      port: url.port,
+      path,
+      method: opts.body === undefined ? "GET" : "POST",
+      headers: { host: "x.example", ...opts.headers },
+      agent: false,
+    }, (res) => {
+      let body = "";
+      res.on("data", (chunk) => body += chunk);
+      res.on("error", () => {});
+      res.on("close", () =>
+        resolve({
+          status: res.statusCode ?? 0,
+          body,
+          isWhole: res.complete,
+          headers: res.headers,
+        }));
+    });
+    req.on("error", reject);
+    req.end(opts.body);
+  });
+}
+
+async function freeAddress(): Promise<string> {
+  const server = createTcpServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return `127.0.0.1:${port}`;
+}
+
+async function listenAnywhere(server: Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
--- /dev/null
+++ b/packages/routing/test/routing_test.ts
@@ -0,0 +1,122 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import {
+  afterFailure,
+  CrashList,
+  findRoute,
+  PrefixCache,
+  type Route,
+  type RoutingConfig,
+  serviceFor,
+} from "../src/mod.ts";
+import { createConfig, createRoute } from "./fixtures.ts";
+
+describe("the route of a request", () => {
+  const config: RoutingConfig = createConfig([
+    createRoute({ name: "all", prefix: "/" }),
+    createRoute({ name: "long", prefix: "/a/b/" }),
+    createRoute({ name: "short", prefix: "/a/" }),
+    createRoute({ name: "other", host: "other.example", prefix: "/a/b/c/" }),
+  ]);
+  const nameOf = (host: string, path: string) =>
+    findRoute(config, host, path)?.name;
+
+  it("is the one with the longest prefix", () => {
+    expect(nameOf("x.example", "/a/b/c/d")).toEqual("long");
+    expect(nameOf("x.example", "/a/bc")).toEqual("short");
+    expect(nameOf("x.example", "/z")).toEqual("all");
+  });
+
+  it("is told by host without its port and case", () => {
+    expect(nameOf("OTHER.example:80", "/a/b/c/d")).toEqual("other");
+    expect(nameOf("none.example", "/a/")).toEqual(undefined);
+  });
+
+  it("splits by weight", () => {
+    const route = createRoute({
+      services: [{ service: "s", weight: 90 }, { service: "t", weight: 10 }],
+    });
+    expect(serviceFor(route, 0.89)).toEqual("s");
+    expect(serviceFor(route, 0.91)).toEqual("t");
+  });
+});
+
+describe("after a failed attempt", () => {
+  function decide(
+    route: Partial<Route>,
+    opts: Partial<Parameters<typeof afterFailure>[0]>,
+  ) {
+    return afterFailure({
+      route: createRoute(route),
+      verdict: "may_have_run",
+      runs: 1,
+      declines: 0,
+      timeLeftMs: 1_000,
+      ...opts,
+    });
+  }
+
+  it("never repeats what may have run and may not be repeated", () => {
+    expect(decide({ kind: "non_idempotent" }, {})).toEqual("fail");
+    expect(decide({ kind: "streaming" }, {})).toEqual("fail");
+  });
+
+  it("repeats an idempotent request on as many upstreams as allowed", () => {
+    const route = { kind: "idempotent", maxRuns: 2 } as const;
+    expect(decide(route, { runs: 1 })).toEqual("retry");
+    expect(decide(route, { runs: 2 })).toEqual("fail");
+  });
+
+  it("asks another upstream when one declined", () => {
+    const declined = { verdict: "not_run", runs: 0, declines: 1 } as const;
+    expect(decide({ kind: "non_idempotent" }, declined)).toEqual("retry");
+  });
+
+  it("refuses at once when many declined", () => {
+    const declined = { verdict: "not_run", runs: 0, declines: 4 } as const;
+    expect(decide({}, declined)).toEqual("refuse");
+  });
+
+  it("never says that nothing ran once something may have", () => {
+    const late = { verdict: "not_run", runs: 1, declines: 4 } as const;
+    expect(decide({ kind: "idempotent" }, late)).toEqual("fail");
+    expect(decide({}, { timeLeftMs: 5 })).toEqual("time_out");
+  });
+});
+
+describe("cached parts of prompts", () => {
+  const parts = [{ id: "s", tokens: 100 }, { id: "own", tokens: 50 }];
+
+  it("count only while all parts before them are cached", () => {
+    const cache = new PrefixCache();
+    cache.note("u1", parts);
+    cache.note("u2", [{ id: "own", tokens: 50 }]);
+    expect(cache.cachedTokens("u1", parts)).toEqual(150);
+    expect(cache.cachedTokens("u2", parts)).toEqual(0);
+  });
+
+  it("are forgotten with their upstream", () => {
+    const cache = new PrefixCache();
+    cache.note("u1", parts);
+    cache.forget("u1");
+    expect(cache.cachedTokens("u1", parts)).toEqual(0);
+  });
+});
+
+describe("requests that crash upstreams", () => {
+  it("are convicted after the third", () => {
+    const list = new CrashList();
+    list.note("f", "u1", 0);
+    list.note("f", "u2", 0);
+    expect(list.isConvicted("f", 0)).toEqual(false);
+    list.note("f", "u3", 0);
+    expect(list.isConvicted("f", 0)).toEqual(true);
+  });
+
+  it("do not stay young by news that siblings pass around", () => {
+    const list = new CrashList();
+    list.note("f", "u1", 0);
+    list.note("f", "u1", 5_000);
+    expect(list.since(1_000)).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/routing/test/upstream_book_test.ts
@@ -0,0 +1,127 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { CHOOSERS, PrefixCache, UpstreamBook } from "../src/mod.ts";
+import { createEntry } from "./fixtures.ts";
+
+function createBook() {
+  const gone: string[] = [];
+  return { gone, book: new UpstreamBook({ onGone: (id) => gone.push(id) }) };
+}
+
+function idsOf(book: UpstreamBook, now = 0): string[] {
+  return book.candidates("s", now).map((it) => it.entry.id);
+}
+
+describe("the book of upstreams", () => {
+  it("offers no draining or removed upstream", () => {
+    const { book } = createBook();
+    book.put(createEntry("u1"));
+    book.put(createEntry("u2"));
+    book.put(createEntry("u2", { isDraining: true }));
+    book.put(createEntry("u3"));
+    book.remove("u3");
+    expect(idsOf(book)).toEqual(["u1"]);
+  });
+
+  it("forgets what it believed of an upstream that started again", () => {
+    const { book, gone } = createBook();
+    book.put(createEntry("u1", { startedAt: 5 }));
+    expect(book.put(createEntry("u1", { startedAt: 9 }))).toEqual("restarted");
+    expect(gone).toEqual(["u1"]);
+  });
+
+  it("ignores an entry of an earlier start", () => {
+    const { book } = createBook();
+    book.put(createEntry("u1", { startedAt: 9 }));
+    book.put(createEntry("u1", { startedAt: 5, isDraining: true }));
+    expect(idsOf(book)).toEqual(["u1"]);
+  });
+
+  it("uses entries that lapsed in an outage for two seconds more", () => {
+    const { book } = createBook();
+    book.put(createEntry("u1"));
+    book.put(createEntry("u2"));
+    book.replaceAll([createEntry("u1")], 1_000);
+    book.sweep(2_900);
+    expect(idsOf(book)).toEqual(["u1", "u2"]);
+    expect(book.sweep(3_300)).toEqual(["u2"]);
+  });
+
+  it("keeps an upstream whose entry came back in time", () => {
+    const { book } = createBook();
+    book.put(createEntry("u1"));
+    book.replaceAll([], 1_000);
+    book.put(createEntry("u1"));
+    expect(book.sweep(9_000)).toEqual([]);
+  });
+
+  it("spares an upstream that failed, longer each time", () => {
+    const { book } = createBook();
+    book.put(createEntry("u1"));
+    book.noteFailure("u1", 0);
+    expect(idsOf(book, 100)).toEqual([]);
+    expect(idsOf(book, 300)).toEqual(["u1"]);
+    book.noteFailure("u1", 300);
+    expect(idsOf(book, 600)).toEqual([]);
+  });
+
+  it("counts what siblings sent, while their reports are fresh", () => {
+    const { book } = createBook();
+    book.put(createEntry("u1"));
+    const load = { running: 3, prefillTokens: 7 };
+    book.noteOthers("front-2", { u1: load }, 0);
+    const known = book.get("u1")!;
+    expect(book.loadOf(known, 100)).toEqual(load);
+    expect(book.loadOf(known, 9_000).running).toEqual(0);
+  });
+});
+
+describe("the expected finish", () => {
+  function choose(
+    book: UpstreamBook,
+    caches: PrefixCache,
+    parts: { id: string; tokens: number }[],
+  ) {
+    const promptTokens = parts.reduce((sum, it) => sum + it.tokens, 0);
+    return CHOOSERS.expected_finish({
+      candidates: book.candidates("s", 0),
+      book,
+      caches,
+      parts,
+      promptTokens,
+      outputTokens: 30,
+      workMs: 100,
+      lastUpstream: undefined,
+      dataCentre: "a",
+      now: 0,
+      draw: 0,
+    })?.entry.id;
+  }
+
+  it("sends a turn to the engine that has its prompt", () => {
+    const { book } = createBook();
+    const caches = new PrefixCache();
+    const parts = [{ id: "p", tokens: 3_000 }];
+    for (const id of ["u1", "u2", "u3"]) book.put(createEntry(id));
+    caches.note("u2", parts);
+    expect(choose(book, caches, parts)).toEqual("u2");
+  });
+
+  it("leaves a cached prompt when many wait at its engine", () => {
+    const { book } = createBook();
+    const caches = new PrefixCache();
+    const parts = [{ id: "p", tokens: 3_000 }];
+    for (const id of ["u1", "u2"]) book.put(createEntry(id));
+    caches.note("u2", parts);
+    book.get("u2")!.own = { running: 8, prefillTokens: 9_000 };
+    expect(choose(book, caches, parts)).toEqual("u1");
+  });
+
+  it("avoids one slow upstream among many", () => {
+    const { book } = createBook();
+    for (const id of ["u1", "u2", "u3"]) book.put(createEntry(id));
+    for (let i = 0; i < 20; i++) book.noteDuration("u1", 5);
+    const chosen = choose(book, new PrefixCache(), []);
+    expect(chosen === "u1").toEqual(false);
+  });
+});
--- a/packages/timer/src/mod.ts
+++ b/packages/timer/src/mod.ts
@@ -6,3 +6,4 @@
 export { sleep, type Subscription, type Timer } from "./timer.ts";
 export { createSystemTimer } from "./system_timer.ts";
 export { createManualTimer, type ManualTimer } from "./manual_timer.ts";
+export { createTimerScope, type TimerScope } from "./timer_scope.ts";
--- a/packages/turn_journal/src/journal.ts
+++ b/packages/turn_journal/src/journal.ts
@@ -89,6 +89,16 @@
     });
   }
 
+  /** Closes the file; appends that wait are still written before. */
+  async close(): Promise<void> {
+    while (this.#isWriting) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    await this.#file?.close();
+    this.#file = undefined;
+    this.#current = undefined;
+  }
+
   /** Removes segments whose records have all expired. */
   async sweep(now: number): Promise<void> {
     for (const segment of [...this.#segments]) {
--- /dev/null
+++ b/packages/turn_journal/test/journal_test.ts
@@ -0,0 +1,111 @@
+import { createSilentLoggers } from "@toucantrestle/log";
+import { expect } from "earl";
+import { appendFile, mkdtemp, readdir, rm, truncate } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import {
+  Journal,
+  JournalFullError,
+  readState,
+  writeState,
+} from "../src/mod.ts";
+
+interface Entry {
+  name: string;
+  expiresAt: number;
+}
+
+let folder = "";
+const open = new Set<Journal<Entry>>();
+
+beforeEach(async () => {
+  folder = await mkdtemp(join(tmpdir(), "journal-"));
+});
+
+afterEach(async () => {
+  for (const journal of open) await journal.close();
+  open.clear();
+  await rm(folder, { recursive: true });
+});
+
+async function openJournal(maxBytes = 1_000_000) {
+  const journal = new Journal<Entry>({
+    folder,
+    maxBytes,
+    expiryOf: (it) => it.expiresAt,
+    log: createSilentLoggers()("journal"),
+  });
+  open.add(journal);
+  const loaded: string[] = [];
+  await journal.load((it) => loaded.push(it.name));
+  return { journal, loaded };
+}
+
+function createEntry(name: string, expiresAt = 1_000): Entry {
+  return { name, expiresAt };
+}
+
+describe("a journal", () => {
+  it("gives back what it acknowledged, in order", async () => {
+    const first = await openJournal();
+    await Promise.all(
+      ["a", "b", "c"].map((it) => first.journal.append(createEntry(it))),
+    );
+    const second = await openJournal();
+    await second.journal.append(createEntry("d"));
+    expect((await openJournal()).loaded).toEqual(["a", "b", "c", "d"]);
+  });
+
+  it("serves all that wait with one sync", async () => {
+    const { journal } = await openJournal();
+    const names = Array.from({ length: 50 }, (_, i) => `e${i}`);
+    await Promise.all(names.map((it) => journal.append(createEntry(it))));
+    expect(journal.syncs <= 2).toEqual(true);
+  });
+
+  it("cuts an unfinished write off and keeps what is before it", async () => {
+    const { journal } = await openJournal();
+    await journal.append(createEntry("a"));
+    await journal.append(createEntry("b"));
+    const [name] = await readdir(folder);
+    const path = join(folder, name ?? "");
+    await truncate(path, journal.bytes - 3);
+    expect((await openJournal()).loaded).toEqual(["a"]);
+  });
+
+  it("stops at bytes that are no record", async () => {
+    const { journal } = await openJournal();
+    await journal.append(createEntry("a"));
+    const [name] = await readdir(folder);
+    await appendFile(join(folder, name ?? ""), Buffer.alloc(64));
+    expect((await openJournal()).loaded).toEqual(["a"]);
+  });
+
+  it("refuses what has no room and goes on", async () => {
+    const { journal } = await openJournal(200);
+    await journal.append(createEntry("a"));
+    const big = createEntry("x".repeat(500));
+    await expect(journal.append(big)).toBeRejectedWith(JournalFullError);
+    await journal.append(createEntry("b"));
+    expect((await openJournal()).loaded).toEqual(["a", "b"]);
+  });
+
+  it("removes whole segments that have expired", async () => {
+    const first = await openJournal();
+    await first.journal.append(createEntry("a", 1_000));
+    const second = await openJournal();
+    await second.journal.append(createEntry("b", 9_000));
+    await second.journal.sweep(5_000);
+    expect((await openJournal()).loaded).toEqual(["b"]);
+  });
+});
+
+describe("the state file", () => {
+  it("is absent at first and replaced as a whole", async () => {
+    expect(await readState(folder)).toEqual(undefined);
+    await writeState(folder, { id: "x" });
+    await writeState(folder, { id: "y" });
+    expect(await readState<{ id: string }>(folder)).toEqual({ id: "y" });
+  });
+});
--- /dev/null
+++ b/packages/upstream_channel/test/channel_pool_test.ts
@@ -0,0 +1,180 @@
+import { createSilentLoggers } from "@toucantrestle/log";
+import { createSystemTimer } from "@toucantrestle/timer";
+import { expect } from "earl";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { type ChannelFailure, ChannelPool } from "../src/mod.ts";
+
+let server: Server | undefined;
+const sockets = new Set<Socket>();
+
+afterEach(() => {
+  for (const socket of sockets) socket.destroy();
+  sockets.clear();
+  server?.close();
+  server = undefined;
+});
+
+/** An upstream that calls `onRequest` with each request's id. */
+async function createUpstream(
+  onRequest: (id: string, socket: Socket) => void,
+): Promise<ChannelPool> {
+  server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => socket.destroy());
+    socket.on("data", (chunk) => {
+      for (const match of chunk.toString().matchAll(/x-id: (\w+)/g)) {
+        onRequest(match[1] ?? "", socket);
+      }
+    });
+  });
+  await new Promise<void>((resolve) => server?.listen(0, "127.0.0.1", resolve));
+  return createPool((server.address() as AddressInfo).port);
+}
+
+function createPool(port: number): ChannelPool {
+  return new ChannelPool({
+    address: `127.0.0.1:${port}`,
+    timer: createSystemTimer(),
+    log: createSilentLoggers()("upstream"),
+    answeredId: (head) => head.headers.get("x-id"),
+  });
+}
+
+interface Outcome {
+  status?: number;
+  body: string;
+  failure?: ChannelFailure;
+}
+
+function send(pool: ChannelPool, id: string): Promise<Outcome> {
+  const outcome: Outcome = { body: "" };
+  return new Promise((resolve) => {
+    pool.send(
+      {
+        id,
+        method: "GET",
+        path: "/",
+        headers: ["x-id", id],
+        body: new Uint8Array(),
+      },
+      {
+        onHead: (head) => outcome.status = head.status,
+        onData: (chunk) => outcome.body += chunk.toString(),
+        onEnd: () => resolve(outcome),
+        onFailure: (failure) => resolve({ ...outcome, failure }),
+      },
+    );
+  });
+}
+
+function answer(id: string, body = "ok"): string {
+  return `HTTP/1.1 200 OK\r\nx-id: ${id}\r\ncontent-length: ${body.length}` +
+    `\r\n\r\n${body}`;
+}
+
+describe("connections to an upstream", () => {
+  it("uses a kept connection again", async () => {
+    const pool = await createUpstream((id, socket) => socket.write(answer(id)));
+    await send(pool, "a");
+    await send(pool, "b");
+    expect(pool.opened).toEqual(1);
+    pool.close();
+  });
+
+  it("skips an answer that belongs to an earlier request", async () => {
+    const pool = await createUpstream((id, socket) => {
+      if (id === "b") socket.write(answer("a", "late"));
+      socket.write(answer(id, id));
+    });
+    await send(pool, "a");
+    const second = await send(pool, "b");
+    expect(second.body).toEqual("b");
+    pool.close();
+  });
+
+  it("does not use a connection with bytes after the answer", async () => {
+    const pool = await createUpstream((id, socket) =>
+      socket.write(answer(id) + answer(id))
+    );
+    const first = await send(pool, "a");
+    expect(first.body).toEqual("ok");
+    await send(pool, "b");
+    expect(pool.opened).toEqual(2);
+    pool.close();
+  });
+
+  it("closes an idle connection that says something", async () => {
+    const pool = await createUpstream((id, socket) => {
+      socket.write(answer(id));
+      setTimeout(() => socket.write(answer(id)), 20);
+    });
+    await send(pool, "a");
+    await new Promise((resolve) => setTimeout(resolve, 60));
+    expect(pool.size).toEqual(0);
+  });
+
+  it("says that a request may have run when its connection is cut", async () => {
+    const pool = await createUpstream((_id, socket) => socket.destroy());
+    const outcome = await send(pool, "a");
+    expect(outcome.failure?.verdict).toEqual("may_have_run");
+  });
+
+  it("does not take a cut answer for a whole one", async () => {
+    const pool = await createUpstream((id, socket) => {
+      socket.write(answer(id, "whole").slice(0, -2));
+      setTimeout(() => socket.destroy(), 20);
+    });
+    const outcome = await send(pool, "a");
+    expect(outcome.failure?.reason).toEqual("connection_lost");
+  });
+
+  it("takes an answer without a length as whole when it ends", async () => {
+    const pool = await createUpstream((id, socket) => {
+      socket.end(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\nall`);
+    });
+    const outcome = await send(pool, "a");
+    expect(outcome.body).toEqual("all");
+    expect(outcome.failure).toEqual(undefined);
+  });
+
+  it("does not take an answer without a length as whole when it is reset", async () => {
+    const pool = await createUpstream((id, socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\nal`);
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+    const outcome = await send(pool, "a");
+    expect(outcome.failure?.reason).toEqual("connection_lost");
+  });
+
+  it("refuses bytes that are no answer", async () => {
+    const pool = await createUpstream((_id, socket) =>
+      socket.write("\u0000\u0001 nonsense\r\n\r\n")
+    );
+    const outcome = await send(pool, "a");
+    expect(outcome.failure?.reason).toEqual("bad_answer");
+  });
+
+  it("knows that nothing ran where nobody listens", async () => {
+    const outcome = await send(createPool(1), "a");
+    expect(outcome.failure?.verdict).toEqual("not_run");
+    expect(outcome.failure?.reason).toEqual("connect_refused");
+  });
+
+  it("does not use a connection whose announced idle time is over", async () => {
+    const pool = await createUpstream((id, socket) =>
+      socket.write(
+        answer(id).replace("\r\n", "\r\nkeep-alive: timeout=0\r\n"),
+      )
+    );
+    await send(pool, "a");
+    await send(pool, "b");
+    expect(pool.opened).toEqual(2);
+    pool.close();
+  });
+});
