Turns: stores tell fronts where a program's prompts were read

Cause: each turn of a program comes to another front, which knew nothing of the engine that had its prompt, so prompts were read again. Change: the note that settles a turn names all parts and the engine; the reservation of the next turn returns them. Urgency follows the route's rank.

--- a/packages/front/src/serve_call.ts
+++ b/packages/front/src/serve_call.ts
@@ -35,6 +35,9 @@
   log: Logger;
 }
 
+/** Urgency of the first rank; 0 is served first, 9 last. */
+const FIRST_URGENCY = 3;
+const MAX_URGENCY = 9;
 /** Output that is expected of a turn whose caller gives no estimate, tokens. */
 const DEFAULT_OUTPUT_TOKENS = 40;
 /** Expected duration of a call of a plain service, in ms. */
@@ -67,6 +70,9 @@
     return false;
   }
   const obstacle = await turn?.prepare();
+  for (const { parts, upstream } of turn?.hints ?? []) {
+    opts.caches.note(upstream, parts);
+  }
   if (call.isAbandoned) return false;
   if (!obstacle) return true;
   opts.log.info(`${call.head.id} does not run: ${obstacle}`);
@@ -76,6 +82,11 @@
   return false;
 }
 
+/** Urgency of a turn: each rank goes before the next one. */
+function urgencyOf(rank: number): number {
+  return Math.min(MAX_URGENCY, FIRST_URGENCY + rank);
+}
+
 /** The attempts of one call. */
 class CallRun {
   readonly #call: Call;
@@ -115,7 +126,7 @@
       promptTokens: this.#promptTokens(),
       outputTokens: this.#outputTokens(),
       workMs: DEFAULT_WORK_MS,
-      lastUpstream: this.#turn?.lastUpstream,
+      lastUpstream: this.#turn?.hints.at(-1)?.upstream,
       dataCentre,
       now,
       draw: Math.random(),
@@ -158,7 +169,7 @@
       pool: pools.poolOf(upstream),
       protocol,
       body: this.#turn?.prompt ?? call.body,
-      urgency: undefined,
+      urgency: this.#turn ? urgencyOf(call.route.rank) : undefined,
       timeLeftMs: Math.max(1, Math.floor(timeLeftMs - DEADLINE_MARGIN_MS)),
       onEvent: (event) => this.#turn?.noteEvent(event),
       onFirstByte: stopReading,
@@ -192,6 +203,7 @@
     switch (result.kind) {
       case "complete":
         this.#opts.book.noteSuccess(id);
+        this.#turn?.noteRead(id);
         await this.#finish(upstream, result);
         return true;
       case "declined":
--- a/packages/front/src/turn_state.ts
+++ b/packages/front/src/turn_state.ts
@@ -1,18 +1,11 @@
-import type { Timer } from "@toucantrestle/timer";
-import type { BudgetVerdict, LookupVerdict } from "@toucantrestle/turn_log";
-import type { TurnStoreClient } from "@toucantrestle/turn_store";
+import type { LookupVerdict, PromptHint } from "@toucantrestle/turn_log";
+import type { Reservation, TurnStoreClient } from "@toucantrestle/turn_store";
 import type { Call } from "./call.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 
 /** What stands in the way of a turn. */
 export type TurnObstacle = "budget_spent" | "no_such_turn" | "unknown";
 
-/** Settings of the turns of one front. */
-export interface TurnsOptions {
-  store: TurnStoreClient;
-  timer: Timer;
-}
-
 const LINE_FEED = Buffer.from("\n");
 
 /** The turn that a call runs: its prompt, what it hands out, what it spends. */
@@ -25,9 +18,10 @@
   #events = 0;
   #isReserved = false;
   #isSettled = false;
-  lastUpstream: string | undefined;
-  /** Tokens of the turns before. */
-  contextTokens = 0;
+  /** Where the program's prompts were read before. */
+  hints: PromptHint[] = [];
+  /** Upstream that read the prompt of this turn. */
+  #readBy: string | undefined;
 
   constructor(opts: { store: TurnStoreClient; call: Call }) {
     this.#store = opts.store;
@@ -50,18 +44,17 @@
 
   /** Reserves tokens and finds the turn before; both at the same time. */
   async prepare(): Promise<TurnObstacle | undefined> {
-    const [budget, previous] = await Promise.all([
+    const [reservation, previous] = await Promise.all([
       this.#reserve(),
       this.#findPrevious(),
     ]);
     if (previous?.kind === "absent") return "no_such_turn";
     if (previous?.kind === "unknown") return "unknown";
-    if (budget === "spent") return "budget_spent";
-    if (budget === "unknown") return "unknown";
+    if (reservation.verdict === "spent") return "budget_spent";
+    if (reservation.verdict === "unknown") return "unknown";
+    this.hints = reservation.hints;
     if (previous?.kind === "found") {
       this.#prompt = Buffer.concat([previous.turn.prompt, this.#call.body]);
-      this.lastUpstream = previous.turn.upstream;
-      this.contextTokens = previous.turn.tokens;
     }
     return undefined;
   }
@@ -73,6 +66,11 @@
     this.#outputs.push(Buffer.from(event.data), LINE_FEED);
   }
 
+  /** Notes that an upstream has read the prompt and produced events. */
+  noteRead(upstream: string): void {
+    this.#readBy = upstream;
+  }
+
   /** Keeps the finished turn; false when it is not surely kept. */
   async keep(upstream: string): Promise<boolean> {
     const { route, head, deadlineAt } = this.#call;
@@ -96,13 +94,25 @@
       turn: head.id,
       reserved: head.maxOutputTokens ?? 0,
       settled: this.#events * this.#tokensPerEvent,
+      hint: this.#hint(),
       keepMs: route.keepMs,
     });
   }
 
-  async #reserve(): Promise<BudgetVerdict> {
+  /** Where the next turn of this line finds its prompt. */
+  #hint(): PromptHint | undefined {
+    const parts = this.#call.head.promptParts.map((it) => ({ ...it }));
+    const own = parts.at(-1);
+    if (!own || this.#readBy === undefined) return undefined;
+    own.tokens += this.#events * this.#tokensPerEvent;
+    return { parts, upstream: this.#readBy };
+  }
+
+  async #reserve(): Promise<Reservation> {
     const { head, route, deadlineAt } = this.#call;
-    if (head.tokenBudget === undefined || !head.program) return "granted";
+    if (head.tokenBudget === undefined || !head.program) {
+      return { verdict: "granted", hints: [] };
+    }
     this.#isReserved = true;
     return await this.#store.reserve(
       {
--- a/packages/turn_log/src/mod.ts
+++ b/packages/turn_log/src/mod.ts
@@ -18,6 +18,7 @@
   type ReserveReply,
 } from "./replica.ts";
 export type {
+  PromptHint,
   Spending,
   SpendRecord,
   TurnLogRecord,
--- a/packages/turn_log/src/record.ts
+++ b/packages/turn_log/src/record.ts
@@ -25,6 +25,16 @@
   expiresAt: number;
 }
 
+/** Where the prompt of a line of turns was last read. */
+export interface PromptHint {
+  /**
+   * Parts of the prompt in order, with their sizes in tokens. The last one,
+   * which the line of turns has to itself, holds what the turn produced too.
+   */
+  parts: { id: string; tokens: number }[];
+  upstream: string;
+}
+
 /** Everything that a replica keeps. */
 export type TurnLogRecord = TurnRecord | SpendRecord;
 
--- a/packages/turn_log/src/replica.ts
+++ b/packages/turn_log/src/replica.ts
@@ -1,4 +1,5 @@
 import type {
+  PromptHint,
   Spending,
   SpendRecord,
   TurnLogRecord,
@@ -27,6 +28,8 @@
 
 interface Program {
   spends: Map<string, SpendRecord>;
+  /** In memory only: without them a turn runs, but its prompt is read again. */
+  hints: Map<string, PromptHint>;
   expiresAt: number;
 }
 
@@ -133,6 +136,17 @@
     return spending;
   }
 
+  /** Notes where a prompt was read. */
+  noteHint(program: string, hint: PromptHint): void {
+    const own = hint.parts.at(-1);
+    if (own) this.#programs.get(program)?.hints.set(own.id, hint);
+  }
+
+  /** Where the prompts of a program were last read. */
+  hintsOf(program: string): PromptHint[] {
+    return [...this.#programs.get(program)?.hints.values() ?? []];
+  }
+
   /** What this replica holds of the keys that a member of a view keeps. */
   inventoryFor(view: View, member: string): Inventory {
     const isWanted = (key: string) =>
@@ -179,7 +193,7 @@
   #applySpend(record: SpendRecord): void {
     let program = this.#programs.get(record.program);
     if (!program) {
-      program = { spends: new Map(), expiresAt: 0 };
+      program = { spends: new Map(), hints: new Map(), expiresAt: 0 };
       this.#programs.set(record.program, program);
     }
     program.expiresAt = Math.max(program.expiresAt, record.expiresAt);
--- a/packages/turn_store/src/client.ts
+++ b/packages/turn_store/src/client.ts
@@ -6,6 +6,7 @@
   decideBudget,
   decideLookup,
   type LookupVerdict,
+  type PromptHint,
   quorumOf,
   type ReplicaHost,
   replicasOf,
@@ -37,6 +38,13 @@
 
 type StoreLink = LinkClient<StoreMethods, StoreNotices>;
 
+/** Outcome of a reservation. */
+export interface Reservation {
+  verdict: BudgetVerdict;
+  /** Where the program's prompts were read before. */
+  hints: PromptHint[];
+}
+
 /** A replica that is slow is not waited for longer than this. */
 const REPLY_TIMEOUT_MS = 1_000;
 /** The next replica is asked after this long without a reply. */
@@ -88,11 +96,11 @@
   async reserve(
     args: Omit<ReserveArgs, "viewNumber"> & { budget: number },
     deadlineMs: number,
-  ): Promise<BudgetVerdict> {
+  ): Promise<Reservation> {
     const { budget, ...rest } = args;
-    return await this.#repeat<BudgetVerdict>(
+    return await this.#repeat<Reservation>(
       deadlineMs,
-      "unknown",
+      { verdict: "unknown", hints: [] },
       async (view) => {
         const replies = await this.#askAll(
           view,
@@ -104,7 +112,7 @@
               REPLY_TIMEOUT_MS,
             ),
         );
-        return decideBudget({
+        const verdict = decideBudget({
           view,
           program: args.program,
           turn: args.turn,
@@ -112,7 +120,9 @@
           budget,
           replies: replies.map((it): Spending => it.spending),
         });
+        return { verdict, hints: replies.flatMap((it) => it.hints) };
       },
+      (it) => it.verdict,
     );
   }
 
--- a/packages/turn_store/src/messages.ts
+++ b/packages/turn_store/src/messages.ts
@@ -1,6 +1,7 @@
 import type { FleetSnapshot } from "@toucantrestle/fleet";
 import type {
   Inventory,
+  PromptHint,
   Spending,
   TurnRecord,
   View,
@@ -38,12 +39,17 @@
   turn: string;
   reserved: number;
   settled: number;
+  /** Where the prompt was read; undefined when it was not. */
+  hint: PromptHint | undefined;
   keepMs: number;
 }
 
 /** Requests to a turn store. */
 export type StoreMethods = {
-  reserve: { args: ReserveArgs; result: Reply<{ spending: Spending }> };
+  reserve: {
+    args: ReserveArgs;
+    result: Reply<{ spending: Spending; hints: PromptHint[] }>;
+  };
   find: {
     args: { viewNumber: number; id: string };
     result: Reply<{ turn: TurnRecord | undefined }>;
--- a/packages/turn_store/src/mod.ts
+++ b/packages/turn_store/src/mod.ts
@@ -3,6 +3,10 @@
  *
  * @module
  */
-export { TurnStoreClient, type TurnStoreClientOptions } from "./client.ts";
+export {
+  type Reservation,
+  TurnStoreClient,
+  type TurnStoreClientOptions,
+} from "./client.ts";
 export type { SettleNotice, StoreMethods, StoreNotices } from "./messages.ts";
 export { TurnStoreServer, type TurnStoreServerOptions } from "./server.ts";
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -176,6 +176,7 @@
     await this.#keep(record);
     return this.#serve(args.viewNumber, args.program, () => ({
       spending: this.#replica.spendingOf(args.program),
+      hints: this.#replica.hintsOf(args.program),
     }));
   }
 
@@ -193,7 +194,7 @@
   }
 
   #settle(notice: SettleNotice): void {
-    const { keepMs, ...rest } = notice;
+    const { keepMs, hint, ...rest } = notice;
     const record: SpendRecord = {
       kind: "spend",
       ...rest,
@@ -202,6 +203,7 @@
     this.#keep(record).catch((err) =>
       this.#log.warn(`spending of ${rest.turn} is not kept: ${String(err)}`)
     );
+    if (hint) this.#replica.noteHint(rest.program, hint);
   }
 
   #inventory(view: View, member: string): StoreMethods["inventory"]["result"] {
