Routing: tokens to be read weigh three times in the choice of an engine

Cause: under load sessions left the engine that had their prompt for one that was idle just then; the prompt read again slowed everybody at that engine. Change: unread tokens weigh three times in the expected finish.

--- a/packages/routing/src/choose_upstream.ts
+++ b/packages/routing/src/choose_upstream.ts
@@ -35,6 +35,11 @@
 const TOKEN_MS = 5.7;
 /** Growth of a step with each running request, as a share. */
 const STEP_GROWTH = 0.006;
+/**
+ * Tokens that must be read delay everybody at the engine, so they weigh more
+ * than the time until this request has its first token.
+ */
+const UNREAD_WEIGHT = 3;
 /** Cost of crossing to another data centre, in ms. */
 const CROSSING_MS = 4;
 /** Upstreams within this much of the best are taken for equal, in ms. */
@@ -69,7 +74,8 @@
   const { running, prefillTokens } = input.book.loadOf(upstream, input.now);
   const cached = input.caches.cachedTokens(upstream.entry.id, input.parts);
   const unread = Math.max(0, input.promptTokens - cached);
-  const prefillMs = (unread + prefillTokens) / PREFILL_TOKENS_PER_MS;
+  const prefillMs = (UNREAD_WEIGHT * unread + prefillTokens) /
+    PREFILL_TOKENS_PER_MS;
   const batch = Math.min(running + 1, upstream.entry.slots);
   const tokenMs = TOKEN_MS * (1 + STEP_GROWTH * batch);
   const decodeMs = input.outputTokens * tokenMs;
