Front: answers without the upstream's mark are failures; requests on records go through siblings

A front cut off from the turn stores refused turns for as long as callers knew it. Change: such answers fail the attempt before anything is passed on; a front asks turn stores through a sibling when its own link is down or silent, and does not call itself ready when neither way is open. A finished turn is sent to a quorum first, to the rest only when one is slow.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -61,6 +61,11 @@
     resolveResult = resolve;
   });
 
+  function fail(failure: ChannelFailure): void {
+    resolveResult({ kind: "failed", failure });
+    exchange.cancel();
+  }
+
   function passHead(): void {
     if (isPassing || !head) return;
     isPassing = true;
@@ -110,8 +115,9 @@
     },
     {
       onHead(answer) {
-        head = answer;
         opts.onFirstByte();
+        if (isTrusted(answer, protocol)) head = answer;
+        else fail(badAnswer);
       },
       onData(chunk) {
         if (!head || protocol.isDeclined(head)) return;
@@ -125,7 +131,7 @@
           return;
         }
         if (splitter.hasPartial) {
-          resolveResult({ kind: "failed", failure: brokenMidway });
+          fail({ ...badAnswer, hadHead: isPassing });
           return;
         }
         resolveResult({ kind: "complete", head, rest: held });
@@ -151,8 +157,20 @@
   };
 }
 
-const brokenMidway: ChannelFailure = {
+const badAnswer: ChannelFailure = {
   reason: "bad_answer",
   verdict: "may_have_run",
-  hadHead: true,
+  hadHead: false,
 };
+
+/** Statuses that promise a caller that its request did not run. */
+const PROMISES = new Set([408, 421, 429, 503]);
+
+/**
+ * Whether an answer may be passed on: a success bears the upstream's mark, and
+ * a promise that nothing ran comes from an upstream that says so.
+ */
+function isTrusted(head: AnswerHead, protocol: Protocol): boolean {
+  if (head.status < 300) return protocol.isGenuine(head);
+  return !PROMISES.has(head.status) || protocol.isDeclined(head);
+}
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -12,7 +12,7 @@
   UpstreamBook,
 } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
-import { TurnStoreClient } from "@toucantrestle/turn_store";
+import { type Relay, TurnStoreClient } from "@toucantrestle/turn_store";
 import {
   createServer,
   type IncomingMessage,
@@ -106,6 +106,11 @@
       timer,
       log: loggers("turns"),
       onView: (view) => fleet.takeView(view),
+      canRelay: () => this.#siblings.canRelay,
+      relay: ((memberId, name, args) =>
+        this.#siblings.relay({ memberId, name, args })) as Relay,
+      relaySettle: (memberId, notice) =>
+        this.#siblings.relaySettle({ memberId, notice }),
     });
     this.#serve = {
       protocol,
@@ -128,6 +133,11 @@
       configs: this.#configs,
       digest: () => this.#digest(),
       onDigest: (digest) => this.#takeDigest(digest),
+      forward: ({ memberId, name, args }) =>
+        this.#turns.forward(memberId, name, args as never),
+      forwardSettle: ({ memberId, notice }) => {
+        this.#turns.forwardSettle(memberId, notice);
+      },
       upstreams: () => this.#book.all().map((it) => it.entry),
       onUpstreams: (entries) => this.#upstreams.takeFromSibling(entries),
       timer,
@@ -182,7 +192,9 @@
   }
 
   get #isReady(): boolean {
-    return !this.#isStopping && this.#configs.config !== undefined;
+    const keepsTurns = this.#turns.isUsable || this.#siblings.canRelay;
+    return !this.#isStopping && keepsTurns &&
+      this.#configs.config !== undefined;
   }
 
   #createServer(
@@ -317,6 +329,7 @@
     return {
       host,
       isReady: this.#isReady,
+      reachesTurnStores: this.#turns.isUsable,
       configVersion: this.#configs.config?.version ?? -1,
       loads,
       crashes: this.#serve.crashes.since(timer.steady() - CRASH_NEWS_MS),
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -5,6 +5,7 @@
   UpstreamEntry,
   UpstreamLoad,
 } from "@toucantrestle/routing";
+import type { RecordMethod, SettleNotice } from "@toucantrestle/turn_store";
 import type { AnswerHead } from "@toucantrestle/upstream_channel";
 import type { IncomingHttpHeaders } from "node:http";
 
@@ -77,6 +78,8 @@
 export interface Digest {
   host: string;
   isReady: boolean;
+  /** Whether this front reaches enough turn stores. */
+  reachesTurnStores: boolean;
   configVersion: number;
   /** Requests in progress from this front, by upstream. */
   loads: Record<string, UpstreamLoad>;
@@ -85,6 +88,11 @@
 
 /** Requests between fronts. */
 export type FrontMethods = {
+  /** To be passed on to a turn store that the sender does not reach. */
+  relay: {
+    args: { memberId: string; name: RecordMethod; args: unknown };
+    result: unknown;
+  };
   /** The newest configuration as the operators wrote it. */
   config: { args: Record<string, never>; result: { text: string } };
   fleet: { args: Record<string, never>; result: FleetSnapshot };
@@ -95,4 +103,8 @@
 };
 
 /** Notices between fronts. */
-export type FrontNotices = { digest: Digest };
+export type FrontNotices = {
+  digest: Digest;
+  /** To be passed on to a turn store that the sender does not reach. */
+  settle: { memberId: string; notice: SettleNotice };
+};
--- a/packages/front/src/serve_call.ts
+++ b/packages/front/src/serve_call.ts
@@ -289,21 +289,11 @@
       else sendText(res, 502, "the turn ran but cannot be kept");
       return;
     }
-    if (!res.headersSent) this.#sendHead(result);
+    if (!res.headersSent) {
+      res.writeHead(head.status, answerHeaders(head, this.#turn !== undefined));
+    }
     this.#turn?.settle();
     for (const part of rest) res.write(part);
     res.end();
   }
-
-  #sendHead(result: Extract<AttemptResult, { kind: "complete" }>): void {
-    const { protocol } = this.#opts;
-    const { res } = this.#call;
-    const { head } = result;
-    const isTrusted = protocol.isGenuine(head) || head.status >= 400;
-    if (!isTrusted) {
-      sendText(res, 502, "the upstream's answer bears no mark");
-      return;
-    }
-    res.writeHead(head.status, answerHeaders(head, this.#turn !== undefined));
-  }
 }
--- a/packages/front/src/siblings.ts
+++ b/packages/front/src/siblings.ts
@@ -16,12 +16,19 @@
   configs: ConfigWatch;
   digest: () => Digest;
   onDigest: (digest: Digest) => void;
+  /** Passes what a sibling wants on to a turn store. */
+  forward: FrontLinkHandlers["relay"];
+  forwardSettle: (it: FrontNotices["settle"]) => void;
   upstreams: () => UpstreamEntry[];
   onUpstreams: (entries: UpstreamEntry[]) => void;
   timer: Timer;
   log: Logger;
 }
 
+interface FrontLinkHandlers {
+  relay: (it: FrontMethods["relay"]["args"]) => Promise<unknown>;
+}
+
 type FrontLink = LinkClient<FrontMethods, FrontNotices>;
 
 const DIGEST_MS = 250;
@@ -31,6 +38,7 @@
 const CONFIG_FETCH_MS = 150;
 const ASK_TIMEOUT_MS = 700;
 const ASK_MS = 1_000;
+const RELAY_TIMEOUT_MS = 1_000;
 
 /** Links between fronts: who is ready, what each has sent, newer versions. */
 export class Siblings {
@@ -48,8 +56,12 @@
         config: () => ({ text: opts.configs.text }),
         fleet: () => opts.fleet.snapshot(),
         upstreams: () => ({ entries: opts.upstreams() }),
+        relay: (it) => opts.forward(it),
+      },
+      notices: {
+        digest: (digest) => this.#take(digest),
+        settle: (it) => opts.forwardSettle(it),
       },
-      notices: { digest: (digest) => this.#take(digest) },
     });
   }
 
@@ -75,6 +87,35 @@
     return age < DIGEST_LIFE_MS && known.digest.isReady;
   }
 
+  /** Whether a sibling can pass requests on to turn stores. */
+  get canRelay(): boolean {
+    return this.#relayLink() !== undefined;
+  }
+
+  /** Asks a turn store through a sibling. */
+  async relay(it: FrontMethods["relay"]["args"]): Promise<unknown> {
+    const link = this.#relayLink();
+    if (!link) throw new Error("no sibling reaches the turn stores");
+    return await link.request("relay", it, RELAY_TIMEOUT_MS);
+  }
+
+  relaySettle(it: FrontNotices["settle"]): void {
+    this.#relayLink()?.notify("settle", it);
+  }
+
+  #relayLink(): FrontLink | undefined {
+    const usable: FrontLink[] = [];
+    const now = this.#opts.timer.steady();
+    for (const [host, { digest, at }] of this.#digests) {
+      const link = this.#links.get(host);
+      const isFresh = now - at < DIGEST_LIFE_MS;
+      if (isFresh && digest.reachesTurnStores && link?.isOpen) {
+        usable.push(link);
+      }
+    }
+    return usable[Math.floor(Math.random() * usable.length)];
+  }
+
   /** Tells all siblings at once, as when this front stops. */
   tellNow(): void {
     this.#send();
--- a/packages/front/test/front_test.ts
+++ b/packages/front/test/front_test.ts
@@ -79,6 +79,27 @@
   });
 });
 
+describe("an answer that cannot be the upstream's", () => {
+  it("is not passed on when a success bears no mark", async () => {
+    handler = (_seen, res) => {
+      res.removeHeader("x-mark");
+      res.end("forged");
+    };
+    const got = await world.call("/once/", { headers: { "x-id": "f1" } });
+    expect(got.status).toEqual(502);
+    expect(got.body.includes("forged")).toEqual(false);
+  });
+
+  it("is not passed on when it promises that nothing ran", async () => {
+    handler = (_seen, res) => {
+      res.writeHead(503);
+      res.end("busy");
+    };
+    const got = await world.call("/once/", { headers: { "x-id": "f2" } });
+    expect(got.status).toEqual(502);
+  });
+});
+
 describe("a request that may not be repeated", () => {
   it("is not sent again when its answer is lost", async () => {
     handler = (_seen, res) => res.socket?.destroy();
--- a/packages/turn_store/src/client.ts
+++ b/packages/turn_store/src/client.ts
@@ -17,7 +17,6 @@
 import type {
   NewTurn,
   Refusal,
-  Reply,
   ReserveArgs,
   SettleNotice,
   StoreMethods,
@@ -34,8 +33,29 @@
   log: Logger;
   /** Called when a replica hands out a newer view. */
   onView: (view: View) => void;
+  /** Asks a replica through a sibling that reaches it. */
+  relay?: Relay;
+  relaySettle?: (memberId: string, notice: SettleNotice) => void;
+  /** Whether some sibling reaches the replicas. */
+  canRelay?: () => boolean;
 }
 
+/** Requests on records, which siblings pass on to each other. */
+export type RecordMethod = "reserve" | "find" | "put";
+
+/** Asks a replica through a sibling. */
+export type Relay = <K extends RecordMethod>(
+  memberId: string,
+  name: K,
+  args: StoreMethods[K]["args"],
+) => Promise<StoreMethods[K]["result"]>;
+
+/** Reply of a replica that served the request. */
+type Served<K extends RecordMethod> = Extract<
+  StoreMethods[K]["result"],
+  { status: "ok" }
+>;
+
 type StoreLink = LinkClient<StoreMethods, StoreNotices>;
 
 /** Outcome of a reservation. */
@@ -49,6 +69,8 @@
 const REPLY_TIMEOUT_MS = 1_000;
 /** The next replica is asked after this long without a reply. */
 const HEDGE_MS = 25;
+/** A sibling is asked too when a replica says nothing for this long. */
+const RELAY_AFTER_MS = 150;
 /** Pause before a refused or unanswered request is tried again. */
 const RETRY_MS = 60;
 
@@ -102,16 +124,10 @@
       deadlineMs,
       { verdict: "unknown", hints: [] },
       async (view) => {
-        const replies = await this.#askAll(
-          view,
-          args.program,
-          (link) =>
-            link.request(
-              "reserve",
-              { ...rest, viewNumber: view.number },
-              REPLY_TIMEOUT_MS,
-            ),
-        );
+        const replies = await this.#askAll(view, args.program, "reserve", {
+          ...rest,
+          viewNumber: view.number,
+        });
         const verdict = decideBudget({
           view,
           program: args.program,
@@ -130,10 +146,31 @@
   settle(notice: SettleNotice): void {
     if (!this.#view) return;
     for (const member of replicasOf(this.#view, notice.program)) {
-      this.#links.get(member.id)?.notify("settle", notice);
+      if (!this.forwardSettle(member.id, notice)) {
+        this.#opts.relaySettle?.(member.id, notice);
+      }
     }
   }
 
+  /** Passes a sibling's request on to a replica. */
+  forward<K extends RecordMethod>(
+    memberId: string,
+    name: K,
+    args: StoreMethods[K]["args"],
+  ): Promise<StoreMethods[K]["result"]> {
+    const link = this.#links.get(memberId);
+    if (!link) return Promise.reject(new Error(`no replica ${memberId}`));
+    return link.request(name, args, REPLY_TIMEOUT_MS);
+  }
+
+  /** Passes a notice on to a replica; false where no link to it is open. */
+  forwardSettle(memberId: string, notice: SettleNotice): boolean {
+    const link = this.#links.get(memberId);
+    if (!link?.isOpen) return false;
+    link.notify("settle", notice);
+    return true;
+  }
+
   /** Looks a turn up, nearest replica first. */
   async find(id: string, deadlineMs: number): Promise<LookupVerdict> {
     return await this.#repeat<LookupVerdict>(
@@ -144,6 +181,20 @@
     );
   }
 
+  async #findOnce(view: View, id: string): Promise<LookupVerdict> {
+    const decide = (replies: Served<"find">[]) =>
+      decideLookup(view, id, replies.map((it) => ({ found: it.turn })));
+    const replies = await this.#askSome({
+      view,
+      key: id,
+      name: "find",
+      args: { viewNumber: view.number, id },
+      atOnce: 1,
+      isEnough: (it) => decide(it).kind !== "unknown",
+    });
+    return decide(replies);
+  }
+
   /**
    * Keeps a turn. Resolves true once a quorum has it on disk, false when that
    * did not happen in time.
@@ -156,13 +207,16 @@
       opts.deadlineMs,
       "unknown",
       async (view) => {
-        const args = { viewNumber: view.number, turn, keepMs: opts.keepMs };
-        const replies = await this.#askAll(
+        const quorum = quorumOf(view);
+        const replies = await this.#askSome({
           view,
-          turn.id,
-          (link) => link.request("put", args, REPLY_TIMEOUT_MS),
-        );
-        return replies.length >= quorumOf(view) ? "kept" : "unknown";
+          key: turn.id,
+          name: "put",
+          args: { viewNumber: view.number, turn, keepMs: opts.keepMs },
+          atOnce: quorum,
+          isEnough: (it) => it.length >= quorum,
+        });
+        return replies.length >= quorum ? "kept" : "unknown";
       },
     );
     return verdict === "kept";
@@ -185,7 +239,8 @@
       const result = view ? await attempt(view) : unknown;
       if (nameOf(result) !== "unknown") return result;
       const hasMoved = this.#view !== view;
-      if (!hasMoved && !this.isUsable) return unknown;
+      const isUsable = this.isUsable || this.#opts.canRelay?.();
+      if (!hasMoved && !isUsable) return unknown;
       if (timer.steady() + RETRY_MS >= deadlineMs) return unknown;
       if (!hasMoved) await this.#pause();
     }
@@ -198,87 +253,118 @@
   }
 
   /** Asks all replicas of a key; resolves at a quorum or when all have spoken. */
-  #askAll<T extends object>(
+  #askAll<K extends RecordMethod>(
     view: View,
     key: string,
-    ask: (link: StoreLink) => Promise<Reply<T>>,
-  ): Promise<T[]> {
+    name: K,
+    args: StoreMethods[K]["args"],
+  ): Promise<Served<K>[]> {
     const replicas = replicasOf(view, key);
-    const needed = Math.max(
-      quorumOf(view),
-      Math.floor(replicas.length / 2) + 1,
-    );
+    const needed = neededReplies(view, replicas.length);
     return new Promise((resolve) => {
-      const replies: T[] = [];
+      const replies: Served<K>[] = [];
       let open = replicas.length;
-      const settle = (reply: T | undefined) => {
-        open -= 1;
-        if (reply) replies.push(reply);
-        if (replies.length >= needed || open === 0) resolve(replies);
-      };
       for (const member of replicas) {
-        this.#ask(view, member, ask).then(settle);
+        this.#ask(view, member, name, args).then((reply) => {
+          open -= 1;
+          if (reply) replies.push(reply);
+          if (replies.length >= needed || open === 0) resolve(replies);
+        });
       }
     });
   }
 
+  /**
+   * Asks replicas one after the other, nearest first and `atOnce` at a time,
+   * without waiting long for any; resolves when `isEnough`.
+   */
+  #askSome<K extends RecordMethod>(
+    opts: {
+      view: View;
+      key: string;
+      name: K;
+      args: StoreMethods[K]["args"];
+      atOnce: number;
+      isEnough: (replies: Served<K>[]) => boolean;
+    },
+  ): Promise<Served<K>[]> {
+    const { view, name, args } = opts;
+    const replicas = this.#nearestFirst(replicasOf(view, opts.key));
+    const replies: Served<K>[] = [];
+    return new Promise((resolve) => {
+      let next = 0;
+      let open = 0;
+      const askNext = () => {
+        const member = replicas[next];
+        if (!member) return;
+        next += 1;
+        open += 1;
+        const hedge = this.#opts.timer.after(HEDGE_MS, askNext);
+        this.#ask(view, member, name, args).then((reply) => {
+          hedge.cancel();
+          open -= 1;
+          if (reply) replies.push(reply);
+          if (opts.isEnough(replies)) return resolve(replies);
+          if (open === 0 && next >= replicas.length) return resolve(replies);
+          if (!reply || open === 0) askNext();
+        });
+      };
+      for (let i = 0; i < opts.atOnce; i++) askNext();
+    });
+  }
+
   /** Asks one replica; undefined where it did not serve the request. */
-  async #ask<T extends object>(
+  async #ask<K extends RecordMethod>(
     view: View,
     member: ReplicaHost,
-    ask: (link: StoreLink) => Promise<Reply<T>>,
-  ): Promise<T | undefined> {
-    const link = this.#links.get(member.id);
-    if (!link) return undefined;
+    name: K,
+    args: StoreMethods[K]["args"],
+  ): Promise<Served<K> | undefined> {
     try {
-      const reply = await ask(link);
-      if (reply.status === "ok") return reply as T;
-      this.#handleRefusal(view, link, reply as Refusal);
+      const reply = await this.#request(member, name, args);
+      if (reply.status === "ok") return reply as Served<K>;
+      this.#handleRefusal(view, member, reply as Refusal);
     } catch (err) {
       this.#opts.log.debug(`turn store ${member.host}: ${String(err)}`);
     }
     return undefined;
   }
 
-  #handleRefusal(view: View, link: StoreLink, refusal: Refusal): void {
-    if (refusal.status === "behind") link.notify("view", view);
+  /** Asks a replica directly, and through a sibling when that takes long. */
+  #request<K extends RecordMethod>(
+    member: ReplicaHost,
+    name: K,
+    args: StoreMethods[K]["args"],
+  ): Promise<StoreMethods[K]["result"]> {
+    const { relay, timer } = this.#opts;
+    const link = this.#links.get(member.id);
+    const direct = link?.isOpen
+      ? link.request(name, args, REPLY_TIMEOUT_MS)
+      : undefined;
+    if (!relay) return direct ?? Promise.reject(new Error("no link"));
+    if (!direct) return relay(member.id, name, args);
+    return new Promise((resolve, reject) => {
+      const askSibling = () =>
+        relay(member.id, name, args).then(resolve, reject);
+      const late = timer.after(RELAY_AFTER_MS, askSibling);
+      direct.then((reply) => {
+        late.cancel();
+        resolve(reply);
+      }, () => {
+        late.cancel();
+        askSibling();
+      });
+    });
+  }
+
+  #handleRefusal(view: View, member: ReplicaHost, refusal: Refusal): void {
+    const link = this.#links.get(member.id);
+    if (refusal.status === "behind") link?.notify("view", view);
     if (refusal.status !== "moved") return;
     this.takeView(refusal.view);
     this.#opts.onView(refusal.view);
   }
 
-  /** Asks one replica after the other, without waiting long for any. */
-  #findOnce(view: View, id: string): Promise<LookupVerdict> {
-    const replicas = this.#nearestFirst(replicasOf(view, id));
-    const replies: { found: TurnRecord | undefined }[] = [];
-    return new Promise((resolve) => {
-      let next = 0;
-      let open = 0;
-      const askNext = () => {
-        const member = replicas[next];
-        if (!member) return;
-        next += 1;
-        open += 1;
-        const hedge = this.#opts.timer.after(HEDGE_MS, askNext);
-        this.#ask(view, member, (link) =>
-          link.request(
-            "find",
-            { viewNumber: view.number, id },
-            REPLY_TIMEOUT_MS,
-          )).then((reply) => {
-            hedge.cancel();
-            open -= 1;
-            if (reply) replies.push({ found: reply.turn });
-            const verdict = decideLookup(view, id, replies);
-            if (verdict.kind !== "unknown") return resolve(verdict);
-            if (open === 0 && next >= replicas.length) return resolve(verdict);
-            askNext();
-          });
-      };
-      askNext();
-    });
-  }
-
   #nearestFirst(replicas: ReplicaHost[]): ReplicaHost[] {
     const isNear = (it: ReplicaHost) =>
       it.dataCentre === this.#opts.dataCentre ? 0 : 1;
@@ -298,3 +384,8 @@
     this.#links.set(member.id, link);
   }
 }
+
+/** Replies that make a quorum and meet every other quorum. */
+function neededReplies(view: View, replicas: number): number {
+  return Math.max(quorumOf(view), Math.floor(replicas / 2) + 1);
+}
--- a/packages/turn_store/src/mod.ts
+++ b/packages/turn_store/src/mod.ts
@@ -4,6 +4,8 @@
  * @module
  */
 export {
+  type RecordMethod,
+  type Relay,
   type Reservation,
   TurnStoreClient,
   type TurnStoreClientOptions,
