Turns: where prompts were read survives a restart of all hosts; links are dialled again sooner

Cause: after a loss of power fronts and turn stores knew no engine that had a prompt, and all sessions were read again at once while callers came back. Change: the note of where a prompt was read is part of the spending record on disk; lost links are dialled again after 150 to 600 ms.

--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -62,9 +62,9 @@
 /** Kept connections outlive the announced idle time by this much. */
 const IDLE_SLACK_MS = 1_000;
 /** Time before the kill in which no new request is taken. */
-const LAST_CALLS_MS = 1_800;
+const LAST_CALLS_MS = 2_300;
 /** Time before the kill at which the process ends by itself. */
-const EXIT_MARGIN_MS = 300;
+const EXIT_MARGIN_MS = 800;
 const CRASH_NEWS_MS = 3_000;
 const SWEEP_MS = 10_000;
 
--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -26,8 +26,8 @@
 const PING_MS = 500;
 /** A link is given up when nothing has arrived for this long. */
 const SILENCE_MS = 1_300;
-const REDIAL_MS = 250;
-const MAX_REDIAL_MS = 2_000;
+const REDIAL_MS = 150;
+const MAX_REDIAL_MS = 600;
 const HANDSHAKE_TIMEOUT_MS = 1_000;
 
 /** One link that is dialled again whenever it is lost. */
--- a/packages/turn_log/src/record.ts
+++ b/packages/turn_log/src/record.ts
@@ -22,6 +22,8 @@
   reserved: number;
   /** Tokens that it did hand out; undefined while it is not known. */
   settled: number | undefined;
+  /** Where the turn's prompt was read, for the next turn of the program. */
+  hint: PromptHint | undefined;
   expiresAt: number;
 }
 
--- a/packages/turn_log/src/replica.ts
+++ b/packages/turn_log/src/replica.ts
@@ -28,7 +28,7 @@
 
 interface Program {
   spends: Map<string, SpendRecord>;
-  /** In memory only: without them a turn runs, but its prompt is read again. */
+  /** By the part that a line of turns has to itself. */
   hints: Map<string, PromptHint>;
   expiresAt: number;
 }
@@ -136,12 +136,6 @@
     return spending;
   }
 
-  /** Notes where a prompt was read. */
-  noteHint(program: string, hint: PromptHint): void {
-    const own = hint.parts.at(-1);
-    if (own) this.#programs.get(program)?.hints.set(own.id, hint);
-  }
-
   /** Where the prompts of a program were last read. */
   hintsOf(program: string): PromptHint[] {
     return [...this.#programs.get(program)?.hints.values() ?? []];
@@ -200,5 +194,7 @@
     const known = program.spends.get(record.turn);
     if (known?.settled !== undefined) return;
     program.spends.set(record.turn, record);
+    const own = record.hint?.parts.at(-1);
+    if (record.hint && own) program.hints.set(own.id, record.hint);
   }
 }
--- a/packages/turn_log/test/fixtures.ts
+++ b/packages/turn_log/test/fixtures.ts
@@ -38,6 +38,7 @@
     turn,
     reserved: 10,
     settled: undefined,
+    hint: undefined,
     expiresAt: 1_000,
     ...opts,
   };
--- a/packages/turn_log/test/replica_test.ts
+++ b/packages/turn_log/test/replica_test.ts
@@ -55,6 +55,18 @@
     });
   });
 
+  it("tells where the prompt of each line of turns was read last", () => {
+    const replica = new Replica({ id: "a" });
+    const hintAt = (upstream: string) => ({
+      parts: [{ id: "shared", tokens: 9 }, { id: "own", tokens: 4 }],
+      upstream,
+    });
+    replica.apply(createSpend("t1", { settled: 1, hint: hintAt("u1") }));
+    replica.apply(createSpend("t2", { settled: 1, hint: hintAt("u2") }));
+    expect(replica.hintsOf("p")).toEqual([hintAt("u2")]);
+    expect(replica.hintsOf("q")).toEqual([]);
+  });
+
   it("forgets what has expired and nothing else", () => {
     const replica = new Replica({ id: "a" });
     replica.apply(createTurn("t1"));
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -184,6 +184,7 @@
       turn: args.turn,
       reserved: args.tokens,
       settled: undefined,
+      hint: undefined,
       expiresAt: this.#expiry(args.keepMs),
     };
     await this.#keepTimed(record);
@@ -207,7 +208,7 @@
   }
 
   #settle(notice: SettleNotice): void {
-    const { keepMs, hint, ...rest } = notice;
+    const { keepMs, ...rest } = notice;
     const record: SpendRecord = {
       kind: "spend",
       ...rest,
@@ -216,7 +217,6 @@
     this.#keep(record).catch((err) =>
       this.#log.warn(`spending of ${rest.turn} is not kept: ${String(err)}`)
     );
-    if (hint) this.#replica.noteHint(rest.program, hint);
   }
 
   #inventory(view: View, member: string): StoreMethods["inventory"]["result"] {
