Views: an emptied host is another one, and members that stay away are dropped

A host that came back empty at its address answered the status question for its former self, so that it counted as reachable and complete and no view followed; after the second one no quorum was left. A host that never came back stayed a member for good. Ruled out: too few copies (the records were on the others).

--- a/packages/front/test/memory_store.ts
+++ b/packages/config_store/src/memory_store.ts
@@ -5,9 +5,9 @@
   TxnResult,
   Versioned,
   WatchHandlers,
-} from "@toucantrestle/config_store";
+} from "./store.ts";
 
-/** A store in memory, which can be away. */
+/** A store in memory for tests, which can be away. */
 export class MemoryStore implements ConfigStore {
   isAway = false;
   readonly #items = new Map<string, Versioned>();
--- a/packages/config_store/src/mod.ts
+++ b/packages/config_store/src/mod.ts
@@ -7,5 +7,6 @@
 export type * from "./store.ts";
 export { StoreError } from "./errors.ts";
 export { HttpStore, type HttpStoreOptions } from "./http_store.ts";
+export { MemoryStore } from "./memory_store.ts";
 export { prefixEnd } from "./wire.ts";
 export { follow, type FollowOptions } from "./follow.ts";
--- a/packages/front/test/world.ts
+++ b/packages/front/test/world.ts
@@ -1,3 +1,4 @@
+import { MemoryStore } from "@toucantrestle/config_store";
 import { Fleet, type HostEntry } from "@toucantrestle/fleet";
 import { createSilentLoggers } from "@toucantrestle/log";
 import { createSilentMetrics } from "@toucantrestle/metrics";
@@ -17,7 +18,6 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Front } from "../src/mod.ts";
-import { MemoryStore } from "./memory_store.ts";
 import { testProtocol } from "./test_protocol.ts";
 
 const timer = createTimerScope(createSystemTimer());
--- a/packages/turn_log/src/replica.ts
+++ b/packages/turn_log/src/replica.ts
@@ -89,7 +89,10 @@
     const isNext = this.#base?.number === view.number - 1;
     if (!isNext) this.#base = undefined;
     this.#view = view;
-    this.#isComplete = view.number === 1;
+    // Nothing was kept before the first view.
+    const isFirstMember = view.number === 1 &&
+      view.members.some((it) => it.id === this.#id);
+    this.#isComplete = isFirstMember;
     if (this.#isComplete) this.#base = view;
     return true;
   }
--- a/packages/turn_log/test/next_view_test.ts
+++ b/packages/turn_log/test/next_view_test.ts
@@ -22,7 +22,7 @@
 }
 
 describe("the next view", () => {
-  it("stays while a member is only silent", () => {
+  it("stays while a member is silent and no other could replace it", () => {
     const hosts = [createState("a"), createState("b"), createState("c", LOST)];
     expect(decideIds(hosts)).toEqual(undefined);
   });
@@ -37,6 +37,22 @@
     expect(decideIds(hosts)).toEqual(["a", "b", "d"]);
   });
 
+  it("drops a member that stays silent where enough others remain", () => {
+    const ids = ["a", "b", "c", "d"];
+    const hosts = ids.map((it) => createState(it));
+    hosts[0] = createState("a", { isReachable: false, silentMs: 2_000 });
+    expect(decideIds(hosts, ids)).toEqual(undefined);
+    hosts[0] = createState("a", LOST);
+    expect(decideIds(hosts, ids)).toEqual(["b", "c", "d"]);
+  });
+
+  it("replaces an emptied host before the loss of its disk shows", () => {
+    const emptied = createState("c2");
+    emptied.host = { ...emptied.host, host: "host-c" };
+    const hosts = [...["a", "b", "c"].map((it) => createState(it)), emptied];
+    expect(decideIds(hosts)).toEqual(["a", "b", "c2"]);
+  });
+
   it("adds a host and names the members before", () => {
     const next = decideView({
       current: createView(),
--- a/packages/turn_log/test/replica_test.ts
+++ b/packages/turn_log/test/replica_test.ts
@@ -11,6 +11,12 @@
     expect(replica.canServe("t1")).toEqual(true);
   });
 
+  it("is not complete in a first view that it is no member of", () => {
+    const replica = new Replica({ id: "z" });
+    replica.adoptView(createView());
+    expect(replica.isComplete).toEqual(false);
+  });
+
   it("answers nothing as a newcomer until it has copied", () => {
     const replica = new Replica({ id: "d" });
     const view = createView({
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -93,6 +93,16 @@
     });
   }
 
+  /** Number of the view that this store serves; 0 before the first. */
+  get viewNumber(): number {
+    return this.#replica.view?.number ?? 0;
+  }
+
+  /** True when everything that the current view asks for has been copied. */
+  get isComplete(): boolean {
+    return this.#replica.isComplete;
+  }
+
   /** Reads the disk, then serves. */
   async start(): Promise<void> {
     const { folder, timer, fleet, self } = this.#opts;
--- a/packages/turn_store/src/view_keeper.ts
+++ b/packages/turn_store/src/view_keeper.ts
@@ -152,7 +152,10 @@
 
   async #ask(peer: Peer): Promise<void> {
     try {
-      peer.status = await peer.link.request("status", {}, STATUS_TIMEOUT_MS);
+      const status = await peer.link.request("status", {}, STATUS_TIMEOUT_MS);
+      // A host whose disk was emptied answers at the same address.
+      if (status.id !== peer.host.id) return;
+      peer.status = status;
       peer.seenAt = this.#opts.timer.steady();
     } catch {
       // An unreachable peer is seen by its age.
