--- a/packages/cli/src/commands/table.ts
+++ b/packages/cli/src/commands/table.ts
@@ -3,6 +3,7 @@
 import { createCompletion } from "./completion.ts";
 import { drain } from "./drain.ts";
 import { edit } from "./edit.ts";
+import { explain } from "./explain.ts";
 import { exportTable } from "./export.ts";
 import { history } from "./history.ts";
 import { keys } from "./keys.ts";
@@ -26,6 +27,7 @@
   program,
   timeline,
   drain,
+  explain,
   keys,
   completion: createCompletion(() => Object.keys(COMMANDS)),
 };
--- /dev/null
+++ b/packages/cli/test/explain_test.ts
@@ -0,0 +1,76 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { EXIT_STATUSES, runCli } from "../src/mod.ts";
+
+const SAMPLES = new URL("../../test/samples/", import.meta.url).pathname;
+
+async function explain(...args: string[]) {
+  const out: string[] = [];
+  const err: string[] = [];
+  const status = await runCli({
+    argv: ["explain", ...args],
+    env: {},
+    out: (line) => out.push(line),
+    err: (line) => err.push(line),
+  });
+  return { out, err, status };
+}
+
+function sample(name: string): string {
+  return `${SAMPLES}${name}.log`;
+}
+
+/** The ways that docs/OPERATIONS.md shows, on logs kept from a played day. */
+describe("explaining a failed request", () => {
+  it("leads from a refusal to the turn stores that were lost", async () => {
+    const { out } = await explain("1c5cc13b7dbf42ac", sample("refused"));
+    const text = out.join("\n");
+    expect(text).toLooseEqual(
+      expect.regex(/not_started: the turn does not start: unknown/),
+    );
+    expect(text).toLooseEqual(expect.regex(/reason=turns_unknown/));
+    expect(text).toLooseEqual(expect.regex(/verdict=not_run/));
+  });
+
+  it("leads from a 404 to the turn that was named", async () => {
+    const { out } = await explain("06419da4ee77def4", sample("not_found"));
+    expect(out[0]).toLooseEqual(expect.regex(/previousTurn=4c61ecaef9ae3e1e/));
+    expect(out[0]).toLooseEqual(expect.regex(/reachesTurnStores=true/));
+    expect(out[1]).toLooseEqual(expect.regex(/status=404/));
+  });
+
+  it("leads from a cut answer to the record that was not kept", async () => {
+    const { out } = await explain("8ba777d634bbb3bc", sample("cut_midway"));
+    expect(out.join("\n")).toLooseEqual(
+      expect.regex(/routed.*\n(.*\n)*.*not_kept/),
+    );
+    expect(out.at(-1)).toLooseEqual(expect.regex(/cut_off/));
+  });
+
+  it("shows the other calls of the program on request", async () => {
+    const one = await explain("8ba777d634bbb3bc", sample("cut_midway"));
+    const all = await explain(
+      "8ba777d634bbb3bc",
+      sample("cut_midway"),
+      "--program",
+    );
+    expect(all.out.length > one.out.length).toEqual(true);
+  });
+
+  it("names a file that cannot be read and reads the rest", async () => {
+    const { out, status } = await explain(
+      "06419da4ee77def4",
+      "/no/such.log",
+      sample("not_found"),
+    );
+    expect(status).toEqual(EXIT_STATUSES.done);
+    expect(out[0]).toEqual("/no/such.log cannot be read (ENOENT)");
+    expect(out.length).toEqual(3);
+  });
+
+  it("needs a file", async () => {
+    const { err, status } = await explain("x");
+    expect(status).toEqual(EXIT_STATUSES.usage);
+    expect(err).toEqual(["toucantrestle: FILE is missing"]);
+  });
+});
