--- a/packages/cli/test/explain_test.ts
+++ b/packages/cli/test/explain_test.ts
@@ -25,26 +25,25 @@
   it("leads from a refusal to the turn stores that were lost", async () => {
     const { out } = await explain("1c5cc13b7dbf42ac", sample("refused"));
     const text = out.join("\n");
-    expect(text).toLooseEqual(
-      expect.regex(/not_started: the turn does not start: unknown/),
-    );
-    expect(text).toLooseEqual(expect.regex(/reason=turns_unknown/));
-    expect(text).toLooseEqual(expect.regex(/verdict=not_run/));
+    expect(/not_started: the turn does not start: unknown/.test(text ?? ""))
+      .toEqual(true);
+    expect(/reason=turns_unknown/.test(text ?? "")).toEqual(true);
+    expect(/verdict=not_run/.test(text ?? "")).toEqual(true);
   });
 
   it("leads from a 404 to the turn that was named", async () => {
     const { out } = await explain("06419da4ee77def4", sample("not_found"));
-    expect(out[0]).toLooseEqual(expect.regex(/previousTurn=4c61ecaef9ae3e1e/));
-    expect(out[0]).toLooseEqual(expect.regex(/reachesTurnStores=true/));
-    expect(out[1]).toLooseEqual(expect.regex(/status=404/));
+    expect(/previousTurn=4c61ecaef9ae3e1e/.test(out[0] ?? "")).toEqual(true);
+    expect(/reachesTurnStores=true/.test(out[0] ?? "")).toEqual(true);
+    expect(/status=404/.test(out[1] ?? "")).toEqual(true);
   });
 
   it("leads from a cut answer to the record that was not kept", async () => {
     const { out } = await explain("8ba777d634bbb3bc", sample("cut_midway"));
-    expect(out.join("\n")).toLooseEqual(
-      expect.regex(/routed.*\n(.*\n)*.*not_kept/),
+    expect(/routed.*\n(.*\n)*.*not_kept/.test(out.join("\n") ?? "")).toEqual(
+      true,
     );
-    expect(out.at(-1)).toLooseEqual(expect.regex(/cut_off/));
+    expect(/cut_off/.test(out.at(-1) ?? "")).toEqual(true);
   });
 
   it("shows the other calls of the program on request", async () => {
