Front: one that stops ends sooner; stopping fronts are named where none is ready

Change: new connections are taken for 2.6 s after the order to stop, idle ones are closed until the last call has ended; the directory falls back on fronts that stop.

--- a/packages/front/src/directory.ts
+++ b/packages/front/src/directory.ts
@@ -1,4 +1,5 @@
 import type { Fleet } from "@toucantrestle/fleet";
+import type { FrontState } from "./protocol.ts";
 import type { Siblings } from "./siblings.ts";
 
 /** How long a caller may keep the answer, in ms. */
@@ -11,21 +12,33 @@
   ttlMs: number;
 }
 
-/** Addresses of the fronts that are ready; of all where none says so. */
+/**
+ * Addresses of the fronts that are ready. Where none is, those that are
+ * stopping still serve for a while.
+ */
 export function directoryAnswer(
   opts: {
     fleet: Fleet;
-    siblings: Siblings;
-    /** This front's own address, where it is ready. */
-    own: string | undefined;
+    siblings: Pick<Siblings, "stateOf">;
     self: string;
+    /** This front's own address and state. */
+    own: string;
+    state: FrontState;
   },
 ): DirectoryAnswer {
-  const addresses = opts.own ? [opts.own] : [];
+  const byState: Record<FrontState, string[]> = {
+    ready: [],
+    stopping: [],
+    starting: [],
+  };
+  byState[opts.state].push(opts.own);
   for (const it of opts.fleet.hosts) {
     if (it.host === opts.self || !it.callerAddress) continue;
-    if (opts.siblings.isReady(it.host)) addresses.push(it.callerAddress);
+    const state = opts.siblings.stateOf(it.host);
+    if (state) byState[state].push(it.callerAddress);
   }
+  const { ready, stopping } = byState;
+  const addresses = ready.length > 0 ? ready : stopping;
   return {
     addresses: addresses.slice(0, MAX_ADDRESSES),
     ttlMs: ANSWER_LIFE_MS,
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -24,7 +24,7 @@
 import type { Call } from "./call.ts";
 import { ConfigWatch } from "./config_watch.ts";
 import { directoryAnswer } from "./directory.ts";
-import type { Digest, Protocol } from "./protocol.ts";
+import type { Digest, FrontState, Protocol } from "./protocol.ts";
 import { readBody } from "./read_body.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServeOptions } from "./serve_options.ts";
@@ -61,10 +61,15 @@
 const CHECK_CONNECTIONS_MS = 500;
 /** Kept connections outlive the announced idle time by this much. */
 const IDLE_SLACK_MS = 1_000;
-/** Time before the kill in which no new request is taken. */
-const LAST_CALLS_MS = 2_300;
+/**
+ * New connections are taken for this long after the order to stop. Callers keep
+ * an answer of the directory for two seconds, and only a few for longer; a host
+ * that is back soon serves more than one that waits for those.
+ */
+const SERVE_ON_MS = 2_600;
 /** Time before the kill at which the process ends by itself. */
 const EXIT_MARGIN_MS = 800;
+const END_CHECK_MS = 50;
 const CRASH_NEWS_MS = 3_000;
 const SWEEP_MS = 10_000;
 
@@ -173,13 +178,14 @@
     loggers("front").info(`stopping, ${this.#calls.size} calls in progress`);
     this.#siblings.tellNow();
     const leaving = fleet.leave();
-    await sleepMs(timer, graceMs - LAST_CALLS_MS);
+    const endAt = timer.steady() + graceMs - EXIT_MARGIN_MS;
+    await sleepMs(timer, Math.min(SERVE_ON_MS, graceMs / 2));
     this.#callers.close();
-    this.#callers.closeIdleConnections();
-    const endAt = timer.steady() + LAST_CALLS_MS - EXIT_MARGIN_MS;
     while (this.#calls.size > 0 && timer.steady() < endAt) {
-      await sleepMs(timer, 50);
+      this.#callers.closeIdleConnections();
+      await sleepMs(timer, END_CHECK_MS);
     }
+    this.#callers.closeIdleConnections();
     await Promise.race([leaving, sleepMs(timer, 100)]);
     loggers("front").info(`stopped, ${this.#calls.size} calls cut off`);
   }
@@ -207,6 +213,11 @@
     }
   }
 
+  get #state(): FrontState {
+    if (this.#isReady) return "ready";
+    return this.#isStopping ? "stopping" : "starting";
+  }
+
   get #isReady(): boolean {
     const keepsTurns = this.#turns.isUsable || this.#siblings.canRelay;
     return !this.#isStopping && keepsTurns &&
@@ -253,7 +264,8 @@
       fleet,
       siblings: this.#siblings,
       self: host,
-      own: this.#isReady ? callerAddress : undefined,
+      own: callerAddress,
+      state: this.#state,
     });
     if (answer.addresses.length === 0) {
       return sendText(res, 503, "no front is ready");
@@ -356,7 +368,7 @@
     const { timer, host } = this.#opts;
     return {
       host,
-      isReady: this.#isReady,
+      state: this.#state,
       reachesTurnStores: this.#turns.isUsable,
       configVersion: this.#configs.config?.version ?? -1,
       loads,
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -74,10 +74,13 @@
   upstreamPrefix: string;
 }
 
+/** Whether callers should connect to a front. */
+export type FrontState = "starting" | "ready" | "stopping";
+
 /** What fronts tell each other, several times a second. */
 export interface Digest {
   host: string;
-  isReady: boolean;
+  state: FrontState;
   /** Whether this front reaches enough turn stores. */
   reachesTurnStores: boolean;
   configVersion: number;
--- a/packages/front/src/siblings.ts
+++ b/packages/front/src/siblings.ts
@@ -3,7 +3,12 @@
 import type { Logger } from "@toucantrestle/log";
 import type { Timer } from "@toucantrestle/timer";
 import type { ConfigWatch } from "./config_watch.ts";
-import type { Digest, FrontMethods, FrontNotices } from "./protocol.ts";
+import type {
+  Digest,
+  FrontMethods,
+  FrontNotices,
+  FrontState,
+} from "./protocol.ts";
 import type { UpstreamEntry } from "@toucantrestle/routing";
 
 /** Settings of the links between fronts. */
@@ -79,12 +84,12 @@
     this.#server.close();
   }
 
-  /** Whether a sibling said lately that it is ready. */
-  isReady(host: string): boolean {
+  /** What a sibling said of itself lately; undefined when it is silent. */
+  stateOf(host: string): FrontState | undefined {
     const known = this.#digests.get(host);
-    if (!known) return false;
+    if (!known) return undefined;
     const age = this.#opts.timer.steady() - known.at;
-    return age < DIGEST_LIFE_MS && known.digest.isReady;
+    return age < DIGEST_LIFE_MS ? known.digest.state : undefined;
   }
 
   /** Whether a sibling can pass requests on to turn stores. */
--- /dev/null
+++ b/packages/front/test/directory_test.ts
@@ -0,0 +1,59 @@
+import { MemoryStore } from "@toucantrestle/config_store";
+import { Fleet, type HostEntry } from "@toucantrestle/fleet";
+import { createSilentLoggers } from "@toucantrestle/log";
+import { createManualTimer } from "@toucantrestle/timer";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { directoryAnswer } from "../src/directory.ts";
+import type { FrontState } from "../src/protocol.ts";
+
+function createEntry(host: string): HostEntry {
+  return {
+    id: host,
+    host,
+    role: "front",
+    linkAddress: `${host}:1`,
+    callerAddress: `${host}:80`,
+    dataCentre: "a",
+  };
+}
+
+/** Addresses that front `a` hands out, given the states of all. */
+function addressesFor(states: Record<string, FrontState | undefined>) {
+  const fleet = new Fleet({
+    self: createEntry("a"),
+    store: new MemoryStore(),
+    timer: createManualTimer(),
+    log: createSilentLoggers()("fleet"),
+  });
+  const hosts = Object.keys(states).map(createEntry);
+  fleet.merge({ hosts, view: undefined });
+  return directoryAnswer({
+    fleet,
+    siblings: { stateOf: (host) => states[host] },
+    self: "a",
+    own: "a:80",
+    state: states["a"] ?? "starting",
+  }).addresses;
+}
+
+describe("the directory's answer", () => {
+  it("names the fronts that are ready, and no others", () => {
+    expect(addressesFor({
+      a: "ready",
+      b: "stopping",
+      c: "ready",
+      d: undefined,
+      e: "starting",
+    })).toEqual(["a:80", "c:80"]);
+  });
+
+  it("names those that stop when the ready ones were killed meanwhile", () => {
+    expect(addressesFor({ a: "stopping", b: undefined, c: "stopping" }))
+      .toEqual(["a:80", "c:80"]);
+  });
+
+  it("names nobody while all are starting", () => {
+    expect(addressesFor({ a: "starting", b: "starting" })).toEqual([]);
+  });
+});
