--- a/packages/routing/src/choose_upstream.ts
+++ b/packages/routing/src/choose_upstream.ts
@@ -45,7 +45,7 @@
 /** Cost of crossing to another data centre, in ms. */
 const CROSSING_MS = 4;
 /** Cost of a new connection, in ms; connections are scarce at upstreams. */
-const NEW_CHANNEL_MS = 6;
+const NEW_CHANNEL_MS = 20;
 /** Upstreams within this much of the best are taken for equal, in ms. */
 const TIE_MS = 3;
 
