--- a/packages/config_store/src/follow.ts
+++ b/packages/config_store/src/follow.ts
@@ -16,7 +16,7 @@
 }
 
 const RETRY_MS = 250;
-const MAX_RETRY_MS = 1_500;
+const MAX_RETRY_MS = 800;
 
 /** Reads a prefix and then watches it, across losses of the service. */
 export function follow(opts: FollowOptions): Subscription {
--- a/packages/config_store/src/memory_store.ts
+++ b/packages/config_store/src/memory_store.ts
@@ -32,6 +32,14 @@
     }
   }
 
+  /** Makes changes that no watch hears, and drops the history of them. */
+  compact(makeChanges: () => void): void {
+    const watches = [...this.#watches];
+    this.#watches.clear();
+    makeChanges();
+    for (const watch of watches) watch.handlers.onEnd("compacted");
+  }
+
   async get(key: string) {
     this.#check();
     return await Promise.resolve(this.#items.get(key));
--- a/packages/front/src/upstream_watch.ts
+++ b/packages/front/src/upstream_watch.ts
@@ -10,6 +10,8 @@
 import type { Protocol } from "./protocol.ts";
 
 const SWEEP_MS = 200;
+/** Removals seen this soon after an outage may be leases that ran out in it. */
+const LAPSE_WINDOW_MS = 2_500;
 
 /** Keeps the book of upstreams up to date with the platform's store. */
 export class UpstreamWatch {
@@ -21,6 +23,7 @@
   };
   #isReachable = false;
   #heardAt = 0;
+  #regainedAt = -Infinity;
 
   constructor(
     opts: {
@@ -55,7 +58,10 @@
         this.#heardAt = timer.steady();
         for (const event of events) this.#take(event);
       },
-      onReachable: (isReachable) => this.#isReachable = isReachable,
+      onReachable: (isReachable) => {
+        this.#isReachable = isReachable;
+        if (isReachable) this.#regainedAt = timer.steady();
+      },
     });
     timer.every(SWEEP_MS, () => {
       if (!this.#isReachable) return;
@@ -82,15 +88,18 @@
   }
 
   #take(event: StoreEvent): void {
-    const { protocol, book, log } = this.#opts;
+    const { protocol, book, log, timer } = this.#opts;
     if (event.kind === "put") {
       const entry = this.#read(event.item.key, event.item.value);
       if (entry) this.#put(entry);
       return;
     }
     const id = event.key.slice(protocol.upstreamPrefix.length);
-    log.info(`upstream ${id} is gone`);
-    book.remove(id);
+    const now = timer.steady();
+    const mayHaveLapsed = now - this.#regainedAt < LAPSE_WINDOW_MS;
+    log.info(`upstream ${id} is gone`, { event: "gone", mayHaveLapsed });
+    if (mayHaveLapsed) book.lapse(id, now);
+    else book.remove(id);
   }
 
   #put(entry: UpstreamEntry): void {
--- a/packages/routing/src/upstream_book.ts
+++ b/packages/routing/src/upstream_book.ts
@@ -80,6 +80,12 @@
     this.#onGone(id);
   }
 
+  /** Takes note that an entry may only have lapsed; it is used a little longer. */
+  lapse(id: string, now: number): void {
+    const known = this.#upstreams.get(id);
+    if (known) known.missingSince ??= now;
+  }
+
   /**
    * Takes all entries after the store was away. Missing ones are used a little
    * longer, as they may only have lapsed meanwhile.
--- a/packages/routing/test/upstream_book_test.ts
+++ b/packages/routing/test/upstream_book_test.ts
@@ -47,6 +47,17 @@
     expect(book.sweep(3_300)).toEqual(["u2"]);
   });
 
+  it("goes on using an upstream whose removal may be a lapse", () => {
+    const { book } = createBook();
+    book.put(createEntry("u1"));
+    book.put(createEntry("u2"));
+    book.lapse("u1", 1_000);
+    book.lapse("u2", 1_000);
+    expect(idsOf(book)).toEqual(["u1", "u2"]);
+    book.put(createEntry("u1"));
+    expect(book.sweep(3_500)).toEqual(["u2"]);
+  });
+
   it("keeps an upstream whose entry came back in time", () => {
     const { book } = createBook();
     book.put(createEntry("u1"));
