Views: a member that still copies denies only by the arithmetic of the view before

In a view of two each must have every record, so that one denial was proof; but a member that stayed goes on answering before it has copied, and had never been sent what the other two had kept. Ruled out: lost records (found on the other member 0.2 s later). Change: replies say whether the replica has copied. A denial, and a reading of spending, counts only if every quorum is met: by the current view's numbers for what was kept in it, and by a complete replica or enough members of the view before for what was kept then.

--- a/packages/turn_log/src/mod.ts
+++ b/packages/turn_log/src/mod.ts
@@ -9,7 +9,9 @@
   decideBudget,
   decideLookup,
   type LookupVerdict,
+  meetsAllQuorums,
   mergeSpending,
+  type Witness,
 } from "./quorum.ts";
 export {
   type Inventory,
--- a/packages/turn_log/src/quorum.ts
+++ b/packages/turn_log/src/quorum.ts
@@ -10,24 +10,50 @@
 /** Whether a turn may start within its program's budget. */
 export type BudgetVerdict = "granted" | "spent" | "unknown";
 
+/** A replica that replied. */
+export interface Witness {
+  /** Identity of the replica. */
+  member: string;
+  /** Whether it has copied all that its view asks of it. */
+  isComplete: boolean;
+}
+
 /**
  * Judges the replies to a look-up. One copy proves that the turn exists. It is
  * absent only when so many replicas have denied it that no quorum can have
- * kept it.
+ * kept it, in this view or in the one before.
  */
 export function decideLookup(
   view: View,
   key: string,
-  replies: { found: TurnRecord | undefined }[],
+  replies: (Witness & { found: TurnRecord | undefined })[],
 ): LookupVerdict {
   const found = replies.find((it) => it.found)?.found;
   if (found) return { kind: "found", turn: found };
+  return meetsAllQuorums(view, key, replies)
+    ? { kind: "absent" }
+    : { kind: "unknown" };
+}
+
+/**
+ * Whether at least one of these replicas has each record that a quorum kept.
+ * A replica that is not complete has only what it was sent itself, so what was
+ * kept in the view before asks for enough of that view's replicas.
+ */
+export function meetsAllQuorums(
+  view: View,
+  key: string,
+  witnesses: Witness[],
+): boolean {
   const replicas = replicasOf(view, key).length;
-  const denied = replies.length;
-  if (denied > 0 && denied > replicas - quorumOf(view)) {
-    return { kind: "absent" };
-  }
-  return { kind: "unknown" };
+  const meetsCurrent = witnesses.length > replicas - quorumOf(view);
+  if (!meetsCurrent) return false;
+  if (view.former.length === 0) return true;
+  if (witnesses.some((it) => it.isComplete)) return true;
+  const before: View = { ...view, members: view.former };
+  const formerIds = new Set(replicasOf(before, key).map((it) => it.id));
+  const heard = witnesses.filter((it) => formerIds.has(it.member)).length;
+  return heard > formerIds.size - quorumOf(before);
 }
 
 /** Union of what replicas hold; a settled turn stays settled. */
@@ -54,15 +80,18 @@
     turn: string;
     reserve: number;
     budget: number;
-    replies: Spending[];
+    replies: (Witness & { spending: Spending })[];
   },
 ): BudgetVerdict {
-  const replicas = replicasOf(opts.view, opts.program).length;
-  const isKept = opts.replies.length >= quorumOf(opts.view);
-  const intersects = 2 * opts.replies.length > replicas;
-  if (!isKept || !intersects) return "unknown";
+  const { view, program, replies } = opts;
+  const isKept = replies.length >= quorumOf(view);
+  if (!isKept || !meetsAllQuorums(view, program, replies)) return "unknown";
   let spent = 0;
-  for (const [turn, it] of Object.entries(mergeSpending(opts.replies))) {
+  for (
+    const [turn, it] of Object.entries(
+      mergeSpending(replies.map((it) => it.spending)),
+    )
+  ) {
     if (turn !== opts.turn) spent += it.settled ?? it.reserved;
   }
   return spent + opts.reserve <= opts.budget ? "granted" : "spent";
--- a/packages/turn_log/test/quorum_test.ts
+++ b/packages/turn_log/test/quorum_test.ts
@@ -9,24 +9,37 @@
   replicasOf,
   type Spending,
 } from "../src/mod.ts";
-import { createSpend, createTurn, createView } from "./fixtures.ts";
+import { createHost, createSpend, createTurn, createView } from "./fixtures.ts";
 
 describe("looking a turn up", () => {
   const view = createView();
 
   it("trusts one copy", () => {
     const turn = createTurn("t1");
-    const verdict = decideLookup(view, "t1", [{ found: undefined }, {
-      found: turn,
-    }]);
+    const verdict = decideLookup(view, "t1", [
+      createDenial("a"),
+      { ...createDenial("b"), found: turn },
+    ]);
     expect(verdict).toEqual({ kind: "found", turn });
   });
 
   it("denies a turn only when no quorum can have kept it", () => {
-    const none = { found: undefined };
+    const [a, b] = [createDenial("a"), createDenial("b")];
     expect(decideLookup(view, "t1", []).kind).toEqual("unknown");
-    expect(decideLookup(view, "t1", [none]).kind).toEqual("unknown");
-    expect(decideLookup(view, "t1", [none, none]).kind).toEqual("absent");
+    expect(decideLookup(view, "t1", [a]).kind).toEqual("unknown");
+    expect(decideLookup(view, "t1", [a, b]).kind).toEqual("absent");
+  });
+
+  it("does not trust one member of a small view that still copies", () => {
+    const small = createView({
+      number: 2,
+      ids: ["a", "b"],
+      former: ["a", "b", "c"].map(createHost),
+    });
+    const copying = createDenial("b", false);
+    expect(decideLookup(small, "t1", [copying]).kind).toEqual("unknown");
+    expect(decideLookup(small, "t1", [createDenial("b")]).kind)
+      .toEqual("absent");
   });
 
   it("never denies a kept turn, whichever replicas answer", () => {
@@ -44,6 +57,7 @@
         const replies = replicas
           .filter(() => coins.next().value)
           .map((it) => ({
+            ...createDenial(it.id),
             found: keepers.has(it.id) ? createTurn(key) : undefined,
           }));
         expect(decideLookup(wide, key, replies).kind === "absent")
@@ -51,14 +65,61 @@
       },
     ));
   });
+
+  it("never denies what a quorum of the view before kept", () => {
+    const members = fc.subarray(["a", "b", "c", "d", "e"], { minLength: 2 });
+    fc.assert(fc.property(
+      members,
+      members,
+      fc.string({ minLength: 1 }),
+      fc.infiniteStream(fc.nat(3)),
+      (before, after, key, draws) => {
+        const former = createView({ ids: before });
+        const view = createView({
+          number: 2,
+          ids: after,
+          former: before.map(createHost),
+        });
+        const kept = replicasOf(former, key).map((it) => it.id);
+        const first = (draws.next().value as number) % kept.length;
+        const second = (first + 1) % kept.length;
+        const keepers = new Set([kept[first], kept[second]]);
+        const replies = replicasOf(view, key).flatMap(({ id }) => {
+          const draw = draws.next().value as number;
+          const isComplete = draw === 0;
+          // A member that has not copied answers only for what it kept before.
+          const mayAnswer = isComplete || (draw < 3 && kept.includes(id));
+          if (!mayAnswer) return [];
+          const hasIt = isComplete || keepers.has(id);
+          const found = hasIt ? createTurn(key) : undefined;
+          return [{ ...createDenial(id, isComplete), found }];
+        });
+        expect(decideLookup(view, key, replies).kind === "absent")
+          .toEqual(false);
+      },
+    ));
+  });
 });
 
+function createDenial(member: string, isComplete = true) {
+  return { member, isComplete, found: undefined };
+}
+
+/** Replies of different replicas to the question what a program has spent. */
+function createReplies(parts: Spending[]) {
+  return parts.map((spending, i) => ({
+    member: "abc"[i] ?? "",
+    isComplete: true,
+    spending,
+  }));
+}
+
 describe("a program's budget", () => {
   it("counts a turn that never settled at its most", () => {
-    const replies: Spending[] = [
+    const replies = createReplies([
       { t1: { reserved: 60 }, t2: { reserved: 50 } },
       { t2: { reserved: 50 } },
-    ];
+    ]);
     const opts = {
       view: createView(),
       program: "p",
@@ -77,7 +138,7 @@
       turn: "t1",
       reserve: 1,
       budget: 100,
-      replies: [{}],
+      replies: createReplies([{}]),
     });
     expect(verdict).toEqual("unknown");
   });
@@ -158,7 +219,7 @@
       turn: `t${i}`,
       reserve: turn.tokens,
       budget,
-      replies: replies[i]!,
+      replies: createReplies(replies[i]!),
     }) === "granted"
   );
   return granted.reduce((sum, it) => sum + it.tokens, 0);
--- a/packages/turn_store/src/client.ts
+++ b/packages/turn_store/src/client.ts
@@ -10,8 +10,8 @@
   quorumOf,
   type ReplicaHost,
   replicasOf,
-  type Spending,
   type View,
+  type Witness,
 } from "@toucantrestle/turn_log";
 import type {
   NewTurn,
@@ -50,10 +50,9 @@
 ) => Promise<StoreMethods[K]["result"]>;
 
 /** Reply of a replica that served the request. */
-type Served<K extends RecordMethod> = Extract<
-  StoreMethods[K]["result"],
-  { status: "ok" }
->;
+type Served<K extends RecordMethod> =
+  & Extract<StoreMethods[K]["result"], { status: "ok" }>
+  & Witness;
 
 type StoreLink = LinkClient<StoreMethods, StoreNotices>;
 
@@ -151,7 +150,7 @@
       turn,
       reserve: tokens,
       budget,
-      replies: replies.map((it): Spending => it.spending),
+      replies,
     });
     return { verdict, hints: replies.flatMap((it) => it.hints) };
   }
@@ -197,7 +196,7 @@
 
   async #findOnce(view: View, id: string): Promise<LookupVerdict> {
     const decide = (replies: Served<"find">[]) =>
-      decideLookup(view, id, replies.map((it) => ({ found: it.turn })));
+      decideLookup(view, id, replies.map((it) => ({ ...it, found: it.turn })));
     const replies = await this.#askSome({
       view,
       key: id,
@@ -336,7 +335,9 @@
   ): Promise<Served<K> | undefined> {
     try {
       const reply = await this.#request(member, name, args);
-      if (reply.status === "ok") return reply as Served<K>;
+      if (reply.status === "ok") {
+        return { ...reply, member: member.id } as Served<K>;
+      }
       this.#handleRefusal(view, member, reply as Refusal);
     } catch (err) {
       this.#opts.log.debug(`turn store ${member.host}: ${String(err)}`);
--- a/packages/turn_store/src/messages.ts
+++ b/packages/turn_store/src/messages.ts
@@ -17,7 +17,13 @@
   | { status: "copying" };
 
 /** Reply of a replica. */
-export type Reply<T> = Refusal | ({ status: "ok" } & T);
+export type Reply<T> =
+  | Refusal
+  | ({
+    status: "ok";
+    /** Whether the replica has copied all that its view asks of it. */
+    isComplete: boolean;
+  } & T);
 
 /** A turn without its expiry, which the replica sets by its own clock. */
 export type NewTurn = Omit<TurnRecord, "kind" | "expiresAt">;
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -185,7 +185,7 @@
     if (!view || viewNumber > view.number) return { status: "behind" };
     if (viewNumber < view.number) return { status: "moved", view };
     if (!this.#replica.canServe(key)) return { status: "copying" };
-    return { status: "ok", ...fn() };
+    return { status: "ok", isComplete: this.#replica.isComplete, ...fn() };
   }
 
   async #reserve(
@@ -242,6 +242,7 @@
     if (!this.#keeper.mayHandOut) return { status: "copying" };
     return {
       status: "ok",
+      isComplete: this.#replica.isComplete,
       inventory: this.#replica.inventoryFor(view, member),
     };
   }
