--- a/packages/front/src/upstream_watch.ts
+++ b/packages/front/src/upstream_watch.ts
@@ -11,7 +11,9 @@
 
 const SWEEP_MS = 200;
 /** Removals seen this soon after an outage may be leases that ran out in it. */
-const LAPSE_WINDOW_MS = 2_500;
+const LAPSE_WINDOW_MS = 2_000;
+/** No lease runs out in an outage that is shorter. */
+const MIN_OUTAGE_MS = 2_000;
 
 /** Keeps the book of upstreams up to date with the platform's store. */
 export class UpstreamWatch {
@@ -23,6 +25,8 @@
   };
   #isReachable = false;
   #heardAt = 0;
+  /** When the store was lost, and when an outage worth the name has ended. */
+  #lostAt: number | undefined;
   #regainedAt = -Infinity;
 
   constructor(
@@ -60,7 +64,7 @@
       },
       onReachable: (isReachable) => {
         this.#isReachable = isReachable;
-        if (isReachable) this.#regainedAt = timer.steady();
+        this.#noteOutage(isReachable);
       },
     });
     timer.every(SWEEP_MS, () => {
@@ -77,6 +81,18 @@
     for (const entry of entries) this.#put(entry);
   }
 
+  #noteOutage(isReachable: boolean): void {
+    const now = this.#opts.timer.steady();
+    if (!isReachable) {
+      this.#lostAt ??= now;
+      return;
+    }
+    const wasLong = this.#lostAt !== undefined &&
+      now - this.#lostAt > MIN_OUTAGE_MS;
+    if (wasLong) this.#regainedAt = now;
+    this.#lostAt = undefined;
+  }
+
   #takeAll(items: Versioned[]): void {
     const entries = items
       .map((it) => this.#read(it.key, it.value))
@@ -98,7 +114,8 @@
     const now = timer.steady();
     const mayHaveLapsed = now - this.#regainedAt < LAPSE_WINDOW_MS;
     log.info(`upstream ${id} is gone`, { event: "gone", mayHaveLapsed });
-    if (mayHaveLapsed) book.lapse(id, now);
+    // What is not back soon after the end of the outage is gone.
+    if (mayHaveLapsed) book.lapse(id, this.#regainedAt);
     else book.remove(id);
   }
 
--- a/packages/front/test/upstream_watch_test.ts
+++ b/packages/front/test/upstream_watch_test.ts
@@ -56,15 +56,30 @@
 describe("the list of upstreams", () => {
   it("keeps what lapsed in an outage until it had time to come back", async () => {
     store.cut();
-    await pause(20);
+    await pause(2_300);
     store.isAway = false;
-    await pause(800);
+    await pause(1_000);
     store.put("upstreams/u3", createEntry("u3"));
     store.delete("upstreams/u1");
     store.delete("upstreams/u2");
     expect(ids()).toEqual(["u1", "u2", "u3"]);
     store.put("upstreams/u2", createEntry("u2"));
-    await pause(2_600);
+    await pause(2_400);
+    expect(ids()).toEqual(["u2", "u3"]);
+  });
+
+  it("drops what leaves while the store answers, also right after the start", () => {
+    store.delete("upstreams/u1");
+    expect(ids()).toEqual(["u2"]);
+  });
+
+  it("drops what leaves right after a short loss of the store", async () => {
+    store.cut();
+    await pause(20);
+    store.isAway = false;
+    await pause(800);
+    store.put("upstreams/u3", createEntry("u3"));
+    store.delete("upstreams/u1");
     expect(ids()).toEqual(["u2", "u3"]);
   });
 });
