--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -2,14 +2,11 @@
 import type { Fleet } from "@toucantrestle/fleet";
 import type { LoggerFactory } from "@toucantrestle/log";
 import type { Metrics } from "@toucantrestle/metrics";
-import { hash64 } from "@toucantrestle/membership";
 import {
   type ChooserName,
   CrashList,
-  findRoute,
   PrefixCache,
   type RoutingConfig,
-  serviceFor,
   UpstreamBook,
 } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
@@ -20,16 +17,16 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { refuse, sendText } from "./answers.ts";
+import { sendText } from "./answers.ts";
 import type { Call } from "./call.ts";
 import { ConfigWatch } from "./config_watch.ts";
 import { directoryAnswer } from "./directory.ts";
 import type { Digest, FrontState, Protocol } from "./protocol.ts";
-import { readBody } from "./read_body.ts";
+import { listen, MAX_HEAD_BYTES, sleepMs } from "./listening.ts";
+import { readCall } from "./read_call.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServeOptions } from "./serve_options.ts";
 import { Siblings } from "./siblings.ts";
-import { CallTrail } from "./trail.ts";
 import { UpstreamPools } from "./upstream_pools.ts";
 import { UpstreamWatch } from "./upstream_watch.ts";
 
@@ -56,8 +53,6 @@
   metrics: Metrics;
 }
 
-/** Largest head of a request that is read at all, in bytes. */
-const MAX_HEAD_BYTES = 65_536;
 const CHECK_CONNECTIONS_MS = 500;
 /** Kept connections outlive the announced idle time by this much. */
 const IDLE_SLACK_MS = 1_000;
@@ -143,9 +138,9 @@
       digest: () => this.#digest(),
       onDigest: (digest) => this.#takeDigest(digest),
       forward: ({ memberId, name, args }) =>
-        this.#turns.forward(memberId, name, args as never),
+        this.#turns.links.forward(memberId, name, args as never),
       forwardSettle: ({ memberId, notice }) => {
-        this.#turns.forwardSettle(memberId, notice);
+        this.#turns.links.forwardSettle(memberId, notice);
       },
       upstreams: () => this.#book.all().map((it) => it.entry),
       onUpstreams: (entries) => this.#upstreams.takeFromSibling(entries),
@@ -281,8 +276,12 @@
   async #onCall(req: IncomingMessage, res: ServerResponse): Promise<void> {
     if (this.#isStopping) res.setHeader("connection", "close");
     try {
-      const call = await this.#readCall(req, res);
-      if (!call) return;
+      const call = await readCall(req, res, {
+        ...this.#opts,
+        config: this.#configs.config,
+        log: this.#opts.loggers("call"),
+      });
+      if (!call || res.closed) return;
       this.#calls.add(call);
       res.on("close", () => this.#onClose(call));
       await serveCall(call, this.#serve);
@@ -305,61 +304,6 @@
     call.onAbandon?.();
   }
 
-  /** Reads a request; answers it and returns nothing where it cannot be served. */
-  async #readCall(
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<Call | undefined> {
-    const arrivedAt = this.#opts.timer.steady();
-    const config = this.#configs.config;
-    const limit = config?.limits.bodyBytes ?? MAX_HEAD_BYTES;
-    const read = await readBody(req, limit);
-    if (read.kind === "cut") return undefined;
-    if (read.kind === "too_large") {
-      res.setHeader("connection", "close");
-      sendText(res, 413, "the body is too large");
-      return undefined;
-    }
-    if (!config) {
-      refuse(res, "no_config");
-      return undefined;
-    }
-    const path = req.url ?? "/";
-    const route = findRoute(config, req.headers.host ?? "", path);
-    const service = route && serviceFor(route, Math.random());
-    if (!route || !service) {
-      sendText(res, 404, "no route matches");
-      return undefined;
-    }
-    const head = this.#opts.protocol.readHead(req.headers);
-    if (!head) {
-      sendText(res, 400, "the request has no id");
-      return undefined;
-    }
-    const timeMs = Math.min(head.timeLeftMs ?? Infinity, route.timeoutMs);
-    return {
-      req,
-      res,
-      head,
-      body: read.body,
-      route,
-      service,
-      config,
-      arrivedAt,
-      deadlineAt: arrivedAt + timeMs,
-      fingerprint: fingerprintOf(req, read.body, head.previousTurn),
-      trail: new CallTrail({
-        head,
-        route,
-        log: this.#opts.loggers("call"),
-        metrics: this.#opts.metrics,
-        timer: this.#opts.timer,
-      }),
-      isAbandoned: false,
-      onAbandon: undefined,
-    };
-  }
-
   #digest(): Digest {
     const loads: Digest["loads"] = {};
     for (const { entry, own } of this.#book.all()) {
@@ -386,28 +330,3 @@
     }
   }
 }
-
-/** Two requests with the same method, path, body and history are the same. */
-function fingerprintOf(
-  req: IncomingMessage,
-  body: Buffer,
-  previousTurn: string | undefined,
-): string {
-  const text = `${req.method} ${req.url} ${previousTurn ?? ""} ` +
-    body.toString("latin1");
-  return hash64(text).toString(36);
-}
-
-function listen(server: Server, address: string): Promise<void> {
-  const url = new URL(`tcp://${address}`);
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(Number(url.port), url.hostname, resolve);
-  });
-}
-
-function sleepMs(timer: Timer, ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    timer.after(ms, resolve);
-  });
-}
--- /dev/null
+++ b/packages/front/src/read_call.ts
@@ -0,0 +1,93 @@
+import type { Logger } from "@toucantrestle/log";
+import { hash64 } from "@toucantrestle/membership";
+import type { Metrics } from "@toucantrestle/metrics";
+import {
+  findRoute,
+  type RoutingConfig,
+  serviceFor,
+} from "@toucantrestle/routing";
+import type { Timer } from "@toucantrestle/timer";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { refuse, sendText } from "./answers.ts";
+import type { Call } from "./call.ts";
+import { MAX_HEAD_BYTES } from "./listening.ts";
+import type { Protocol } from "./protocol.ts";
+import { readBody } from "./read_body.ts";
+import { CallTrail } from "./trail.ts";
+
+/** What reading a request needs. */
+export interface ReadCallOptions {
+  /** Configuration in force; undefined before the first. */
+  config: RoutingConfig | undefined;
+  protocol: Protocol;
+  log: Logger;
+  metrics: Metrics;
+  timer: Timer;
+}
+
+/** Reads a request; answers it and returns nothing where it cannot be served. */
+export async function readCall(
+  req: IncomingMessage,
+  res: ServerResponse,
+  opts: ReadCallOptions,
+): Promise<Call | undefined> {
+  const arrivedAt = opts.timer.steady();
+  const { config } = opts;
+  const limit = config?.limits.bodyBytes ?? MAX_HEAD_BYTES;
+  const read = await readBody(req, limit);
+  if (read.kind === "cut") return undefined;
+  if (read.kind === "too_large") {
+    res.setHeader("connection", "close");
+    sendText(res, 413, "the body is too large");
+    return undefined;
+  }
+  if (!config) {
+    refuse(res, "no_config");
+    return undefined;
+  }
+  const path = req.url ?? "/";
+  const route = findRoute(config, req.headers.host ?? "", path);
+  const service = route && serviceFor(route, Math.random());
+  if (!route || !service) {
+    sendText(res, 404, "no route matches");
+    return undefined;
+  }
+  const head = opts.protocol.readHead(req.headers);
+  if (!head) {
+    sendText(res, 400, "the request has no id");
+    return undefined;
+  }
+  const timeMs = Math.min(head.timeLeftMs ?? Infinity, route.timeoutMs);
+  return {
+    req,
+    res,
+    head,
+    body: read.body,
+    route,
+    service,
+    config,
+    arrivedAt,
+    deadlineAt: arrivedAt + timeMs,
+    fingerprint: fingerprintOf(req, read.body, head.previousTurn),
+    trail: new CallTrail({
+      head,
+      route,
+      log: opts.log,
+      metrics: opts.metrics,
+      timer: opts.timer,
+    }),
+    isAbandoned: false,
+    onAbandon: undefined,
+  };
+}
+
+/** Two requests with the same method, path, body and history are the same. */
+function fingerprintOf(
+  req: IncomingMessage,
+  body: Buffer,
+  previousTurn: string | undefined,
+): string {
+  const text = `${req.method} ${req.url} ${previousTurn ?? ""} ` +
+    body.toString("latin1");
+  return hash64(text).toString(36);
+}
--- a/packages/turn_store/src/mod.ts
+++ b/packages/turn_store/src/mod.ts
@@ -4,11 +4,10 @@
  * @module
  */
 export {
-  type RecordMethod,
-  type Relay,
   type Reservation,
   TurnStoreClient,
   type TurnStoreClientOptions,
 } from "./client.ts";
+export type { RecordMethod, Relay } from "./replica_links.ts";
 export type { SettleNotice, StoreMethods, StoreNotices } from "./messages.ts";
 export { TurnStoreServer, type TurnStoreServerOptions } from "./server.ts";
