--- a/packages/front/test/world.ts
+++ b/packages/front/test/world.ts
@@ -250,7 +250,7 @@
   prefix: "/plain/",
   kind: "idempotent",
   timeoutMs: 2_000,
-  targetLatencyMs: 100,
+  onTimeMs: 100,
   rank: 0,
   services: [{ service: "s", weight: 1 }],
   maxRuns: 2,
--- a/packages/routing/src/config.ts
+++ b/packages/routing/src/config.ts
@@ -10,7 +10,7 @@
   /** Longest time that a request may take, in ms. */
   timeoutMs: number;
   /** Time within which an answer is on time, in ms. */
-  targetLatencyMs: number;
+  onTimeMs: number;
   /** Rank of the route; 0 is the most urgent. */
   rank: number;
   /** Services by share of the requests. */
--- a/packages/routing/test/fixtures.ts
+++ b/packages/routing/test/fixtures.ts
@@ -7,7 +7,7 @@
     prefix: "/",
     kind: "idempotent",
     timeoutMs: 1_000,
-    targetLatencyMs: 100,
+    onTimeMs: 100,
     rank: 0,
     services: [{ service: "s", weight: 1 }],
     maxRuns: 1,
