Harness: a killed process does not count as running

The exit of a killed process shows later under load, so the killed one was asked and cut the connection. Ruled out: a kept connection closed for idleness (the server keeps it for 60 s). Change: SIGKILL takes a process out at once. Test: scenarios/test/process_test.ts, red before.

--- a/stand_ins/src/harness/process.ts
+++ b/stand_ins/src/harness/process.ts
@@ -60,7 +60,10 @@
       return isRunning;
     },
     signal: (signal) => {
-      if (isRunning) child.kill(signal);
+      if (!isRunning) return;
+      child.kill(signal);
+      // Nobody may be sent to it any more, though its exit shows later.
+      if (signal === "SIGKILL") isRunning = false;
     },
     exited,
   };
