Limits: a late grant is told by the number of its ask

Ruled out: the load; the case is one of order and replays without it. Change: asks are numbered; an answer counts only for the last one. Test: the case of its own, beside the property.

--- a/packages/daemon/src/caller_limits.ts
+++ b/packages/daemon/src/caller_limits.ts
@@ -118,9 +118,9 @@
     const askedAt = this.#timer.now();
     this.#askedAt = askedAt;
     const demands = this.#demands();
-    this.#holder.ask(askedAt);
+    const ask = this.#holder.ask(askedAt);
     try {
-      this.#holder.take(await this.#request(demands), askedAt);
+      this.#holder.take(await this.#request(demands), ask);
       this.#onGranted();
     } catch {
       // The holder falls back to an even share by itself.
--- a/packages/policy/src/shares.ts
+++ b/packages/policy/src/shares.ts
@@ -108,20 +108,25 @@
 export class ShareHolder {
   #grants = new Map<string, number>();
   #askedAt: number | undefined;
+  /** Counts what was asked; two asks may fall into the same millisecond. */
+  #lastAsk = 0;
   #isAnswered = false;
 
   /**
    * Notes that grants are asked for. Until the answer comes no more than the
    * kept part is used, since the rest may be granted to others meanwhile.
+   * Returns the number of the ask, which its answer is taken with.
    */
-  ask(now: number): void {
+  ask(now: number): number {
     this.#askedAt = now;
+    this.#lastAsk += 1;
     this.#isAnswered = false;
+    return this.#lastAsk;
   }
 
-  /** Takes the answer to what was asked for at `askedAt`. */
-  take(grants: Grant[], askedAt: number): void {
-    if (askedAt !== this.#askedAt) return;
+  /** Takes the answer to an ask; one to an earlier ask is ignored. */
+  take(grants: Grant[], ask: number): void {
+    if (ask !== this.#lastAsk) return;
     this.#isAnswered = true;
     this.#grants = new Map(grants.map((it) => [it.caller, it.fraction]));
   }
--- a/packages/policy/test/shares_test.ts
+++ b/packages/policy/test/shares_test.ts
@@ -13,24 +13,24 @@
   limit = 100;
   ledger = new ShareLedger(0);
   readonly holders = new Map(HOSTS.map((it) => [it, new ShareHolder()]));
-  #late: { host: string; grants: Grant[]; askedAt: number }[] = [];
+  #late: { host: string; grants: Grant[]; ask: number }[] = [];
 
   ask(host: string, calls: number, fate: "ok" | "lost" | "late"): void {
     const demands = calls === 0
       ? []
       : [{ caller: CALLER, calls, used: 0, limit: this.limit }];
     const opts = { now: this.now, hosts: HOSTS };
-    this.holders.get(host)?.ask(this.now);
+    const number = this.holders.get(host)?.ask(this.now) ?? 0;
     const grants = this.ledger.report(host, demands, opts);
-    if (fate === "ok") this.holders.get(host)?.take(grants, this.now);
+    if (fate === "ok") this.holders.get(host)?.take(grants, number);
     if (fate === "late") {
-      this.#late.push({ host, grants, askedAt: this.now });
+      this.#late.push({ host, grants, ask: number });
     }
   }
 
   deliverLate(): void {
     const late = this.#late.shift();
-    if (late) this.holders.get(late.host)?.take(late.grants, late.askedAt);
+    if (late) this.holders.get(late.host)?.take(late.grants, late.ask);
   }
 
   sum(): number {
@@ -90,6 +90,16 @@
     );
   });
 
+  it("ignore a late grant though both asks fell into one millisecond", () => {
+    const model = new ShareModel();
+    model.limit = 5;
+    model.ask("a", 1, "late");
+    model.ask("a", 0, "ok");
+    model.ask("b", 1, "ok");
+    model.deliverLate();
+    expect(model.sum() <= 1 + TOLERANCE).toEqual(true);
+  });
+
   it("move to the host that has the demand", () => {
     const model = new ShareModel();
     for (let round = 0; round < 3; round++) {
