Link: dial every 100 ms while the other process is likely to restart

Change: pauses of 100 ms for the first 5 s without the other process, 600 ms afterwards; a handshake is given up after 500 ms.

--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -2,6 +2,7 @@
 import type { Subscription, Timer } from "@toucantrestle/timer";
 import { WebSocket } from "ws";
 import { LinkError } from "./errors.ts";
+import { redialPauseMs } from "./redial.ts";
 import type { LinkMessage, MethodTable, NoticeTable } from "./messages.ts";
 import { readMessage, sendMessage } from "./socket.ts";
 
@@ -26,9 +27,7 @@
 const PING_MS = 500;
 /** A link is given up when nothing has arrived for this long. */
 const SILENCE_MS = 1_300;
-const REDIAL_MS = 150;
-const MAX_REDIAL_MS = 600;
-const HANDSHAKE_TIMEOUT_MS = 1_000;
+const HANDSHAKE_TIMEOUT_MS = 500;
 
 /** One link that is dialled again whenever it is lost. */
 export class LinkClient<M extends MethodTable, N extends NoticeTable> {
@@ -39,11 +38,13 @@
   #isClosed = false;
   #heardAt = 0;
   #nextId = 1;
-  #redialMs = REDIAL_MS;
+  /** When it was first dialled in vain since it was last open. */
+  #downSince: number;
   #ping: Subscription | undefined;
 
   constructor(opts: LinkClientOptions) {
     this.#opts = opts;
+    this.#downSince = opts.timer.steady();
     this.#dial();
   }
 
@@ -113,7 +114,6 @@
 
   #onOpen(socket: WebSocket): void {
     this.#isOpen = true;
-    this.#redialMs = REDIAL_MS;
     this.#heardAt = this.#opts.timer.steady();
     sendMessage(socket, { t: "hello", host: this.#opts.self });
     this.#ping = this.#opts.timer.every(PING_MS, () => this.#checkSilence());
@@ -126,9 +126,13 @@
     this.#ping?.cancel();
     this.#failPending();
     if (this.#isClosed) return;
-    if (wasOpen) this.#opts.onLost?.();
-    this.#opts.timer.after(this.#redialMs, () => this.#dial());
-    this.#redialMs = Math.min(MAX_REDIAL_MS, this.#redialMs * 2);
+    const now = this.#opts.timer.steady();
+    if (wasOpen) {
+      this.#downSince = now;
+      this.#opts.onLost?.();
+    }
+    const pauseMs = redialPauseMs(now - this.#downSince);
+    this.#opts.timer.after(pauseMs, () => this.#dial());
   }
 
   #checkSilence(): void {
