Settings: take zod as a namespace, so that unused parts leave the bundle

Cause: a process of the platform spends some 150 ms of processor time on loading its program (0.25 s at its share of a core), before it serves again after a loss of power. 752 kB of the 2.99 MB are zod with all its languages, since the object z keeps everything in. Ruled out: smaller white space and names (10 ms, at the price of unreadable traces); one script with a code cache (needs a sync hash first). Change: import the namespace.

--- a/demo/src/workload.ts
+++ b/demo/src/workload.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from "node:fs";
 import { parse } from "yaml";
-import { z } from "zod";
+import * as z from "zod";
 
 const chatSchema = z.strictObject({
   chat: z.string(),
--- a/packages/caller/src/parse_call.ts
+++ b/packages/caller/src/parse_call.ts
@@ -3,7 +3,7 @@
 import { shardOfProgram } from "@toucantrestle/membership";
 import { BadRequestError, NotFoundError } from "@toucantrestle/verdict";
 import { createHash, randomUUID } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 
 const messageSchema = z.object({
   role: z.enum(["system", "user", "assistant", "tool"]),
--- a/packages/caller/src/routes.ts
+++ b/packages/caller/src/routes.ts
@@ -2,7 +2,7 @@
 import type { AnswerSink, CallerRequest } from "@toucantrestle/sibling";
 import { BadRequestError } from "@toucantrestle/verdict";
 import { randomUUID } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import { createHttpSink } from "./http_sink.ts";
 import {
   checkProgramId,
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -1,6 +1,6 @@
 import { DEFAULT_TAIL_COPIES } from "@toucantrestle/membership";
 import { readSettingsOrExit, type SettingDefs } from "@toucantrestle/settings";
-import { z } from "zod";
+import * as z from "zod";
 
 const address = z.string().regex(/^[\w.:[\]-]+:\d{1,5}$/, "must be host:port");
 const url = z.string().regex(/^https?:\/\//, "must be an http or https URL");
--- a/packages/engine/src/engine_client.ts
+++ b/packages/engine/src/engine_client.ts
@@ -8,7 +8,7 @@
   type Verdict,
 } from "@toucantrestle/verdict";
 import { Pool } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import type {
   CompletionCall,
   CompletionDelta,
--- a/packages/fleet/src/host_entry.ts
+++ b/packages/fleet/src/host_entry.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { ReplicaHost, View } from "@toucantrestle/turn_log";
 
 /** What a host does. */
--- a/packages/host_list/src/mod.ts
+++ b/packages/host_list/src/mod.ts
@@ -5,7 +5,7 @@
  */
 import { UnavailableError } from "@toucantrestle/verdict";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 
 const entrySchema = z.object({
   /** Name of the host. */
--- a/packages/operator/src/routes.ts
+++ b/packages/operator/src/routes.ts
@@ -1,7 +1,7 @@
 import type { HttpContext, HttpRoute } from "@toucantrestle/http";
 import { COLUMNS, type Edit, tableWarnings } from "@toucantrestle/table";
 import { randomUUID } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import type { OperatorHandlers } from "./api.ts";
 
 const cellSchema = z.union([
--- a/packages/settings/test/settings_test.ts
+++ b/packages/settings/test/settings_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { z } from "zod";
+import * as z from "zod";
 import { readSettings } from "../src/mod.ts";
 
 function read(argv: string[], env: Record<string, string> = {}) {
--- a/packages/table/src/cell.ts
+++ b/packages/table/src/cell.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Value of a cell. */
 export type CellValue = number | string | boolean | string[];
--- a/stand_ins/src/config_store/main.ts
+++ b/stand_ins/src/config_store/main.ts
@@ -7,7 +7,7 @@
 import { readSettingsOrExit } from "@toucantrestle/settings";
 import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import {
   type AppHandler,
   type AppRequest,
--- a/stand_ins/src/engine/completion_server.ts
+++ b/stand_ins/src/engine/completion_server.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import { type AppRequest, sendJson } from "../http/app.ts";
 import type { EngineModel, RunningJob } from "./engine_model.ts";
 import type { EngineSettings } from "./settings.ts";
--- a/stand_ins/src/engine/control_server.ts
+++ b/stand_ins/src/engine/control_server.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { type AppRequest, type AppRoutes, sendJson } from "../http/app.ts";
 import type { EngineLoad, EngineModel } from "./engine_model.ts";
 import type { CacheChange } from "./prefix_cache.ts";
--- a/stand_ins/src/engine/main.ts
+++ b/stand_ins/src/engine/main.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import process from "node:process";
-import { z } from "zod";
+import * as z from "zod";
 import { createApp } from "../http/app.ts";
 import { serve } from "../http/serve.ts";
 import { CompletionServer } from "./completion_server.ts";
--- a/stand_ins/src/engine/settings.ts
+++ b/stand_ins/src/engine/settings.ts
@@ -1,5 +1,5 @@
 import { readSettingsOrExit } from "@toucantrestle/settings";
-import { z } from "zod";
+import * as z from "zod";
 import { DEFAULT_ENGINE_PARAMS } from "./engine_model.ts";
 
 const schema = z.object({
--- a/stand_ins/src/host_list/main.ts
+++ b/stand_ins/src/host_list/main.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { readSettingsOrExit } from "@toucantrestle/settings";
-import { z } from "zod";
+import * as z from "zod";
 import { createApp } from "../http/app.ts";
 import { serve } from "../http/serve.ts";
 
--- a/stand_ins/src/http/serve.ts
+++ b/stand_ins/src/http/serve.ts
@@ -1,6 +1,6 @@
 import type { Server } from "node:http";
 import process from "node:process";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Settings that every stand-in takes. */
 export const listenSchema = z.object({
--- a/stand_ins/src/weight_store/main.ts
+++ b/stand_ins/src/weight_store/main.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { readSettingsOrExit } from "@toucantrestle/settings";
-import { z } from "zod";
+import * as z from "zod";
 import { createApp, sendJson } from "../http/app.ts";
 import { RateLimit } from "../http/rate_limit.ts";
 import { serve } from "../http/serve.ts";
