Turn stores decode records of a restart only when they are asked for

Callers were refused all the while. Ruled out: checksums; fewer bytes by keeping only what a turn added (chains would need their predecessors' records to live as long; left for later). Change: frames carry key and expiry before the record, so that a restart only checks them; the record is decoded when its key is asked for, the rest a little at a time from 3 s on. The next segment is read while one is checked, each in one call.

--- a/packages/turn_journal/src/journal.ts
+++ b/packages/turn_journal/src/journal.ts
@@ -1,7 +1,12 @@
 import type { Logger } from "@toucantrestle/log";
-import { type FileHandle, open, readdir, readFile, rm } from "node:fs/promises";
+import { type FileHandle, open, readdir, rm } from "node:fs/promises";
 import { join } from "node:path";
-import { decodeFrames, encodeFrame } from "./frame.ts";
+import {
+  decodeFrames,
+  encodeFrame,
+  type Frame,
+  type FrameLabel,
+} from "./frame.ts";
 
 /** Settings of a journal. */
 export interface JournalOptions<R> {
@@ -9,8 +14,8 @@
   folder: string;
   /** Bytes that all segments together may take. */
   maxBytes: number;
-  /** Wall-clock time in ms after which a record may be dropped. */
-  expiryOf: (record: R) => number;
+  /** What a record is found by, and when it may be dropped. */
+  labelOf: (record: R) => FrameLabel;
   log: Logger;
 }
 
@@ -60,10 +65,17 @@
     return this.#syncs;
   }
 
-  /** Reads all segments, oldest first, and starts a new one. */
-  async load(onRecord: (record: R) => void): Promise<void> {
-    for (const number of await this.#listNumbers()) {
-      await this.#loadSegment(number, onRecord);
+  /**
+   * Reads all segments, oldest first, and starts a new one. While one segment
+   * is checked, the next is on its way from the disk.
+   */
+  async load(onFrame: (frame: Frame<R>) => void): Promise<void> {
+    const numbers = await this.#listNumbers();
+    let next = this.#readAhead(numbers[0]);
+    for (const [i, number] of numbers.entries()) {
+      const bytes = await next;
+      next = this.#readAhead(numbers[i + 1]);
+      this.#loadSegment(number, bytes, onFrame);
     }
     const last = this.#segments.at(-1)?.number ?? 0;
     await this.#startSegment(last + 1);
@@ -75,14 +87,12 @@
    * @throws {JournalFullError} when the disk has no room left for it
    */
   append(record: R): Promise<void> {
-    const frame = encodeFrame(record);
+    const label = this.#opts.labelOf(record);
+    const frame = encodeFrame(label, record);
     if (this.bytes + frame.length > this.#opts.maxBytes) {
       return Promise.reject(new JournalFullError("journal is full"));
     }
-    this.#waitingExpiry = Math.max(
-      this.#waitingExpiry,
-      this.#opts.expiryOf(record),
-    );
+    this.#waitingExpiry = Math.max(this.#waitingExpiry, label.expiresAt);
     return new Promise((resolve, reject) => {
       this.#waiting.push({ frame, resolve, reject });
       if (!this.#isWriting) this.#writeAll();
@@ -156,26 +166,34 @@
     this.#segments.push(this.#current);
   }
 
-  async #loadSegment(
+  #loadSegment(
     number: number,
-    onRecord: (record: R) => void,
-  ): Promise<void> {
-    const bytes = await readFile(this.#pathOf(number));
-    const { records, isDamaged } = decodeFrames(bytes);
+    bytes: Buffer,
+    onFrame: (frame: Frame<R>) => void,
+  ): void {
+    const { frames, isDamaged } = decodeFrames<R>(bytes);
     if (isDamaged) {
       this.#opts.log.warn(
         `segment ${number} ends in an unfinished write; ` +
-          `${records.length} records before it are kept`,
+          `${frames.length} records before it are kept`,
       );
     }
     let expiresAt = 0;
-    for (const record of records as R[]) {
-      expiresAt = Math.max(expiresAt, this.#opts.expiryOf(record));
-      onRecord(record);
+    for (const frame of frames) {
+      expiresAt = Math.max(expiresAt, frame.expiresAt);
+      onFrame(frame);
     }
     this.#segments.push({ number, bytes: bytes.length, expiresAt });
   }
 
+  /** Bytes of a segment; a failure shows to whoever waits for them. */
+  #readAhead(number: number | undefined): Promise<Buffer> {
+    if (number === undefined) return Promise.resolve(Buffer.alloc(0));
+    const bytes = readWhole(this.#pathOf(number));
+    bytes.catch(() => {});
+    return bytes;
+  }
+
   async #listNumbers(): Promise<number[]> {
     const names = await readdir(this.#opts.folder);
     return names
@@ -190,6 +208,29 @@
   }
 }
 
+/** Reads a file in as few calls as possible. */
+async function readWhole(path: string): Promise<Buffer> {
+  const file = await open(path, "r");
+  try {
+    const { size } = await file.stat();
+    const bytes = Buffer.allocUnsafe(size);
+    let length = 0;
+    while (length < size) {
+      const { bytesRead } = await file.read(
+        bytes,
+        length,
+        size - length,
+        length,
+      );
+      if (bytesRead === 0) break;
+      length += bytesRead;
+    }
+    return bytes.subarray(0, length);
+  } finally {
+    await file.close();
+  }
+}
+
 /** Makes created, renamed and removed names in a folder durable. */
 export async function syncFolder(folder: string): Promise<void> {
   const handle = await open(folder, "r");
--- a/packages/turn_journal/src/mod.ts
+++ b/packages/turn_journal/src/mod.ts
@@ -4,7 +4,12 @@
  *
  * @module
  */
-export { decodeFrames, encodeFrame } from "./frame.ts";
+export {
+  decodeFrames,
+  encodeFrame,
+  type Frame,
+  type FrameLabel,
+} from "./frame.ts";
 export {
   Journal,
   JournalFullError,
--- a/packages/turn_journal/test/journal_test.ts
+++ b/packages/turn_journal/test/journal_test.ts
@@ -5,6 +5,7 @@
 import { join } from "node:path";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import {
+  type FrameLabel,
   Journal,
   JournalFullError,
   readState,
@@ -29,16 +30,21 @@
   await rm(folder, { recursive: true });
 });
 
-async function openJournal(maxBytes = 1_000_000) {
+function createJournal(maxBytes = 1_000_000): Journal<Entry> {
   const journal = new Journal<Entry>({
     folder,
     maxBytes,
-    expiryOf: (it) => it.expiresAt,
+    labelOf: (it) => ({ key: it.name, expiresAt: it.expiresAt }),
     log: createSilentLoggers()("journal"),
   });
   open.add(journal);
+  return journal;
+}
+
+async function openJournal(maxBytes = 1_000_000) {
+  const journal = createJournal(maxBytes);
   const loaded: string[] = [];
-  await journal.load((it) => loaded.push(it.name));
+  await journal.load((it) => loaded.push(it.read().name));
   return { journal, loaded };
 }
 
@@ -57,6 +63,15 @@
     expect((await openJournal()).loaded).toEqual(["a", "b", "c", "d"]);
   });
 
+  it("labels records, so that they need not be decoded to be found", async () => {
+    const first = await openJournal();
+    await first.journal.append(createEntry("ä", 7_000));
+    const journal = createJournal();
+    const labels: FrameLabel[] = [];
+    await journal.load(({ key, expiresAt }) => labels.push({ key, expiresAt }));
+    expect(labels).toEqual([{ key: "ä", expiresAt: 7_000 }]);
+  });
+
   it("serves all that wait with one sync", async () => {
     const { journal } = await openJournal();
     const names = Array.from({ length: 50 }, (_, i) => `e${i}`);
--- a/packages/turn_log/src/mod.ts
+++ b/packages/turn_log/src/mod.ts
@@ -19,12 +19,15 @@
   type ReplicaOptions,
   type ReserveReply,
 } from "./replica.ts";
-export type {
-  PromptHint,
-  Spending,
-  SpendRecord,
-  TurnLogRecord,
-  TurnRecord,
+export {
+  keyOfProgram,
+  keyOfRecord,
+  keyOfTurn,
+  type PromptHint,
+  type Spending,
+  type SpendRecord,
+  type TurnLogRecord,
+  type TurnRecord,
 } from "./record.ts";
 export { decideView, type HostState, type ViewInput } from "./next_view.ts";
 export { quorumOf, type ReplicaHost, replicasOf, type View } from "./view.ts";
--- a/packages/turn_log/src/record.ts
+++ b/packages/turn_log/src/record.ts
@@ -42,3 +42,20 @@
 
 /** Tokens by turn of one program. */
 export type Spending = Record<string, { reserved: number; settled?: number }>;
+
+/** What a turn's record is found by. */
+export function keyOfTurn(id: string): string {
+  return `turn/${id}`;
+}
+
+/** What the spending of a program is found by. */
+export function keyOfProgram(program: string): string {
+  return `program/${program}`;
+}
+
+/** What any record is found by. */
+export function keyOfRecord(record: TurnLogRecord): string {
+  return record.kind === "turn"
+    ? keyOfTurn(record.id)
+    : keyOfProgram(record.program);
+}
--- a/packages/turn_log/src/replica.ts
+++ b/packages/turn_log/src/replica.ts
@@ -1,9 +1,12 @@
-import type {
-  PromptHint,
-  Spending,
-  SpendRecord,
-  TurnLogRecord,
-  TurnRecord,
+import {
+  keyOfProgram,
+  keyOfRecord,
+  keyOfTurn,
+  type PromptHint,
+  type Spending,
+  type SpendRecord,
+  type TurnLogRecord,
+  type TurnRecord,
 } from "./record.ts";
 import { replicasOf, type View } from "./view.ts";
 
@@ -41,6 +44,8 @@
   readonly #id: string;
   readonly #turns = new Map<string, TurnRecord>();
   readonly #programs = new Map<string, Program>();
+  /** Records of a restart that nobody has asked for yet, by their key. */
+  readonly #unread = new Map<string, (() => TurnLogRecord)[]>();
   #view: View | undefined;
   #base: View | undefined;
   #isComplete = false;
@@ -64,11 +69,12 @@
     return this.#base;
   }
 
-  /** Bytes of prompts in memory. */
+  /** Bytes of decoded prompts. */
   get bytes(): number {
     return this.#bytes;
   }
 
+  /** Turns that are decoded. */
   get turnCount(): number {
     return this.#turns.size;
   }
@@ -114,22 +120,46 @@
   }
 
   findTurn(id: string): TurnRecord | undefined {
+    this.#readKey(keyOfTurn(id));
     return this.#turns.get(id);
   }
 
   /** Whether a turn is known. */
   hasTurn(id: string): boolean {
-    return this.#turns.has(id);
+    return this.findTurn(id) !== undefined;
+  }
+
+  /**
+   * Notes a record that `read` decodes. After a restart many records wait, and
+   * callers with them: only those that are asked for are decoded at once.
+   */
+  applyLater(key: string, read: () => TurnLogRecord): void {
+    const waiting = this.#unread.get(key);
+    if (waiting) waiting.push(read);
+    else this.#unread.set(key, [read]);
+  }
+
+  /** Decodes what waits under up to `limit` keys; false when none is left. */
+  readSome(limit: number): boolean {
+    let left = limit;
+    for (const key of this.#unread.keys()) {
+      if (left === 0) return true;
+      this.#readKey(key);
+      left -= 1;
+    }
+    return false;
   }
 
   /** Enters a record. Records are immutable or only grow, so order is free. */
   apply(record: TurnLogRecord): void {
+    this.#readKey(keyOfRecord(record));
     if (record.kind === "turn") this.#applyTurn(record);
     else this.#applySpend(record);
   }
 
   /** Spending of a program as this replica knows it. */
   spendingOf(program: string): Spending {
+    this.#readKey(keyOfProgram(program));
     const spending: Spending = {};
     for (const it of this.#programs.get(program)?.spends.values() ?? []) {
       spending[it.turn] = it.settled === undefined
@@ -141,11 +171,13 @@
 
   /** Where the prompts of a program were last read. */
   hintsOf(program: string): PromptHint[] {
+    this.#readKey(keyOfProgram(program));
     return [...this.#programs.get(program)?.hints.values() ?? []];
   }
 
   /** What this replica holds of the keys that a member of a view keeps. */
   inventoryFor(view: View, member: string): Inventory {
+    this.#readAll();
     const isWanted = (key: string) =>
       replicasOf(view, key).some((it) => it.id === member);
     const turns = [...this.#turns.keys()].filter(isWanted);
@@ -171,12 +203,24 @@
 
   /** All records, for tests and reports. */
   *records(): Iterable<TurnLogRecord> {
+    this.#readAll();
     yield* this.#turns.values();
     for (const program of this.#programs.values()) {
       yield* program.spends.values();
     }
   }
 
+  #readAll(): void {
+    for (const key of [...this.#unread.keys()]) this.#readKey(key);
+  }
+
+  #readKey(key: string): void {
+    const waiting = this.#unread.get(key);
+    if (!waiting) return;
+    this.#unread.delete(key);
+    for (const read of waiting) this.apply(read());
+  }
+
   #isReplica(view: View, key: string): boolean {
     return replicasOf(view, key).some((it) => it.id === this.#id);
   }
--- a/packages/turn_log/test/replica_test.ts
+++ b/packages/turn_log/test/replica_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { Replica } from "../src/mod.ts";
+import { keyOfRecord, Replica } from "../src/mod.ts";
 import { createHost, createSpend, createTurn, createView } from "./fixtures.ts";
 
 describe("a replica", () => {
@@ -73,6 +73,43 @@
     expect(replica.hintsOf("q")).toEqual([]);
   });
 
+  describe("after a restart", () => {
+    it("decodes a record only when it is asked for", () => {
+      const { replica, decoded } = createRestarted(["t1", "t2"]);
+      expect(decoded).toEqual([]);
+      expect(replica.findTurn("t2")?.id).toEqual("t2");
+      expect(replica.findTurn("t3")).toEqual(undefined);
+      expect(decoded).toEqual(["t2"]);
+    });
+
+    it("decodes the rest a little at a time", () => {
+      const { replica, decoded } = createRestarted(["t1", "t2", "t3"]);
+      expect(replica.readSome(2)).toEqual(true);
+      expect(decoded).toEqual(["t1", "t2"]);
+      expect(replica.readSome(2)).toEqual(false);
+      expect(decoded).toEqual(["t1", "t2", "t3"]);
+    });
+
+    it("hands out what is not decoded yet", () => {
+      const { replica } = createRestarted(["t1", "t2"]);
+      const { turns } = replica.inventoryFor(createView(), "a");
+      expect(turns).toEqual(["t1", "t2"]);
+    });
+
+    it("enters what comes anew after what was there before", () => {
+      const replica = new Replica({ id: "a" });
+      const hintAt = (upstream: string) => ({
+        parts: [{ id: "own", tokens: 4 }],
+        upstream,
+      });
+      const old = createSpend("t1", { settled: 1, hint: hintAt("u1") });
+      replica.applyLater(keyOfRecord(old), () => old);
+      replica.apply(createSpend("t2", { settled: 1, hint: hintAt("u2") }));
+      expect(replica.hintsOf("p")).toEqual([hintAt("u2")]);
+      expect(Object.keys(replica.spendingOf("p"))).toEqual(["t1", "t2"]);
+    });
+  });
+
   it("forgets what has expired and nothing else", () => {
     const replica = new Replica({ id: "a" });
     replica.apply(createTurn("t1"));
@@ -83,3 +120,17 @@
     expect(replica.bytes).toEqual("prompt of t2".length);
   });
 });
+
+/** A replica whose turns are on the disk, and those decoded so far. */
+function createRestarted(ids: string[]) {
+  const replica = new Replica({ id: "a" });
+  const decoded: string[] = [];
+  for (const id of ids) {
+    const turn = createTurn(id);
+    replica.applyLater(keyOfRecord(turn), () => {
+      decoded.push(id);
+      return turn;
+    });
+  }
+  return { replica, decoded };
+}
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -9,6 +9,7 @@
 import type { Timer } from "@toucantrestle/timer";
 import { Journal, readState, writeState } from "@toucantrestle/turn_journal";
 import {
+  keyOfRecord,
   Replica,
   type SpendRecord,
   type TurnLogRecord,
@@ -54,6 +55,11 @@
 /** Records outlive their retention by this much, as clocks differ. */
 const EXPIRY_SLACK_MS = 15_000;
 const SWEEP_MS = 5_000;
+/** Keys whose records are decoded in one go after a restart. */
+const READ_AT_ONCE = 50;
+/** Callers that wait for the restart go first, in ms. */
+const READ_AFTER_MS = 3_000;
+const READ_PAUSE_MS = 40;
 /** Turns handed to a copying replica at a time. */
 const MAX_FETCH_BYTES = 2_000_000;
 
@@ -74,7 +80,7 @@
     this.#journal = new Journal({
       folder: opts.folder,
       maxBytes: opts.maxBytes,
-      expiryOf: (it) => it.expiresAt,
+      labelOf: (it) => ({ key: keyOfRecord(it), expiresAt: it.expiresAt }),
       log: opts.loggers("journal"),
     });
     this.#server = this.#createServer();
@@ -108,21 +114,31 @@
     const { folder, timer, fleet, self } = this.#opts;
     const saved = await readState<StoreState>(folder);
     const now = timer.now();
-    await this.#journal.load((record) => {
-      if (record.expiresAt > now) this.#replica.apply(record);
+    let records = 0;
+    await this.#journal.load(({ key, expiresAt, read }) => {
+      if (expiresAt <= now) return;
+      records += 1;
+      this.#replica.applyLater(key, read);
     });
     if (saved?.view) {
       this.#replica.restore({ ...saved, view: saved.view });
       fleet.takeView(saved.view);
     }
     this.#log.info(
-      `read ${this.#replica.turnCount} turns, view ${saved?.view?.number ?? 0}`,
+      `found ${records} records, view ${saved?.view?.number ?? 0}`,
     );
     await this.#server.listen(self.linkAddress);
     fleet.onView((view) => this.takeView(view));
     if (fleet.view) this.takeView(fleet.view);
     this.#keeper.start();
     timer.every(SWEEP_MS, () => this.#sweep());
+    timer.after(READ_AFTER_MS, () => this.#readRest());
+  }
+
+  /** Decodes what nobody has asked for yet, a little at a time. */
+  #readRest(): void {
+    if (!this.#replica.readSome(READ_AT_ONCE)) return;
+    this.#opts.timer.after(READ_PAUSE_MS, () => this.#readRest());
   }
 
   /** Moves to an agreed view. */
