Urgency: turns of late programs go after those that can be in time

Cause: after a loss of power of all hosts 142 turns come within half a second (60 usually); turns then took 550 to 710 ms at the median (300 usually), and programs that were late already made those late that had just begun. The line of each choice tells the time left.

--- a/packages/front/src/call_run.ts
+++ b/packages/front/src/call_run.ts
@@ -1,8 +1,10 @@
 import {
   afterFailure,
   CHOOSERS,
+  idleOutputMs,
   type KnownUpstream,
   type PromptPart,
+  urgencyOf,
 } from "@toucantrestle/routing";
 import type { ChannelFailure } from "@toucantrestle/upstream_channel";
 import { answerCall, breakOff, refuseCall } from "./answers.ts";
@@ -12,9 +14,6 @@
 import type { ServeOptions } from "./serve_options.ts";
 import type { TurnState } from "./turn_state.ts";
 
-/** Urgency of the first rank; 0 is served first, 9 last. */
-const FIRST_URGENCY = 3;
-const MAX_URGENCY = 9;
 /** Output that is expected of a turn whose caller gives no estimate, tokens. */
 const DEFAULT_OUTPUT_TOKENS = 40;
 /** Prompt tokens that are read in the time of one event. */
@@ -65,8 +64,7 @@
       caches,
       parts: this.#parts,
       promptTokens: this.#promptTokens,
-      outputTokens: this.#call.head.expectedOutputTokens ??
-        DEFAULT_OUTPUT_TOKENS,
+      outputTokens: this.#outputTokens,
       workMs: book.meanMs(this.#call.route.name) ?? DEFAULT_WORK_MS,
       lastUpstream: this.#turn?.hints.at(-1)?.upstream,
       dataCentre,
@@ -80,6 +78,10 @@
     return this.#turn ? this.#call.head.promptTokens ?? 1 : 0;
   }
 
+  get #outputTokens(): number {
+    return this.#call.head.expectedOutputTokens ?? DEFAULT_OUTPUT_TOKENS;
+  }
+
   get #parts(): PromptPart[] {
     return this.#call.head.promptParts;
   }
@@ -101,7 +103,7 @@
       pool: pools.poolOf(upstream),
       protocol,
       body: this.#turn?.prompt ?? call.body,
-      urgency: this.#turn ? urgencyOf(call.route.rank) : undefined,
+      urgency: this.#turn ? this.#urgency(startedAt) : undefined,
       timeLeftMs: Math.max(1, Math.floor(timeLeftMs - DEADLINE_MARGIN_MS)),
       onEvent: (event) => this.#turn?.noteEvent(event),
       onFirstByte: stopReading,
@@ -115,6 +117,21 @@
     return result;
   }
 
+  #urgency(now: number): number {
+    return urgencyOf({
+      rank: this.#call.route.rank,
+      programLeftMs: this.#programLeftMs(now),
+      leastMs: idleOutputMs(this.#outputTokens),
+    });
+  }
+
+  /** Time until the program should have finished, in ms. */
+  #programLeftMs(now: number): number | undefined {
+    const { head, arrivedAt } = this.#call;
+    if (head.finishMs === undefined) return undefined;
+    return Math.round(head.finishMs - (now - arrivedAt));
+  }
+
   /** Stops the attempt when the caller leaves or the time is over. */
   async #guard(attempt: Attempt, timeLeftMs: number): Promise<AttemptResult> {
     const { timer } = this.#opts;
@@ -309,6 +326,7 @@
       running: load.running,
       unreadTokens: this.#turn ? opts.unread : undefined,
       timeLeftMs: Math.round(opts.timeLeftMs),
+      programLeftMs: this.#programLeftMs(timer.steady()),
       tries: this.#runs + this.#declines,
     });
   }
@@ -337,8 +355,3 @@
     upstream.own.prefillTokens -= unread;
   };
 }
-
-/** Urgency of a turn: each rank goes before the next one. */
-function urgencyOf(rank: number): number {
-  return Math.min(MAX_URGENCY, FIRST_URGENCY + rank);
-}
--- a/packages/routing/src/choose_upstream.ts
+++ b/packages/routing/src/choose_upstream.ts
@@ -60,6 +60,11 @@
       chooseLeastLoaded(input),
 };
 
+/** Time that an idle engine takes to produce tokens, in ms. */
+export function idleOutputMs(outputTokens: number): number {
+  return outputTokens * TOKEN_MS;
+}
+
 /** Time until an upstream would have finished the work, in ms. */
 export function expectedFinishMs(
   upstream: KnownUpstream,
