Turn stores: calls wait a little for stores that restart, and not for long

On the other hand a call went on asking stores that could not answer until its caller's deadline. Change: patience.ts decides: 400 ms for stores lost less than 2 s ago, 1 s for stores that answer and cannot tell, to the deadline only for a finished turn.

--- a/packages/turn_store/src/client.ts
+++ b/packages/turn_store/src/client.ts
@@ -1,4 +1,4 @@
-import type { Timer } from "@toucantrestle/timer";
+import { sleep, type Timer } from "@toucantrestle/timer";
 import {
   type BudgetVerdict,
   decideBudget,
@@ -10,6 +10,7 @@
   type View,
 } from "@toucantrestle/turn_log";
 import type { NewTurn, ReserveArgs, SettleNotice } from "./messages.ts";
+import { mayWait } from "./patience.ts";
 import {
   neededReplies,
   ReplicaLinks,
@@ -33,22 +34,38 @@
 }
 
 /** Pause before a refused or unanswered request is tried again. */
-const RETRY_MS = 60;
+const RETRY_MS = 30;
+
+/** How a request is repeated until its outcome is known. */
+interface Repeat<T> {
+  /** When its caller must have its answer, in ms on the steady clock. */
+  deadlineMs: number;
+  /** True for an answer that is ready and only has to be kept. */
+  isReady?: boolean;
+  unknown: T;
+  attempt: (view: View) => Promise<T>;
+  /** The outcome, "unknown" where it must be tried again. */
+  outcomeOf: (result: T) => string;
+}
 
 /** Reads and writes turn records on the replicas of the current view. */
 export class TurnStoreClient {
   readonly #opts: TurnStoreClientOptions;
   readonly #links: ReplicaLinks;
   #view: View | undefined;
+  /** Since when too few replicas answer; undefined while enough do. */
+  #awaySince: number | undefined;
 
   constructor(opts: TurnStoreClientOptions) {
     this.#opts = opts;
+    this.#awaySince = opts.timer.steady();
     this.#links = new ReplicaLinks({
       ...opts,
       onView: (view) => {
         this.takeView(view);
         opts.onView(view);
       },
+      onChange: () => this.#noteReach(),
     });
   }
 
@@ -61,6 +78,7 @@
     if (this.#view && view.number <= this.#view.number) return;
     this.#view = view;
     this.#links.connect(view);
+    this.#noteReach();
   }
 
   /** True while enough members answer for every record to be kept. */
@@ -83,12 +101,12 @@
     deadlineMs: number,
   ): Promise<Reservation> {
     const { budget, ...rest } = args;
-    return await this.#repeat<Reservation>(
+    return await this.#repeat<Reservation>({
       deadlineMs,
-      { verdict: "unknown", hints: [] },
-      (view) => this.#reserveOnce(view, rest, budget),
-      (it) => it.verdict,
-    );
+      unknown: { verdict: "unknown", hints: [] },
+      attempt: (view) => this.#reserveOnce(view, rest, budget),
+      outcomeOf: (it) => it.verdict,
+    });
   }
 
   /**
@@ -135,12 +153,12 @@
 
   /** Looks a turn up, nearest replica first. */
   async find(id: string, deadlineMs: number): Promise<LookupVerdict> {
-    return await this.#repeat<LookupVerdict>(
+    return await this.#repeat<LookupVerdict>({
       deadlineMs,
-      { kind: "unknown" },
-      (view) => this.#findOnce(view, id),
-      (it) => it.kind,
-    );
+      unknown: { kind: "unknown" },
+      attempt: (view) => this.#findOnce(view, id),
+      outcomeOf: (it) => it.kind,
+    });
   }
 
   async #findOnce(view: View, id: string): Promise<LookupVerdict> {
@@ -165,10 +183,12 @@
     turn: NewTurn,
     opts: { keepMs: number; deadlineMs: number },
   ): Promise<boolean> {
-    const verdict = await this.#repeat<"kept" | "unknown">(
-      opts.deadlineMs,
-      "unknown",
-      async (view) => {
+    const verdict = await this.#repeat<"kept" | "unknown">({
+      deadlineMs: opts.deadlineMs,
+      isReady: true,
+      unknown: "unknown",
+      outcomeOf: (it) => it,
+      attempt: async (view) => {
         const quorum = quorumOf(view);
         const replies = await this.#links.askSome({
           view,
@@ -180,7 +200,7 @@
         });
         return replies.length >= quorum ? "kept" : "unknown";
       },
-    );
+    });
     return verdict === "kept";
   }
 
@@ -188,29 +208,30 @@
     this.#links.close();
   }
 
-  /** Tries until the outcome is known or the deadline (steady ms) passes. */
-  async #repeat<T>(
-    deadlineMs: number,
-    unknown: T,
-    attempt: (view: View) => Promise<T>,
-    nameOf: (result: T) => string = String,
-  ): Promise<T> {
+  /** Tries until the outcome is known or waiting is of no use. */
+  async #repeat<T>(repeat: Repeat<T>): Promise<T> {
     const { timer } = this.#opts;
+    const startedAt = timer.steady();
     while (true) {
       const view = this.#view;
-      const result = view ? await attempt(view) : unknown;
-      if (nameOf(result) !== "unknown") return result;
+      const result = view ? await repeat.attempt(view) : repeat.unknown;
+      if (repeat.outcomeOf(result) !== "unknown") return result;
+      const now = timer.steady();
+      const goesOn = mayWait({
+        waitedMs: now - startedAt,
+        timeLeftMs: repeat.deadlineMs - now,
+        isReachable: this.isUsable || this.#opts.canRelay?.() === true,
+        awayForMs: now - (this.#awaySince ?? now),
+        isReady: repeat.isReady ?? false,
+      });
+      if (!goesOn) return repeat.unknown;
       const hasMoved = this.#view !== view;
-      const isUsable = this.isUsable || this.#opts.canRelay?.();
-      if (!hasMoved && !isUsable) return unknown;
-      if (timer.steady() + RETRY_MS >= deadlineMs) return unknown;
-      if (!hasMoved) await this.#pause();
+      if (!hasMoved) await sleep(timer, RETRY_MS);
     }
   }
 
-  #pause(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#opts.timer.after(RETRY_MS, resolve);
-    });
+  #noteReach(): void {
+    if (this.isUsable) this.#awaySince = undefined;
+    else this.#awaySince ??= this.#opts.timer.steady();
   }
 }
--- a/packages/turn_store/src/replica_links.ts
+++ b/packages/turn_store/src/replica_links.ts
@@ -25,6 +25,8 @@
   log: Logger;
   /** Called when a replica hands out a newer view. */
   onView: (view: View) => void;
+  /** Called when a replica is reached or lost. */
+  onChange?: () => void;
   /** Asks a replica through a sibling that reaches it. */
   relay?: Relay;
 }
@@ -224,14 +226,20 @@
   }
 
   #dial(member: ReplicaHost): void {
-    const { self, timer, log } = this.#opts;
+    const { self, timer, log, onChange } = this.#opts;
     const link: StoreLink = new LinkClient({
       self,
       address: member.address,
       timer,
       log,
-      onOpen: () => log.info(`turn store ${member.host} answers`),
-      onLost: () => log.warn(`turn store ${member.host} is lost`),
+      onOpen: () => {
+        log.info(`turn store ${member.host} answers`);
+        onChange?.();
+      },
+      onLost: () => {
+        log.warn(`turn store ${member.host} is lost`);
+        onChange?.();
+      },
     });
     this.#links.set(member.id, link);
   }
--- a/packages/turn_store/test/turn_store_test.ts
+++ b/packages/turn_store/test/turn_store_test.ts
@@ -7,7 +7,7 @@
   createTimerScope,
   type TimerScope,
 } from "@toucantrestle/timer";
-import { writeState } from "@toucantrestle/turn_journal";
+import { readState, writeState } from "@toucantrestle/turn_journal";
 import { expect } from "earl";
 import { mkdtemp, rm } from "node:fs/promises";
 import { type AddressInfo, createServer } from "node:net";
@@ -65,6 +65,14 @@
     it?.scope.end();
   }
 
+  /** Starts a host again with what is on its disk. */
+  async restart(host: string): Promise<void> {
+    const { address, folder } = this.hosts.get(host)!;
+    const saved = await readState<{ id: string }>(folder);
+    const id = saved?.id ?? "";
+    await this.#run(host, { id, folder, address, isFirstStart: false });
+  }
+
   /** Starts a host again at its address, with an empty disk. */
   async startEmptied(host: string): Promise<void> {
     const { address } = this.hosts.get(host)!;
@@ -218,6 +226,16 @@
     expect(await stores.put("t2")).toEqual(false);
   });
 
+  it("find a turn that is asked for while all of them restart", async () => {
+    const ids = await stores.putMany();
+    for (const host of ["a", "b", "c"]) stores.stop(host);
+    await until(() => !stores.client.isUsable);
+    const found = stores.find(ids[3]!);
+    for (const host of ["a", "b", "c"]) await stores.restart(host);
+    expect(await found).toEqual("found");
+    await stores.findMany(ids);
+  });
+
   it("take a host whose disk was emptied for another one", async () => {
     const ids = await stores.putMany();
     stores.stop("a");
