Turn stores: a member that still copies keeps new records

Ruled out: keeping the retiring host longer (the operator asked for it); one copy while the other is away (a cut host looks the same, and its peer may lose its disk then). Change: a member writes new records of its view's keys at once; questions are answered only by members that need not copy. Readers already hear one of each quorum of the current view, whoever is in it (property test). What remains is the time until the host is back.

--- a/packages/turn_log/src/quorum.ts
+++ b/packages/turn_log/src/quorum.ts
@@ -84,8 +84,7 @@
   },
 ): BudgetVerdict {
   const { view, program, replies } = opts;
-  const isKept = replies.length >= quorumOf(view);
-  if (!isKept || !meetsAllQuorums(view, program, replies)) return "unknown";
+  if (!meetsAllQuorums(view, program, replies)) return "unknown";
   let spent = 0;
   for (
     const [turn, it] of Object.entries(
--- a/packages/turn_log/src/replica.ts
+++ b/packages/turn_log/src/replica.ts
@@ -119,6 +119,15 @@
     return this.#base !== undefined && this.#isReplica(this.#base, key);
   }
 
+  /**
+   * Whether this replica may write a record of a key in the current view. It
+   * need not have copied what was kept before: the record is on its disk all
+   * the same, and readers ask others for the past.
+   */
+  canKeep(key: string): boolean {
+    return this.#view !== undefined && this.#isReplica(this.#view, key);
+  }
+
   findTurn(id: string): TurnRecord | undefined {
     this.#readKey(keyOfTurn(id));
     return this.#turns.get(id);
--- a/packages/turn_log/test/quorum_test.ts
+++ b/packages/turn_log/test/quorum_test.ts
@@ -101,6 +101,54 @@
   });
 });
 
+describe("a member that still copies", () => {
+  const former = ["a", "b"].map(createHost);
+  const view = createView({ number: 2, ids: ["a", "d"], former });
+
+  it("keeps new records, so that two disks suffice for a turn", () => {
+    const newcomer = new Replica({ id: "d" });
+    newcomer.adoptView(view);
+    expect(newcomer.canKeep("p")).toEqual(true);
+    expect(newcomer.canServe("p")).toEqual(false);
+    const settled = createReplies([{ t1: { reserved: 10 } }]);
+    const input = { view, program: "p", turn: "t1", reserve: 10, budget: 10 };
+    expect(decideBudget({ ...input, replies: settled })).toEqual("granted");
+    expect(decideBudget({ ...input, replies: [] })).toEqual("unknown");
+  });
+
+  it("keeps nothing for a key that others keep", () => {
+    const stranger = new Replica({ id: "z" });
+    stranger.adoptView(view);
+    expect(stranger.canKeep("p")).toEqual(false);
+  });
+
+  it("never makes a record look absent that it helped to keep", () => {
+    const members = fc.subarray(["a", "b", "c", "d", "e"], { minLength: 2 });
+    fc.assert(fc.property(
+      members,
+      fc.string({ minLength: 1 }),
+      fc.infiniteStream(fc.nat(3)),
+      (ids, key, draws) => {
+        const wide = createView({ number: 2, ids, former });
+        const replicas = replicasOf(wide, key).map((it) => it.id);
+        const first = (draws.next().value as number) % replicas.length;
+        const second = (first + 1) % replicas.length;
+        const keepers = new Set([replicas[first], replicas[second]]);
+        const replies = replicas.flatMap((id) => {
+          const draw = draws.next().value as number;
+          // A member that copies keeps records and answers no questions.
+          const mayAnswer = draw === 0 || (draw < 3 && "ab".includes(id));
+          if (!mayAnswer) return [];
+          const found = keepers.has(id) ? createTurn(key) : undefined;
+          return [{ ...createDenial(id, draw === 0), found }];
+        });
+        expect(decideLookup(wide, key, replies).kind === "absent")
+          .toEqual(false);
+      },
+    ));
+  });
+});
+
 function createDenial(member: string, isComplete = true) {
   return { member, isComplete, found: undefined };
 }
--- a/packages/turn_store/src/messages.ts
+++ b/packages/turn_store/src/messages.ts
@@ -13,7 +13,7 @@
   | { status: "moved"; view: View }
   /** It does not know the view of the request yet. */
   | { status: "behind" }
-  /** It still copies what it must have before it may answer. */
+  /** It lacks what it must have, or keep, to serve the request. */
   | { status: "copying" };
 
 /** Reply of a replica. */
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -17,6 +17,7 @@
   type View,
 } from "@toucantrestle/turn_log";
 import type {
+  Refusal,
   Reply,
   ReserveArgs,
   SettleNotice,
@@ -195,19 +196,33 @@
     });
   }
 
-  /** Serves a request of the current view for a key that is kept here. */
+  /** Answers a question of the current view on a key that is kept here. */
   #serve<T>(viewNumber: number, key: string, fn: () => T): Reply<T> {
+    const refusal = this.#refuseView(viewNumber);
+    if (refusal) return refusal;
+    if (!this.#replica.canServe(key)) return { status: "copying" };
+    return { status: "ok", isComplete: this.#replica.isComplete, ...fn() };
+  }
+
+  /** Whether a record of the current view counts as kept when written here. */
+  #mayKeep(viewNumber: number, key: string): Reply<object> {
+    const refusal = this.#refuseView(viewNumber);
+    if (refusal) return refusal;
+    if (!this.#replica.canKeep(key)) return { status: "copying" };
+    return { status: "ok", isComplete: this.#replica.isComplete };
+  }
+
+  #refuseView(viewNumber: number): Refusal | undefined {
     const view = this.#replica.view;
     if (!view || viewNumber > view.number) return { status: "behind" };
     if (viewNumber < view.number) return { status: "moved", view };
-    if (!this.#replica.canServe(key)) return { status: "copying" };
-    return { status: "ok", isComplete: this.#replica.isComplete, ...fn() };
+    return undefined;
   }
 
   async #reserve(
     args: ReserveArgs,
   ): Promise<StoreMethods["reserve"]["result"]> {
-    const checked = this.#serve(args.viewNumber, args.program, () => ({}));
+    const checked = this.#mayKeep(args.viewNumber, args.program);
     if (checked.status !== "ok") return checked;
     const record: SpendRecord = {
       kind: "spend",
@@ -219,20 +234,20 @@
       expiresAt: this.#expiry(args.keepMs),
     };
     await this.#keepTimed(record);
-    return this.#serve(args.viewNumber, args.program, () => ({}));
+    return this.#mayKeep(args.viewNumber, args.program);
   }
 
   async #put(
     { viewNumber, turn, keepMs }: StoreMethods["put"]["args"],
   ): Promise<StoreMethods["put"]["result"]> {
-    const checked = this.#serve(viewNumber, turn.id, () => ({}));
+    const checked = this.#mayKeep(viewNumber, turn.id);
     if (checked.status !== "ok") return checked;
     await this.#keepTimed({
       kind: "turn",
       ...turn,
       expiresAt: this.#expiry(keepMs),
     });
-    return this.#serve(viewNumber, turn.id, () => ({}));
+    return this.#mayKeep(viewNumber, turn.id);
   }
 
   #settle(notice: SettleNotice): void {
