Front: a stream that may be resumed goes on at another upstream

Ruled out: trusting the next upstream to start at the right event (a repeated event breaks the answer off instead); counting an upstream that has crashed among the runs that a route allows (its address is tried: refused means ended). Change: rules in routing/after_failure.ts; the attempt takes the last event that was passed on; head and mark stay those of the first upstream.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -31,6 +31,8 @@
   protocol: Protocol;
   body: Uint8Array;
   urgency: number | undefined;
+  /** Last event that the caller has of an answer that goes on with this one. */
+  resumeAfter: string | undefined;
   timeLeftMs: number;
   /** Called with each event before it is passed on. */
   onEvent: (event: StreamEvent) => void;
@@ -57,7 +59,7 @@
   let head: AnswerHead | undefined;
   let held: Buffer[] = [];
   let heldBytes = 0;
-  let isPassing = false;
+  let isPassing = opts.resumeAfter !== undefined;
   let why: StopReason | undefined;
   let resolveResult: (result: AttemptResult) => void;
   const result = new Promise<AttemptResult>((resolve) => {
@@ -65,7 +67,10 @@
   });
 
   function fail(failure: ChannelFailure): void {
-    resolveResult({ kind: "failed", failure });
+    resolveResult({
+      kind: "failed",
+      failure: { ...failure, hadHead: isPassing },
+    });
     exchange.cancel();
   }
 
@@ -84,6 +89,7 @@
 
   function onStreamData(chunk: Buffer): void {
     for (const event of splitter.push(chunk)) {
+      if (isRepeated(event, opts.resumeAfter)) return fail(badAnswer);
       opts.onEvent(event);
       write(event.bytes);
     }
@@ -113,13 +119,16 @@
           upstreamId: opts.upstream.entry.id,
           urgency: opts.urgency,
         },
+        resumeAfter: opts.resumeAfter,
       }),
       body: opts.body,
     },
     {
       onHead(answer) {
         opts.onFirstByte();
-        if (isTrusted(answer, protocol)) head = answer;
+        const fits = opts.resumeAfter === undefined ||
+          answer.status === 200 || protocol.isDeclined(answer);
+        if (fits && isTrusted(answer, protocol)) head = answer;
         else fail(badAnswer);
       },
       onData(chunk) {
@@ -134,7 +143,7 @@
           return;
         }
         if (splitter.hasPartial) {
-          fail({ ...badAnswer, hadHead: isPassing });
+          fail(badAnswer);
           return;
         }
         resolveResult({ kind: "complete", head, rest: held });
@@ -166,6 +175,12 @@
   hadHead: false,
 };
 
+/** Whether an event of a resumed stream is one that the caller has. */
+function isRepeated(event: StreamEvent, last: string | undefined): boolean {
+  if (last === undefined) return false;
+  return event.id === undefined || Number(event.id) <= Number(last);
+}
+
 /** Statuses that promise a caller that its request did not run. */
 const PROMISES = new Set([408, 421, 429, 503]);
 
--- a/packages/front/src/call_run.ts
+++ b/packages/front/src/call_run.ts
@@ -3,10 +3,15 @@
   CHOOSERS,
   idleOutputMs,
   type KnownUpstream,
+  mayRepeat,
+  mayResume,
   type PromptPart,
   urgencyOf,
 } from "@toucantrestle/routing";
-import type { ChannelFailure } from "@toucantrestle/upstream_channel";
+import {
+  type ChannelFailure,
+  isListening,
+} from "@toucantrestle/upstream_channel";
 import { answerCall, breakOff, refuseCall } from "./answers.ts";
 import { type Attempt, type AttemptResult, startAttempt } from "./attempt.ts";
 import type { Call } from "./call.ts";
@@ -34,6 +39,8 @@
   readonly #excluded = new Set<string>();
   #runs = 0;
   #declines = 0;
+  /** Id of the last event that was passed on. */
+  #lastEventId: string | undefined;
 
   constructor(call: Call, turn: TurnState | undefined, opts: ServeOptions) {
     this.#call = call;
@@ -104,8 +111,12 @@
       protocol,
       body: this.#turn?.prompt ?? call.body,
       urgency: this.#turn ? this.#urgency(startedAt) : undefined,
+      resumeAfter: call.res.headersSent ? this.#lastEventId : undefined,
       timeLeftMs: Math.max(1, Math.floor(timeLeftMs - DEADLINE_MARGIN_MS)),
-      onEvent: (event) => this.#turn?.noteEvent(event),
+      onEvent: (event) => {
+        this.#lastEventId = event.id;
+        this.#turn?.noteEvent(event);
+      },
       onFirstByte: stopReading,
     });
     const result = await this.#guard(attempt, timeLeftMs);
@@ -177,11 +188,8 @@
         return this.#afterFailure("not_run");
       case "failed":
         this.#noteFailure(id, result.failure);
-        if (!result.failure.hadHead) {
-          return this.#afterFailure(result.failure.verdict);
-        }
-        breakOff(this.#call, `upstream ${id}: ${result.failure.reason}`);
-        return true;
+        await this.#discountEnded(upstream, result.failure);
+        return this.#afterFailure(result.failure.verdict);
       case "stopped":
         return this.#afterStop(id, result);
     }
@@ -239,8 +247,42 @@
     if (mayHaveCrashed) crashes.note(this.#call.fingerprint, id, now);
   }
 
+  /** A run at an upstream that has ended does not count among the runs. */
+  async #discountEnded(
+    upstream: KnownUpstream,
+    failure: ChannelFailure,
+  ): Promise<void> {
+    const { route } = this.#call;
+    const isLost = failure.reason === "connection_lost" &&
+      failure.verdict === "may_have_run";
+    if (!isLost || !mayRepeat(route) || this.#runs < route.maxRuns) return;
+    const hasEnded = !await isListening(upstream.entry.address);
+    if (hasEnded) this.#runs -= 1;
+  }
+
+  /** Lets a stream that broke off go on; true when the call is over. */
+  #afterBreak(): boolean {
+    const call = this.#call;
+    const resumes = this.#lastEventId !== undefined && mayResume({
+      route: call.route,
+      runs: this.#runs,
+      declines: this.#declines,
+      timeLeftMs: call.deadlineAt - this.#opts.timer.steady(),
+    });
+    if (!resumes) {
+      breakOff(call, "the upstream broke off");
+      return true;
+    }
+    call.trail.note("resumed", `goes on after event ${this.#lastEventId}`, {
+      lastEventId: this.#lastEventId,
+      runs: this.#runs,
+    });
+    return false;
+  }
+
   #afterFailure(verdict: ChannelFailure["verdict"]): boolean {
     const call = this.#call;
+    if (call.res.headersSent) return this.#afterBreak();
     const next = afterFailure({
       route: call.route,
       verdict,
@@ -256,7 +298,9 @@
   }
 
   #answerWithoutUpstream(): void {
-    if (this.#runs > 0) this.#answerFailed("no other upstream is left");
+    if (this.#call.res.headersSent) {
+      breakOff(this.#call, "no upstream is left to go on");
+    } else if (this.#runs > 0) this.#answerFailed("no other upstream is left");
     else if (this.#declines > 0) refuseCall(this.#call, "upstreams_full");
     else refuseCall(this.#call, "no_upstream");
   }
--- a/packages/front/src/headers.ts
+++ b/packages/front/src/headers.ts
@@ -15,6 +15,9 @@
   "expect",
 ]);
 
+/** Names the event after which a stream goes on (HTML, server-sent events). */
+const LAST_EVENT_ID = "last-event-id";
+
 /** Names that a `Connection` header lists, in lower case. */
 function namedByConnection(rawHeaders: string[]): Set<string> {
   const named = new Set<string>();
@@ -35,20 +38,24 @@
     method: string;
     bodyBytes: number;
     marks: UpstreamMarks;
+    /** Event after which a stream is to go on. */
+    resumeAfter: string | undefined;
   },
 ): string[] {
-  const { rawHeaders, protocol } = opts;
+  const { rawHeaders, protocol, resumeAfter } = opts;
   const named = namedByConnection(rawHeaders);
   const headers: string[] = [];
   for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
     const name = (rawHeaders[i] as string).toLowerCase();
     if (HOP_BY_HOP.has(name) || name === "content-length") continue;
     if (named.has(name) || protocol.isReserved(name)) continue;
+    if (name === LAST_EVENT_ID && resumeAfter !== undefined) continue;
     headers.push(rawHeaders[i] as string, rawHeaders[i + 1] as string);
   }
   const hasBody = opts.bodyBytes > 0 || opts.method !== "GET";
   if (hasBody) headers.push("Content-Length", String(opts.bodyBytes));
   headers.push(...protocol.marks(opts.marks));
+  if (resumeAfter !== undefined) headers.push(LAST_EVENT_ID, resumeAfter);
   return headers;
 }
 
--- a/packages/front/src/trail.ts
+++ b/packages/front/src/trail.ts
@@ -11,6 +11,7 @@
   | "declined"
   | "attempt_failed"
   | "stopped"
+  | "resumed"
   | "not_started"
   | "refused"
   | "answered"
--- a/packages/front/test/front_test.ts
+++ b/packages/front/test/front_test.ts
@@ -1,8 +1,10 @@
 import { expect } from "earl";
 import { after, before, beforeEach, describe, it } from "node:test";
+import type { ServerResponse } from "node:http";
 import {
   answerEvents,
   callAddress,
+  type Seen,
   type UpstreamHandler,
   World,
 } from "./world.ts";
@@ -17,6 +19,8 @@
     { prefix: "/plain/" },
     { prefix: "/once/", kind: "non_idempotent", maxRuns: 1 },
     { prefix: "/slow/", kind: "non_idempotent", timeoutMs: 300 },
+    { prefix: "/again/", kind: "streaming", isResumable: true, maxRuns: 2 },
+    { prefix: "/single/", kind: "streaming", isResumable: true, maxRuns: 1 },
     { prefix: "/kept/", kind: "streaming", keepsTurns: true, maxRuns: 1 },
   ]);
   await world.addTurnStores(3);
@@ -100,6 +104,76 @@
   });
 });
 
+describe("a stream that may be resumed", () => {
+  /** Two events, then a break; whoever goes on sends what is left of four. */
+  const breakAfterTwo =
+    (onBreak: (upstream: string) => void) =>
+    (seen: Seen, res: ServerResponse) => {
+      const after = Number(seen.headers["last-event-id"] ?? 0);
+      res.writeHead(200, { "content-type": "text/event-stream" });
+      for (let i = after + 1; i <= 4; i++) {
+        res.write(`id: ${i}\ndata: e${i}\n\n`);
+        if (after > 0 || i < 2) continue;
+        res.write("id: 3\nda");
+        const upstream = String(seen.headers["x-upstream"]);
+        setTimeout(() => onBreak(upstream), 20);
+        setTimeout(() => res.socket?.destroy(), 20);
+        return;
+      }
+      res.end();
+    };
+  const all = [1, 2, 3, 4].map((i) => `id: ${i}\ndata: e${i}\n\n`).join("");
+
+  it("goes on at another upstream after its last whole event", async () => {
+    handler = breakAfterTwo(() => {});
+    const got = await world.call("/again/", { headers: { "x-id": "r1" } });
+    expect([got.body, got.isWhole]).toEqual([all, true]);
+    expect(got.headers["x-mark"]).toEqual(world.seen[0]!.headers["x-upstream"]);
+    expect(world.seen.length).toEqual(2);
+    expect(world.seen[1]!.headers["last-event-id"]).toEqual("2");
+  });
+
+  it("breaks off where it may run once and its upstream lives", async () => {
+    handler = breakAfterTwo(() => {});
+    const got = await world.call("/single/", { headers: { "x-id": "r2" } });
+    expect(got.isWhole).toEqual(false);
+    expect(world.seen.length).toEqual(1);
+  });
+
+  it("breaks off when the next upstream starts from the beginning", async () => {
+    let calls = 0;
+    handler = (seen, res) => {
+      calls += 1;
+      if (calls === 1) breakAfterTwo(() => {})(seen, res);
+      else answerEvents("e1", "e2", "e3", "e4")(seen, res);
+    };
+    const got = await world.call("/again/", { headers: { "x-id": "r3" } });
+    expect(got.isWhole).toEqual(false);
+    expect(got.body).toEqual(all.slice(0, all.indexOf("id: 3")));
+  });
+
+  it("goes on although it may run once when its upstream has ended", async () => {
+    await world.addUpstream("u3", (seen, res) => handler(seen, res));
+    handler = (seen, res) => {
+      const isThird = seen.headers["x-upstream"] === "u3";
+      const goesOn = seen.headers["last-event-id"] !== undefined;
+      if (isThird || goesOn) {
+        breakAfterTwo((it) => world.crashUpstream(it))(seen, res);
+        return;
+      }
+      res.writeHead(503, { "x-not-run": "1" });
+      res.end();
+    };
+    await until(async () => {
+      const got = await world.call("/single/", { headers: { "x-id": "r4" } });
+      return got.isWhole && got.body === all;
+    });
+    const runs = world.seen.slice(-2).map((it) => it.headers["x-upstream"]);
+    expect(runs[0]).toEqual("u3");
+    expect(runs[1]).not.toEqual("u3");
+  });
+});
+
 describe("a request that may not be repeated", () => {
   it("is not sent again when its answer is lost", async () => {
     handler = (_seen, res) => res.socket?.destroy();
@@ -213,3 +287,12 @@
     await stopping;
   });
 });
+
+/** Tries until something comes true; fails after a few seconds. */
+async function until(isTrue: () => Promise<boolean>): Promise<void> {
+  for (let i = 0; i < 100; i++) {
+    if (await isTrue()) return;
+    await new Promise((resolve) => setTimeout(resolve, 30));
+  }
+  throw new Error("condition never came true");
+}
--- a/packages/front/test/world.ts
+++ b/packages/front/test/world.ts
@@ -52,6 +52,7 @@
   readonly callerAddresses: string[] = [];
   readonly directoryAddresses: string[] = [];
   readonly #servers: Server[] = [];
+  readonly #upstreams = new Map<string, Server>();
   readonly #turnStores: TurnStoreServer[] = [];
   readonly #fleets: Fleet[] = [];
   readonly #folders: string[] = [];
@@ -144,6 +145,7 @@
     });
     const address = await listenAnywhere(server);
     this.#servers.push(server);
+    this.#upstreams.set(id, server);
     const entry: UpstreamEntry = {
       id,
       service: "s",
@@ -158,6 +160,13 @@
     return entry;
   }
 
+  /** Ends an upstream as a crash does: connections break, none is accepted. */
+  crashUpstream(id: string): void {
+    const server = this.#upstreams.get(id);
+    server?.close();
+    server?.closeAllConnections();
+  }
+
   /** Sends a request to a front and reads the answer. */
   call(
     path: string,
--- a/packages/routing/src/after_failure.ts
+++ b/packages/routing/src/after_failure.ts
@@ -17,6 +17,28 @@
 /** Less time than this is not worth another upstream, in ms. */
 const MIN_TIME_LEFT_MS = 30;
 
+/** Whether requests of a route may run more than once. */
+export function mayRepeat(route: Route): boolean {
+  return route.kind === "idempotent" || route.isResumable;
+}
+
+/** Whether a stream that broke off may go on at another upstream. */
+export function mayResume(
+  opts: {
+    route: Route;
+    /** Upstreams on which it may have run, without those that have ended. */
+    runs: number;
+    /** Upstreams that did not run it. */
+    declines: number;
+    timeLeftMs: number;
+  },
+): boolean {
+  return opts.route.isResumable &&
+    opts.runs < opts.route.maxRuns &&
+    opts.declines < MAX_DECLINES &&
+    opts.timeLeftMs > MIN_TIME_LEFT_MS;
+}
+
 /** Decides after a failed attempt, before anything of it reached the caller. */
 export function afterFailure(
   opts: {
@@ -36,6 +58,6 @@
   }
   if (runs === 0) return "refuse";
   if (!hasTime) return "time_out";
-  const mayRepeat = route.kind === "idempotent" && runs < route.maxRuns;
-  return mayRepeat && opts.verdict !== "not_run" ? "retry" : "fail";
+  const canRepeat = mayRepeat(route) && runs < route.maxRuns;
+  return canRepeat && opts.verdict !== "not_run" ? "retry" : "fail";
 }
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -27,6 +27,11 @@
   idleOutputMs,
 } from "./choose_upstream.ts";
 export { CrashList } from "./crash_list.ts";
-export { type AfterFailure, afterFailure } from "./after_failure.ts";
+export {
+  type AfterFailure,
+  afterFailure,
+  mayRepeat,
+  mayResume,
+} from "./after_failure.ts";
 export { type RefusalReason, retryAfterMs } from "./refusal.ts";
 export { type UrgencyInput, urgencyOf } from "./urgency.ts";
--- a/packages/upstream_channel/src/mod.ts
+++ b/packages/upstream_channel/src/mod.ts
@@ -11,3 +11,4 @@
   OutgoingRequest,
 } from "./exchange.ts";
 export { ChannelPool, type ChannelPoolOptions } from "./channel_pool.ts";
+export { isListening } from "./is_listening.ts";
