--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -80,10 +80,12 @@
   readonly #callers: Server;
   readonly #servers: Server[] = [];
   readonly #calls = new Set<Call>();
+  #graceMs: number;
   #isStopping = false;
 
   constructor(opts: FrontOptions) {
     this.#opts = opts;
+    this.#graceMs = opts.graceMs;
     const { protocol, timer, loggers, host, dataCentre, fleet } = opts;
     const caches = new PrefixCache();
     const pools = new UpstreamPools({
@@ -165,11 +167,18 @@
     timer.every(SWEEP_MS, () => this.#serve.crashes.sweep(timer.steady()));
   }
 
+  /** Takes up settings that may change while this front runs. */
+  applySettings(settings: { graceMs: number; seeds: string[] }): void {
+    this.#graceMs = settings.graceMs;
+    this.#siblings.setSeeds(settings.seeds);
+  }
+
   /** Stops after the requests in progress; resolves when the process may end. */
   async stop(): Promise<void> {
     if (this.#isStopping) return;
     this.#isStopping = true;
-    const { graceMs, timer, fleet, loggers } = this.#opts;
+    const { timer, fleet, loggers } = this.#opts;
+    const graceMs = this.#graceMs;
     loggers("front").info(`stopping, ${this.#calls.size} calls in progress`);
     this.#siblings.tellNow();
     const leaving = fleet.leave();
--- a/packages/front/src/siblings.ts
+++ b/packages/front/src/siblings.ts
@@ -51,10 +51,12 @@
   readonly #links = new Map<string, FrontLink>();
   readonly #digests = new Map<string, { digest: Digest; at: number }>();
   readonly #server: LinkServer<FrontMethods, FrontNotices>;
+  #seeds: string[];
   #isFetching = false;
 
   constructor(opts: SiblingsOptions) {
     this.#opts = opts;
+    this.#seeds = opts.seeds;
     this.#server = new LinkServer<FrontMethods, FrontNotices>({
       log: opts.log,
       methods: {
@@ -84,6 +86,12 @@
     this.#server.close();
   }
 
+  /** Dials these fronts beside those that are registered. */
+  setSeeds(seeds: string[]): void {
+    this.#seeds = seeds;
+    this.#dialAll();
+  }
+
   /** What a sibling said of itself lately; undefined when it is silent. */
   stateOf(host: string): FrontState | undefined {
     const known = this.#digests.get(host);
@@ -174,7 +182,7 @@
   }
 
   #dialAll(): void {
-    const { fleet, self, linkAddress, seeds } = this.#opts;
+    const { fleet, self, linkAddress } = this.#opts;
     const wanted = new Map<string, string>();
     for (const it of fleet.hosts) {
       if (it.role === "front" && it.host !== self) {
@@ -182,7 +190,7 @@
       }
     }
     const known = new Set(wanted.values());
-    for (const seed of seeds) {
+    for (const seed of this.#seeds) {
       if (seed !== linkAddress && !known.has(seed)) wanted.set(seed, seed);
     }
     for (const [host, link] of this.#links) {
