--- a/packages/turn_journal/src/journal.ts
+++ b/packages/turn_journal/src/journal.ts
@@ -1,5 +1,12 @@
 import type { Logger } from "@toucantrestle/log";
-import { type FileHandle, open, readdir, rm } from "node:fs/promises";
+import {
+  type FileHandle,
+  open,
+  readdir,
+  rm,
+  stat,
+  writeFile,
+} from "node:fs/promises";
 import { join } from "node:path";
 import {
   decodeFrames,
@@ -7,6 +14,8 @@
   type Frame,
   type FrameLabel,
 } from "./frame.ts";
+import { readFrameAt, readWhole } from "./read_file.ts";
+import { decodeSummary, type Summary, SummaryBuilder } from "./summary.ts";
 
 /** Settings of a journal. */
 export interface JournalOptions<R> {
@@ -16,6 +25,8 @@
   maxBytes: number;
   /** What a record is found by, and when it may be dropped. */
   labelOf: (record: R) => FrameLabel;
+  /** A new segment is begun after this many bytes. */
+  segmentBytes?: number;
   log: Logger;
 }
 
@@ -29,25 +40,43 @@
   bytes: number;
   /** Latest expiry of its records. */
   expiresAt: number;
+  /** Bytes of its summary. */
+  summaryBytes: number;
+}
+
+/** The segment that is being written. */
+interface OpenSegment extends Segment {
+  summary: SummaryBuilder;
 }
 
 interface Waiting {
+  label: FrameLabel;
   frame: Buffer;
   resolve: () => void;
   reject: (err: unknown) => void;
 }
 
-const SEGMENT_BYTES = 8_000_000;
+/** What a load takes from one segment. */
+interface LoadedSegment<R> {
+  bytes: number;
+  summaryBytes: number;
+  frames: Frame<R>[];
+}
+
+const NO_SEGMENT = { bytes: 0, summaryBytes: 0, frames: [] };
+/** A restart reads the last segment whole, so segments are small. */
+const SEGMENT_BYTES = 2_000_000;
 const NAME_DIGITS = 8;
+const SEGMENT_SUFFIX = ".log";
+const SUMMARY_SUFFIX = ".sum";
 
 /** Durable append-only records; one sync serves all that wait for it. */
 export class Journal<R> {
   readonly #opts: JournalOptions<R>;
   readonly #segments: Segment[] = [];
   #file: FileHandle | undefined;
-  #current: Segment | undefined;
+  #current: OpenSegment | undefined;
   #waiting: Waiting[] = [];
-  #waitingExpiry = 0;
   #isWriting = false;
   #syncs = 0;
 
@@ -57,7 +86,10 @@
 
   /** Bytes on the disk. */
   get bytes(): number {
-    return this.#segments.reduce((sum, it) => sum + it.bytes, 0);
+    return this.#segments.reduce(
+      (sum, it) => sum + it.bytes + it.summaryBytes,
+      0,
+    );
   }
 
   /** Syncs made so far. */
@@ -66,19 +98,24 @@
   }
 
   /**
-   * Reads all segments, oldest first, and starts a new one. While one segment
-   * is checked, the next is on its way from the disk.
+   * Finds all records, oldest first, and starts a new segment. Of a segment
+   * with a summary only that is read; its large frames stay on the disk until
+   * they are asked for. While one segment is checked, the next is on its way.
    */
   async load(onFrame: (frame: Frame<R>) => void): Promise<void> {
     const numbers = await this.#listNumbers();
-    let next = this.#readAhead(numbers[0]);
+    let next = this.#loadAhead(numbers[0]);
     for (const [i, number] of numbers.entries()) {
-      const bytes = await next;
-      next = this.#readAhead(numbers[i + 1]);
-      this.#loadSegment(number, bytes, onFrame);
+      const { frames, ...sizes } = await next;
+      next = this.#loadAhead(numbers[i + 1]);
+      let expiresAt = 0;
+      for (const frame of frames) {
+        expiresAt = Math.max(expiresAt, frame.expiresAt);
+        onFrame(frame);
+      }
+      this.#segments.push({ number, ...sizes, expiresAt });
     }
-    const last = this.#segments.at(-1)?.number ?? 0;
-    await this.#startSegment(last + 1);
+    await this.#startSegment((numbers.at(-1) ?? 0) + 1);
   }
 
   /**
@@ -92,9 +129,8 @@
     if (this.bytes + frame.length > this.#opts.maxBytes) {
       return Promise.reject(new JournalFullError("journal is full"));
     }
-    this.#waitingExpiry = Math.max(this.#waitingExpiry, label.expiresAt);
     return new Promise((resolve, reject) => {
-      this.#waiting.push({ frame, resolve, reject });
+      this.#waiting.push({ label, frame, resolve, reject });
       if (!this.#isWriting) this.#writeAll();
     });
   }
@@ -114,6 +150,7 @@
     for (const segment of [...this.#segments]) {
       if (segment === this.#current || segment.expiresAt > now) continue;
       this.#segments.splice(this.#segments.indexOf(segment), 1);
+      await rm(this.#summaryPathOf(segment.number), { force: true });
       await rm(this.#pathOf(segment.number), { force: true });
     }
   }
@@ -136,15 +173,20 @@
   }
 
   async #writeBatch(batch: Waiting[]): Promise<void> {
-    if (!this.#current || this.#current.bytes > SEGMENT_BYTES) {
+    const { segmentBytes = SEGMENT_BYTES } = this.#opts;
+    if (!this.#current || this.#current.bytes > segmentBytes) {
       await this.#startSegment((this.#segments.at(-1)?.number ?? 0) + 1);
     }
-    const segment = this.#current as Segment;
+    const segment = this.#current as OpenSegment;
     const file = this.#file as FileHandle;
     const bytes = Buffer.concat(batch.map((it) => it.frame));
-    segment.expiresAt = Math.max(segment.expiresAt, this.#waitingExpiry);
+    for (const { label } of batch) {
+      segment.expiresAt = Math.max(segment.expiresAt, label.expiresAt);
+    }
     await file.appendFile(bytes);
     await file.datasync();
+    for (const { label, frame } of batch) segment.summary.add(label, frame);
+    segment.summaryBytes = segment.summary.bytes;
     segment.bytes += bytes.length;
     this.#syncs += 1;
   }
@@ -160,17 +202,46 @@
 
   async #startSegment(number: number): Promise<void> {
     await this.#file?.close();
+    if (this.#current) this.#writeSummary(this.#current);
     this.#file = await open(this.#pathOf(number), "a");
     await syncFolder(this.#opts.folder);
-    this.#current = { number, bytes: 0, expiresAt: 0 };
+    const summary = new SummaryBuilder();
+    this.#current = {
+      number,
+      bytes: 0,
+      expiresAt: 0,
+      summary,
+      summaryBytes: 0,
+    };
     this.#segments.push(this.#current);
   }
 
-  #loadSegment(
-    number: number,
-    bytes: Buffer,
-    onFrame: (frame: Frame<R>) => void,
-  ): void {
+  /** A summary only saves time: without it a load reads the segment. */
+  #writeSummary(segment: OpenSegment): void {
+    const bytes = segment.summary.encode();
+    writeFile(this.#summaryPathOf(segment.number), bytes).catch((err) =>
+      this.#opts.log.warn(
+        `segment ${segment.number} has no summary: ${String(err)}`,
+      )
+    );
+  }
+
+  /** Loads a segment; a failure shows to whoever waits for it. */
+  #loadAhead(number: number | undefined): Promise<LoadedSegment<R>> {
+    if (number === undefined) return Promise.resolve(NO_SEGMENT);
+    const loaded = this.#loadSegment(number);
+    loaded.catch(() => {});
+    return loaded;
+  }
+
+  async #loadSegment(number: number): Promise<LoadedSegment<R>> {
+    const { size } = await stat(this.#pathOf(number));
+    const summary = await this.#readSummary(number, size);
+    if (summary) {
+      const frames = this.#framesOf(number, summary);
+      return { bytes: size, summaryBytes: summary.small.length, frames };
+    }
+    const bytes = await readWhole(this.#pathOf(number));
     const { frames, isDamaged } = decodeFrames<R>(bytes);
     if (isDamaged) {
       this.#opts.log.warn(
@@ -178,56 +249,51 @@
           `${frames.length} records before it are kept`,
       );
     }
-    let expiresAt = 0;
-    for (const frame of frames) {
-      expiresAt = Math.max(expiresAt, frame.expiresAt);
-      onFrame(frame);
+    return { bytes: bytes.length, summaryBytes: 0, frames };
+  }
+
+  async #readSummary(
+    number: number,
+    segmentBytes: number,
+  ): Promise<Summary | undefined> {
+    try {
+      const bytes = await readWhole(this.#summaryPathOf(number));
+      return decodeSummary(bytes, segmentBytes);
+    } catch (err) {
+      if ((err as NodeJS.ErrnoException).code === "ENOENT") return undefined;
+      throw err;
     }
-    this.#segments.push({ number, bytes: bytes.length, expiresAt });
   }
 
-  /** Bytes of a segment; a failure shows to whoever waits for them. */
-  #readAhead(number: number | undefined): Promise<Buffer> {
-    if (number === undefined) return Promise.resolve(Buffer.alloc(0));
-    const bytes = readWhole(this.#pathOf(number));
-    bytes.catch(() => {});
-    return bytes;
+  #framesOf(number: number, summary: Summary): Frame<R>[] {
+    const path = this.#pathOf(number);
+    const large = summary.large.map((place): Frame<R> => ({
+      key: place.key,
+      expiresAt: place.expiresAt,
+      read: () => readFrameAt<R>(path, place),
+    }));
+    return [...decodeFrames<R>(summary.small).frames, ...large];
   }
 
   async #listNumbers(): Promise<number[]> {
     const names = await readdir(this.#opts.folder);
     return names
-      .filter((it) => it.endsWith(".log"))
+      .filter((it) => it.endsWith(SEGMENT_SUFFIX))
       .map((it) => Number.parseInt(it, 10))
       .sort((a, b) => a - b);
   }
 
   #pathOf(number: number): string {
-    const name = String(number).padStart(NAME_DIGITS, "0");
-    return join(this.#opts.folder, `${name}.log`);
+    return this.#fileOf(number, SEGMENT_SUFFIX);
   }
-}
 
-/** Reads a file in as few calls as possible. */
-async function readWhole(path: string): Promise<Buffer> {
-  const file = await open(path, "r");
-  try {
-    const { size } = await file.stat();
-    const bytes = Buffer.allocUnsafe(size);
-    let length = 0;
-    while (length < size) {
-      const { bytesRead } = await file.read(
-        bytes,
-        length,
-        size - length,
-        length,
-      );
-      if (bytesRead === 0) break;
-      length += bytesRead;
-    }
-    return bytes.subarray(0, length);
-  } finally {
-    await file.close();
+  #summaryPathOf(number: number): string {
+    return this.#fileOf(number, SUMMARY_SUFFIX);
+  }
+
+  #fileOf(number: number, suffix: string): string {
+    const name = String(number).padStart(NAME_DIGITS, "0");
+    return join(this.#opts.folder, name + suffix);
   }
 }
 
--- a/packages/turn_journal/src/mod.ts
+++ b/packages/turn_journal/src/mod.ts
@@ -16,4 +16,5 @@
   type JournalOptions,
   syncFolder,
 } from "./journal.ts";
+export { DamagedFrameError } from "./read_file.ts";
 export { readState, writeState } from "./state_file.ts";
--- a/packages/turn_log/src/mod.ts
+++ b/packages/turn_log/src/mod.ts
@@ -18,6 +18,7 @@
   Replica,
   type ReplicaOptions,
   type ReserveReply,
+  type UnreadRecord,
 } from "./replica.ts";
 export {
   keyOfProgram,
--- a/packages/turn_log/src/record.ts
+++ b/packages/turn_log/src/record.ts
@@ -43,9 +43,18 @@
 /** Tokens by turn of one program. */
 export type Spending = Record<string, { reserved: number; settled?: number }>;
 
+const TURN_PREFIX = "turn/";
+
 /** What a turn's record is found by. */
 export function keyOfTurn(id: string): string {
-  return `turn/${id}`;
+  return TURN_PREFIX + id;
+}
+
+/** Id of the turn that a key finds; undefined for another kind of key. */
+export function turnOfKey(key: string): string | undefined {
+  return key.startsWith(TURN_PREFIX)
+    ? key.slice(TURN_PREFIX.length)
+    : undefined;
 }
 
 /** What the spending of a program is found by. */
--- a/packages/turn_log/src/replica.ts
+++ b/packages/turn_log/src/replica.ts
@@ -6,6 +6,7 @@
   type Spending,
   type SpendRecord,
   type TurnLogRecord,
+  turnOfKey,
   type TurnRecord,
 } from "./record.ts";
 import { replicasOf, type View } from "./view.ts";
@@ -23,6 +24,14 @@
   record: SpendRecord;
 }
 
+/** A record that is on the disk and not in memory. */
+export interface UnreadRecord {
+  key: string;
+  expiresAt: number;
+  /** Fetches it; throws when it cannot be read. */
+  read(): TurnLogRecord;
+}
+
 /** What a replica holds, without contents, to find what another lacks. */
 export interface Inventory {
   turns: string[];
@@ -45,7 +54,7 @@
   readonly #turns = new Map<string, TurnRecord>();
   readonly #programs = new Map<string, Program>();
   /** Records of a restart that nobody has asked for yet, by their key. */
-  readonly #unread = new Map<string, (() => TurnLogRecord)[]>();
+  readonly #unread = new Map<string, UnreadRecord[]>();
   #view: View | undefined;
   #base: View | undefined;
   #isComplete = false;
@@ -69,12 +78,12 @@
     return this.#base;
   }
 
-  /** Bytes of decoded prompts. */
+  /** Bytes of prompts in memory. */
   get bytes(): number {
     return this.#bytes;
   }
 
-  /** Turns that are decoded. */
+  /** Turns in memory. */
   get turnCount(): number {
     return this.#turns.size;
   }
@@ -135,28 +144,17 @@
 
   /** Whether a turn is known. */
   hasTurn(id: string): boolean {
-    return this.findTurn(id) !== undefined;
+    return this.#turns.has(id) || this.#unread.has(keyOfTurn(id));
   }
 
   /**
-   * Notes a record that `read` decodes. After a restart many records wait, and
-   * callers with them: only those that are asked for are decoded at once.
+   * Notes a record that `read` fetches. After a restart many records wait, and
+   * callers with them: only those that are asked for are fetched.
    */
-  applyLater(key: string, read: () => TurnLogRecord): void {
-    const waiting = this.#unread.get(key);
-    if (waiting) waiting.push(read);
-    else this.#unread.set(key, [read]);
-  }
-
-  /** Decodes what waits under up to `limit` keys; false when none is left. */
-  readSome(limit: number): boolean {
-    let left = limit;
-    for (const key of this.#unread.keys()) {
-      if (left === 0) return true;
-      this.#readKey(key);
-      left -= 1;
-    }
-    return false;
+  applyLater(record: UnreadRecord): void {
+    const waiting = this.#unread.get(record.key);
+    if (waiting) waiting.push(record);
+    else this.#unread.set(record.key, [record]);
   }
 
   /** Enters a record. Records are immutable or only grow, so order is free. */
@@ -186,10 +184,13 @@
 
   /** What this replica holds of the keys that a member of a view keeps. */
   inventoryFor(view: View, member: string): Inventory {
-    this.#readAll();
+    this.#readPrograms();
     const isWanted = (key: string) =>
       replicasOf(view, key).some((it) => it.id === member);
-    const turns = [...this.#turns.keys()].filter(isWanted);
+    const unread = [...this.#unread.keys()].map((it) => turnOfKey(it));
+    const turns = [...this.#turns.keys(), ...unread]
+      .filter((it) => it !== undefined)
+      .filter(isWanted);
     const spends: SpendRecord[] = [];
     for (const [name, program] of this.#programs) {
       if (isWanted(name)) spends.push(...program.spends.values());
@@ -199,6 +200,9 @@
 
   /** Forgets what has expired. */
   sweep(now: number): void {
+    for (const [key, waiting] of this.#unread) {
+      if (waiting.every((it) => it.expiresAt <= now)) this.#unread.delete(key);
+    }
     for (const [id, turn] of this.#turns) {
       if (turn.expiresAt > now) continue;
       this.#turns.delete(id);
@@ -223,11 +227,19 @@
     for (const key of [...this.#unread.keys()]) this.#readKey(key);
   }
 
+  #readPrograms(): void {
+    for (const key of [...this.#unread.keys()]) {
+      if (turnOfKey(key) === undefined) this.#readKey(key);
+    }
+  }
+
+  /** What cannot be read stays unread, so that it never looks absent. */
   #readKey(key: string): void {
     const waiting = this.#unread.get(key);
     if (!waiting) return;
+    const records = waiting.map((it) => it.read());
     this.#unread.delete(key);
-    for (const read of waiting) this.apply(read());
+    for (const record of records) this.apply(record);
   }
 
   #isReplica(view: View, key: string): boolean {
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -56,11 +56,6 @@
 /** Records outlive their retention by this much, as clocks differ. */
 const EXPIRY_SLACK_MS = 15_000;
 const SWEEP_MS = 5_000;
-/** Keys whose records are decoded in one go after a restart. */
-const READ_AT_ONCE = 50;
-/** Callers that wait for the restart go first, in ms. */
-const READ_AFTER_MS = 3_000;
-const READ_PAUSE_MS = 40;
 /** Turns handed to a copying replica at a time. */
 const MAX_FETCH_BYTES = 2_000_000;
 
@@ -116,10 +111,10 @@
     const saved = await readState<StoreState>(folder);
     const now = timer.now();
     let records = 0;
-    await this.#journal.load(({ key, expiresAt, read }) => {
-      if (expiresAt <= now) return;
+    await this.#journal.load((frame) => {
+      if (frame.expiresAt <= now) return;
       records += 1;
-      this.#replica.applyLater(key, read);
+      this.#replica.applyLater(frame);
     });
     if (saved?.view) {
       this.#replica.restore({ ...saved, view: saved.view });
@@ -133,13 +128,6 @@
     if (fleet.view) this.takeView(fleet.view);
     this.#keeper.start();
     timer.every(SWEEP_MS, () => this.#sweep());
-    timer.after(READ_AFTER_MS, () => this.#readRest());
-  }
-
-  /** Decodes what nobody has asked for yet, a little at a time. */
-  #readRest(): void {
-    if (!this.#replica.readSome(READ_AT_ONCE)) return;
-    this.#opts.timer.after(READ_PAUSE_MS, () => this.#readRest());
   }
 
   /** Moves to an agreed view. */
