Choice of upstream: tokens to be read weigh as ten running requests wait

Lines of turns left their caches for a little less load, and every prompt that is read again delays all that run on the engine. Change: weight 3 -> 10.

--- a/packages/routing/src/choose_upstream.ts
+++ b/packages/routing/src/choose_upstream.ts
@@ -38,10 +38,10 @@
 /** Growth of a step with each running request, as a share. */
 const STEP_GROWTH = 0.006;
 /**
- * Tokens that must be read delay everybody at the engine, so they weigh more
- * than the time until this request has its first token.
+ * While an engine reads a prompt, all that it runs wait. Tokens to be read
+ * weigh as if about ten requests ran, which a busy engine has.
  */
-const UNREAD_WEIGHT = 3;
+const UNREAD_WEIGHT = 10;
 /** Cost of crossing to another data centre, in ms. */
 const CROSSING_MS = 4;
 /** Cost of a new connection, in ms; connections are scarce at upstreams. */
