--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,4 @@
 import { HttpStore } from "@toucantrestle/config_store";
-import { createHostList } from "@toucantrestle/host_list";
 import type { HttpServer } from "@toucantrestle/http";
 import { createLoggers, type LoggerFactory } from "@toucantrestle/log";
 import {
@@ -13,10 +12,10 @@
 import { createTimeline, type Timeline } from "@toucantrestle/timeline";
 import { createSystemTimer, type Timer } from "@toucantrestle/timer";
 import { randomUUID } from "node:crypto";
-import { CallerLimits } from "./caller_limits.ts";
+import type { CallerLimits } from "./caller_limits.ts";
 import { setUpCalls } from "./calls_setup.ts";
 import { createDaemonHttp } from "./daemon_http.ts";
-import { DispatchDesk } from "./dispatch_desk.ts";
+import type { DispatchDesk } from "./dispatch_desk.ts";
 import { Entry } from "./entry.ts";
 import { Families } from "./families.ts";
 import { Flusher } from "./flusher.ts";
@@ -27,7 +26,7 @@
 import { Keyring } from "./keyring.ts";
 import { LateOutcomes } from "./late_outcomes.ts";
 import { LeaseKeeper } from "./lease_keeper.ts";
-import { LoadReader } from "./load_reader.ts";
+import type { LoadReader } from "./load_reader.ts";
 import { createOperatorHandlers } from "./operator_handlers.ts";
 import type { OwnedShard } from "./owned_shard.ts";
 import type { Ownership } from "./ownership.ts";
@@ -35,6 +34,7 @@
 import { createPeerHandlers } from "./peer_handlers.ts";
 import type { ProgramCalls } from "./program_calls.ts";
 import { Replicator } from "./replicator.ts";
+import { setUpScheduling } from "./scheduling_setup.ts";
 import type { DaemonSettings } from "./settings.ts";
 import {
   reportPrograms,
@@ -46,7 +46,7 @@
 import { TailHolder } from "./tail_holder.ts";
 import { openTimelineFile } from "./timeline_file.ts";
 import { readTlsFiles, type TlsFiles } from "./tls_files.ts";
-import { Upstreams } from "./upstreams.ts";
+import type { Upstreams } from "./upstreams.ts";
 
 const TIMELINE_CAPACITY = 20_000;
 const BYTES_PER_MB = 1_000_000;
@@ -117,7 +117,11 @@
       timeoutMs: cfg.storeTimeoutMs,
       isCut: () => this.#faults.cut.includes("store"),
     });
-    this.#view = this.#createView();
+    this.#view = new StoreView({
+      store: this.#store,
+      timer: this.#timer,
+      log: this.#logs("table"),
+    });
     this.#lease = this.#createLease();
     this.#keyring = new Keyring({
       store: this.#store,
@@ -125,10 +129,19 @@
       timer: this.#timer,
       bootstrapKey: cfg.bootstrapKey,
     });
-    this.#limits = this.#createLimits();
-    this.#desk = this.#createDesk();
-    this.#upstreams = this.#createUpstreams();
-    this.#loads = this.#createLoadReader();
+    const scheduling = setUpScheduling({
+      hostListUrl: cfg.hostListUrl,
+      selfHost: cfg.host,
+      view: this.#view,
+      net: () => this.#net,
+      timer: this.#timer,
+      logs: this.#logs,
+      metrics: this.#metrics,
+    });
+    this.#limits = scheduling.limits;
+    this.#desk = scheduling.desk;
+    this.#upstreams = scheduling.upstreams;
+    this.#loads = scheduling.loads;
     this.#isolation = new Isolation({
       store: this.#store,
       view: this.#view,
@@ -211,14 +224,6 @@
     this.#onStopped = fn;
   }
 
-  #createView(): StoreView {
-    return new StoreView({
-      store: this.#store,
-      timer: this.#timer,
-      log: this.#logs("table"),
-    });
-  }
-
   #createLease(): LeaseKeeper {
     return new LeaseKeeper({
       store: this.#store,
@@ -230,53 +235,6 @@
     });
   }
 
-  #createLimits(): CallerLimits {
-    return new CallerLimits({
-      view: this.#view,
-      net: () => this.#net,
-      timer: this.#timer,
-      selfHost: this.#self.host,
-      waiting: () => this.#desk.dispatcher.waitingByCaller(),
-      onGranted: () => this.#desk.wake(),
-    });
-  }
-
-  #createDesk(): DispatchDesk {
-    return new DispatchDesk({
-      policy: "toucantrestle",
-      limits: this.#limits,
-      queueLimit: () => this.#view.tableView.system.queueLimit,
-      timer: this.#timer,
-      metrics: this.#metrics,
-    });
-  }
-
-  #createUpstreams(): Upstreams {
-    const { hostListUrl } = this.#cfg;
-    return new Upstreams({
-      view: () => this.#view.tableView,
-      hostList: hostListUrl === undefined
-        ? undefined
-        : createHostList({ url: hostListUrl, timeoutMs: 2_000 }),
-      timer: this.#timer,
-      log: this.#logs("upstream"),
-      onChange: (infos) => this.#desk.setUpstreams(infos),
-    });
-  }
-
-  #createLoadReader(): LoadReader {
-    return new LoadReader({
-      upstreams: this.#upstreams,
-      desk: this.#desk,
-      timer: this.#timer,
-      net: () => this.#net,
-      selfHost: this.#self.host,
-      liveHosts: () =>
-        [...this.#view.hosts.values()].filter((it) => it.state === "live")
-          .map((it) => it.host),
-    });
-  }
-
   #createReplicator(): Replicator {
     return new Replicator({
       net: () => this.#net,
--- /dev/null
+++ b/packages/daemon/src/scheduling_setup.ts
@@ -0,0 +1,72 @@
+import { createHostList } from "@toucantrestle/host_list";
+import type { LoggerFactory } from "@toucantrestle/log";
+import type { Metrics } from "@toucantrestle/metrics";
+import type { SiblingNet } from "@toucantrestle/sibling";
+import type { Timer } from "@toucantrestle/timer";
+import { CallerLimits } from "./caller_limits.ts";
+import { DispatchDesk } from "./dispatch_desk.ts";
+import { LoadReader } from "./load_reader.ts";
+import type { StoreView } from "./store_view.ts";
+import { Upstreams } from "./upstreams.ts";
+
+/** Parts that decide who is served, when and where. */
+export interface Scheduling {
+  limits: CallerLimits;
+  desk: DispatchDesk;
+  upstreams: Upstreams;
+  loads: LoadReader;
+}
+
+/** What scheduling is built from. */
+export interface SchedulingOptions {
+  /** Where hosts are listed; undefined where no list is used. */
+  hostListUrl: string | undefined;
+  selfHost: string;
+  view: StoreView;
+  net: () => SiblingNet;
+  timer: Timer;
+  logs: LoggerFactory;
+  metrics: Metrics;
+}
+
+const HOST_LIST_TIMEOUT_MS = 2_000;
+
+/** Builds the parts that decide who is served, when and where. */
+export function setUpScheduling(opts: SchedulingOptions): Scheduling {
+  const { hostListUrl, selfHost, view, net, timer, logs, metrics } = opts;
+  const limits: CallerLimits = new CallerLimits({
+    view,
+    net,
+    timer,
+    selfHost,
+    waiting: () => desk.dispatcher.waitingByCaller(),
+    onGranted: () => desk.wake(),
+  });
+  const desk: DispatchDesk = new DispatchDesk({
+    policy: "toucantrestle",
+    limits,
+    queueLimit: () => view.tableView.system.queueLimit,
+    timer,
+    metrics,
+  });
+  const upstreams = new Upstreams({
+    view: () => view.tableView,
+    hostList: hostListUrl === undefined
+      ? undefined
+      : createHostList({ url: hostListUrl, timeoutMs: HOST_LIST_TIMEOUT_MS }),
+    timer,
+    log: logs("upstream"),
+    onChange: (infos) => desk.setUpstreams(infos),
+  });
+  const loads = new LoadReader({
+    upstreams,
+    desk,
+    timer,
+    net,
+    selfHost,
+    liveHosts: () =>
+      [...view.hosts.values()].filter((it) => it.state === "live")
+        .map((it) => it.host),
+  });
+  return { limits, desk, upstreams, loads };
+}
