Daemon: who owns a program is found in one place

Families and late outcomes each looked the shard up, refused what had moved and found the owner's session; OwnerRoute does it for both. No behaviour changes.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -29,6 +29,7 @@
 import type { LoadReader } from "./load_reader.ts";
 import { createOperatorHandlers } from "./operator_handlers.ts";
 import type { OwnedShard } from "./owned_shard.ts";
+import { OwnerRoute } from "./owner_route.ts";
 import type { Ownership } from "./ownership.ts";
 import { setUpOwnership } from "./ownership_setup.ts";
 import { createPeerHandlers } from "./peer_handlers.ts";
@@ -165,8 +166,9 @@
       view: this.#view,
       net: () => this.#net,
     };
-    this.#lates = new LateOutcomes(shared);
-    this.#families = new Families(shared);
+    const owners = new OwnerRoute(shared);
+    this.#lates = new LateOutcomes({ ...shared, owners });
+    this.#families = new Families({ ...shared, owners });
     this.#entry = new Entry({
       ...shared,
       calls: this.#createCalls(),
--- a/packages/daemon/src/families.ts
+++ b/packages/daemon/src/families.ts
@@ -1,12 +1,8 @@
 import { availableTokens } from "@toucantrestle/program";
-import { shardOfProgram } from "@toucantrestle/membership";
-import type { SiblingNet } from "@toucantrestle/sibling";
 import { BudgetError, ConflictError } from "@toucantrestle/verdict";
 import { requireLedger } from "./call_context.ts";
-import { relocated } from "./errors.ts";
 import type { Journal } from "./journal.ts";
-import type { Ownership } from "./ownership.ts";
-import type { StoreView } from "./store_view.ts";
+import type { OwnerRoute } from "./owner_route.ts";
 
 /** A sub-agent's request for part of its parent's budget. */
 export interface ChildReservation {
@@ -21,29 +17,17 @@
 /** Moves budget between programs and their sub-agents, across owners. */
 export class Families {
   readonly #journal: Journal;
-  readonly #ownership: Ownership;
-  readonly #view: StoreView;
-  readonly #net: () => SiblingNet;
+  readonly #owners: OwnerRoute;
 
-  constructor(
-    opts: {
-      journal: Journal;
-      ownership: Ownership;
-      view: StoreView;
-      net: () => SiblingNet;
-    },
-  ) {
+  constructor(opts: { journal: Journal; owners: OwnerRoute }) {
     this.#journal = opts.journal;
-    this.#ownership = opts.ownership;
-    this.#view = opts.view;
-    this.#net = opts.net;
+    this.#owners = opts.owners;
   }
 
   /** Carves a sub-agent's budget out of its parent's, wherever that is. */
   async reserve(args: ChildReservation): Promise<void> {
-    const shard = shardOfProgram(args.parent) ?? 0;
-    if (this.#ownership.serving(shard)) return await this.reserveHere(args);
-    const session = this.#net().requireSession(this.#ownerOf(shard));
+    if (this.#owners.isHere(args.parent)) return await this.reserveHere(args);
+    const session = this.#owners.session(args.parent);
     await session.rpc("reserve_child", args, RPC_TIMEOUT_MS);
   }
 
@@ -51,9 +35,8 @@
   async settle(
     args: { parent: string; child: string; spentTokens: number },
   ): Promise<void> {
-    const shard = shardOfProgram(args.parent) ?? 0;
-    if (this.#ownership.serving(shard)) return await this.settleHere(args);
-    const session = this.#net().requireSession(this.#ownerOf(shard));
+    if (this.#owners.isHere(args.parent)) return await this.settleHere(args);
+    const session = this.#owners.session(args.parent);
     await session.rpc("settle_child", args, RPC_TIMEOUT_MS);
   }
 
@@ -63,9 +46,7 @@
    * @throws {BudgetError} when the parent has less left
    */
   async reserveHere(args: ChildReservation): Promise<void> {
-    const number = shardOfProgram(args.parent) ?? 0;
-    const shard = this.#ownership.serving(number);
-    if (!shard) throw relocated(number, "not_run");
+    const shard = this.#owners.here(args.parent);
     const ledger = requireLedger(shard, args.parent, args.caller);
     const known = ledger.children.some((it) => it.child === args.child);
     if (known) return await this.#journal.keepAll(shard);
@@ -90,9 +71,7 @@
   async settleHere(
     args: { parent: string; child: string; spentTokens: number },
   ): Promise<void> {
-    const number = shardOfProgram(args.parent) ?? 0;
-    const shard = this.#ownership.serving(number);
-    if (!shard) throw relocated(number, "not_run");
+    const shard = this.#owners.here(args.parent);
     await this.#journal.keep(shard, {
       kind: "child_settled",
       program: args.parent,
@@ -100,10 +79,4 @@
       spentTokens: args.spentTokens,
     });
   }
-
-  #ownerOf(shard: number) {
-    const known = this.#view.shards.get(shard);
-    if (!known) throw relocated(shard, "not_run");
-    return known.record.owner;
-  }
 }
--- a/packages/daemon/src/late_outcomes.ts
+++ b/packages/daemon/src/late_outcomes.ts
@@ -1,11 +1,7 @@
-import { shardOfProgram } from "@toucantrestle/membership";
-import type { SiblingNet } from "@toucantrestle/sibling";
 import { sleep, type Timer } from "@toucantrestle/timer";
 import type { LateOutcome } from "./call_context.ts";
-import { relocated } from "./errors.ts";
 import type { Journal } from "./journal.ts";
-import type { Ownership } from "./ownership.ts";
-import type { StoreView } from "./store_view.ts";
+import type { OwnerRoute } from "./owner_route.ts";
 
 const ATTEMPTS = 60;
 const RETRY_MS = 500;
@@ -15,24 +11,12 @@
 export class LateOutcomes {
   readonly #timer: Timer;
   readonly #journal: Journal;
-  readonly #ownership: Ownership;
-  readonly #view: StoreView;
-  readonly #net: () => SiblingNet;
+  readonly #owners: OwnerRoute;
 
-  constructor(
-    opts: {
-      timer: Timer;
-      journal: Journal;
-      ownership: Ownership;
-      view: StoreView;
-      net: () => SiblingNet;
-    },
-  ) {
+  constructor(opts: { timer: Timer; journal: Journal; owners: OwnerRoute }) {
     this.#timer = opts.timer;
     this.#journal = opts.journal;
-    this.#ownership = opts.ownership;
-    this.#view = opts.view;
-    this.#net = opts.net;
+    this.#owners = opts.owners;
   }
 
   /** Tries for half a minute to have the outcome recorded. */
@@ -49,9 +33,7 @@
 
   /** Records the outcome of a program that is owned here. */
   async recordHere(late: LateOutcome): Promise<void> {
-    const number = shardOfProgram(late.program) ?? 0;
-    const shard = this.#ownership.serving(number);
-    if (!shard) throw relocated(number, "not_run");
+    const shard = this.#owners.here(late.program);
     await this.#journal.keep(shard, {
       kind: "call_finished",
       ...late,
@@ -61,11 +43,8 @@
   }
 
   async #send(late: LateOutcome): Promise<void> {
-    const number = shardOfProgram(late.program) ?? 0;
-    if (this.#ownership.serving(number)) return await this.recordHere(late);
-    const owner = this.#view.shards.get(number)?.record.owner;
-    if (!owner) throw relocated(number, "not_run");
-    const session = this.#net().requireSession(owner);
+    if (this.#owners.isHere(late.program)) return await this.recordHere(late);
+    const session = this.#owners.session(late.program);
     await session.rpc("late_outcome", late, RPC_TIMEOUT_MS);
   }
 }
