--- /dev/null
+++ b/packages/front/test/bad_input_test.ts
@@ -0,0 +1,115 @@
+import { expect } from "earl";
+import { connect } from "node:net";
+import { after, before, beforeEach, describe, it } from "node:test";
+import { World } from "./world.ts";
+
+const world = new World();
+const READ_LIMIT_MS = 6_000;
+/** Limit of the world's configuration, in bytes. */
+const HEADER_BYTES = 16_384;
+
+before(async () => {
+  world.configure([{ prefix: "/plain/" }]);
+  await world.addTurnStores(3);
+  await world.addUpstream("u1");
+  await world.addFront();
+  await world.ready("/plain/x");
+});
+
+after(() => world.close());
+
+beforeEach(() => {
+  world.seen.length = 0;
+});
+
+describe("a request that is not proper", () => {
+  it("is answered 431 when its header is too large", async () => {
+    const got = await sendRaw([
+      "GET /plain/ HTTP/1.1",
+      "Host: x.example",
+      "X-Id: b1",
+      `X-Long: ${"y".repeat(HEADER_BYTES)}`,
+    ]);
+    expect(statusOf(got)).toEqual(431);
+    expect(world.seen).toEqual([]);
+  });
+
+  it("is refused when two lengths disagree", async () => {
+    const got = await sendRaw([
+      "POST /plain/ HTTP/1.1",
+      "Host: x.example",
+      "X-Id: b2",
+      "Content-Length: 4",
+      "Content-Length: 40",
+    ], "body");
+    expect(statusOf(got)).toEqual(400);
+    expect(world.seen).toEqual([]);
+  });
+
+  it("hides no other request in a body with two framings", async () => {
+    const got = await sendRaw(
+      [
+        "POST /plain/a HTTP/1.1",
+        "Host: x.example",
+        "X-Id: b3",
+        "Content-Length: 5",
+        "Transfer-Encoding: chunked",
+      ],
+      "0\r\n\r\nGET /plain/hidden HTTP/1.1\r\nHost: x.example\r\nX-Id: b4\r\n\r\n",
+    );
+    expect(statusOf(got)).toEqual(400);
+    expect(world.seen).toEqual([]);
+  });
+
+  it("hides no other request in a chunked body", async () => {
+    const hidden = "GET /plain/hidden HTTP/1.1\r\nX-Id: b6\r\n\r\n";
+    await sendRaw([
+      "POST /plain/b HTTP/1.1",
+      "Host: x.example",
+      "X-Id: b5",
+      "Transfer-Encoding: chunked",
+      "Connection: close",
+    ], `${hidden.length.toString(16)}\r\n${hidden}\r\n0\r\n\r\n`);
+    expect(world.seen.map((it) => [it.id, it.path])).toEqual([
+      ["b5", "/plain/b"],
+    ]);
+    expect(world.seen[0]?.body).toEqual(hidden);
+  });
+
+  it("is given up when its header does not come", async () => {
+    const startedAt = Date.now();
+    const got = await sendRaw(["GET /plain/ HTTP/1.1", "Host: x.exa"], null);
+    expect(Date.now() - startedAt).toBeLessThan(READ_LIMIT_MS);
+    expect([0, 408].includes(statusOf(got))).toEqual(true);
+    expect(world.seen).toEqual([]);
+  });
+
+  it("leaves the next one on another connection alone", async () => {
+    await sendRaw(["BROKEN", "\u0000"]);
+    const got = await world.call("/plain/", { headers: { "x-id": "b7" } });
+    expect([got.status, got.body]).toEqual([200, "did b7"]);
+  });
+});
+
+/**
+ * Sends lines and a body as they are, and reads until the connection ends. A
+ * null body leaves the header open.
+ */
+function sendRaw(lines: string[], body: string | null = ""): Promise<string> {
+  const { hostname, port } = new URL(`http://${world.callerAddresses[0]}`);
+  return new Promise((resolve, reject) => {
+    const socket = connect(Number(port), hostname);
+    let text = "";
+    socket.setTimeout(READ_LIMIT_MS, () => socket.destroy());
+    socket.on("data", (chunk) => text += chunk);
+    socket.on("close", () => resolve(text));
+    socket.on("error", (err) => text === "" ? reject(err) : resolve(text));
+    const head = lines.join("\r\n");
+    socket.write(body === null ? head : `${head}\r\n\r\n${body}`);
+  });
+}
+
+/** Status of the first answer; 0 where none came. */
+function statusOf(text: string): number {
+  return Number(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1] ?? 0);
+}
