Choice of upstream: a queue for slots weighs against a cached prompt

Change: the wait for a slot weighs three times, since it delays those who come after, too. The count of header bytes in read_call is told line by line; no behaviour changes by that.

--- a/packages/front/src/read_call.ts
+++ b/packages/front/src/read_call.ts
@@ -15,6 +15,9 @@
 import { readBody } from "./read_body.ts";
 import { CallTrail } from "./trail.ts";
 
+/** Colon, space and line end of a header line. */
+const LINE_EXTRA_BYTES = 4;
+
 /** What reading a request needs. */
 export interface ReadCallOptions {
   /** Configuration in force; undefined before the first. */
@@ -86,10 +89,11 @@
   };
 }
 
-/** Bytes of the header lines of a request, with their ends. */
+/** Bytes of the header lines of a request. */
 function headBytes(req: IncomingMessage): number {
-  const ends = ": \r\n".length / 2;
-  return req.rawHeaders.reduce((sum, it) => sum + it.length + ends, 0);
+  const texts = req.rawHeaders.reduce((sum, it) => sum + it.length, 0);
+  const lines = req.rawHeaders.length / 2;
+  return texts + lines * LINE_EXTRA_BYTES;
 }
 
 /** Two requests with the same method, path, body and history are the same. */
--- a/packages/routing/src/choose_upstream.ts
+++ b/packages/routing/src/choose_upstream.ts
@@ -42,6 +42,8 @@
  * weigh as if about ten requests ran, which a busy engine has.
  */
 const UNREAD_WEIGHT = 10;
+/** Who joins a queue for a slot delays those who come after it as well. */
+const QUEUE_WEIGHT = 3;
 /** Cost of crossing to another data centre, in ms. */
 const CROSSING_MS = 4;
 /** Cost of a new connection, in ms; connections are scarce at upstreams. */
@@ -91,7 +93,7 @@
   const tokenMs = TOKEN_MS * (1 + STEP_GROWTH * batch);
   const decodeMs = input.outputTokens * tokenMs;
   const waiting = Math.max(0, running + 1 - upstream.entry.slots);
-  const waitMs = waiting * decodeMs / upstream.entry.slots;
+  const waitMs = QUEUE_WEIGHT * waiting * decodeMs / upstream.entry.slots;
   return prefillMs + decodeMs + waitMs;
 }
 
