Front: a call that crashes its upstreams is not passed around

Ruled out: the list of crashing calls (it is asked before a call starts, not between its runs). Change: one run at an ended upstream is left out of the count, not more.

--- a/packages/front/src/call_run.ts
+++ b/packages/front/src/call_run.ts
@@ -27,6 +27,8 @@
 const DEFAULT_WORK_MS = 100;
 /** The time given to an upstream ends this much before the caller's. */
 const DEADLINE_MARGIN_MS = 10;
+/** More upstreams that ended on a call were ended by it, perhaps. */
+const MAX_ENDED_RUNS = 1;
 /** An idempotent call goes elsewhere after this many usual durations. */
 const SLOW_FACTOR = 6;
 const MIN_SLOW_MS = 300;
@@ -39,6 +41,8 @@
   readonly #excluded = new Set<string>();
   #runs = 0;
   #declines = 0;
+  /** Runs at upstreams that have ended since, which do not count. */
+  #endedRuns = 0;
   /** Id of the last event that was passed on. */
   #lastEventId: string | undefined;
 
@@ -258,8 +262,11 @@
     const isLost = failure.reason === "connection_lost" &&
       failure.verdict === "may_have_run";
     if (!isLost || !mayRepeat(route) || this.#runs < route.maxRuns) return;
+    if (this.#endedRuns >= MAX_ENDED_RUNS) return;
     const hasEnded = !await isListening(upstream.entry.address);
-    if (hasEnded) this.#runs -= 1;
+    if (!hasEnded) return;
+    this.#endedRuns += 1;
+    this.#runs -= 1;
   }
 
   /** Lets a stream that broke off go on; true when the call is over. */
