Front and daemon: files split by job, one sleep, names

Read as a newcomer: call_run.ts (410 lines) also handed answers over, which finish_call.ts does now; a local name hid an imported rule; what may have crashed an upstream stood twice; the front had a copy of the timer's sleep; daemon.ts (402 lines) chose hosts that answer, which is the link keeper's job. No behaviour changes, no check is touched.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -21,7 +21,7 @@
 import { Flusher } from "./flusher.ts";
 import { stopGracefully } from "./graceful_stop.ts";
 import { Isolation } from "./isolation.ts";
-import { LinkKeeper } from "./link_keeper.ts";
+import { hostsThatAnswer, LinkKeeper } from "./link_keeper.ts";
 import { Journal } from "./journal.ts";
 import { Keyring } from "./keyring.ts";
 import { LateOutcomes } from "./late_outcomes.ts";
@@ -381,13 +381,9 @@
   }
 
   #chooseHolders(shard: number): HostRun[] {
-    const hosts = [...this.#view.hosts.values()].filter((host) => {
-      const silentMs = this.#net.silentMs(host.runId);
-      return silentMs !== undefined && silentMs < 1_000;
-    });
     return chooseHolders(shard, {
       owner: this.#self,
-      hosts,
+      hosts: hostsThatAnswer(this.#view, this.#net),
       copies: this.#cfg.tailCopies,
     });
   }
--- a/packages/daemon/src/link_keeper.ts
+++ b/packages/daemon/src/link_keeper.ts
@@ -1,4 +1,8 @@
-import { type HostRun, linkTargets } from "@toucantrestle/membership";
+import {
+  type HostRecord,
+  type HostRun,
+  linkTargets,
+} from "@toucantrestle/membership";
 import type { SiblingNet } from "@toucantrestle/sibling";
 import type { Timer } from "@toucantrestle/timer";
 import type { OwnedShard } from "./owned_shard.ts";
@@ -6,6 +10,8 @@
 import type { StoreView } from "./store_view.ts";
 
 const REFRESH_MS = 500;
+/** A host that says nothing for this long does not answer, in ms. */
+const MAX_SILENT_MS = 1_000;
 /** Links that a daemon keeps without a reason. */
 const MAX_IDLE_LINKS = 16;
 
@@ -74,3 +80,14 @@
     return [...owners, ...holders];
   }
 }
+
+/** Hosts of the list whose links answer. */
+export function hostsThatAnswer(
+  view: StoreView,
+  net: SiblingNet,
+): HostRecord[] {
+  return [...view.hosts.values()].filter((host) => {
+    const silentMs = net.silentMs(host.runId);
+    return silentMs !== undefined && silentMs < MAX_SILENT_MS;
+  });
+}
--- a/packages/front/src/call_run.ts
+++ b/packages/front/src/call_run.ts
@@ -15,7 +15,7 @@
 import { answerCall, breakOff, refuseCall } from "./answers.ts";
 import { type Attempt, type AttemptResult, startAttempt } from "./attempt.ts";
 import type { Call } from "./call.ts";
-import { answerHeaders } from "./headers.ts";
+import { finishCall } from "./finish_call.ts";
 import type { ServeOptions } from "./serve_options.ts";
 import type { TurnState } from "./turn_state.ts";
 
@@ -27,7 +27,7 @@
 const DEFAULT_WORK_MS = 100;
 /** The time given to an upstream ends this much before the caller's. */
 const DEADLINE_MARGIN_MS = 10;
-/** More upstreams that ended on a call were ended by it, perhaps. */
+/** A call on which more upstreams ended may be what ends them. */
 const MAX_ENDED_RUNS = 1;
 /** An idempotent call goes elsewhere after this many usual durations. */
 const SLOW_FACTOR = 6;
@@ -168,9 +168,9 @@
   /** Time after which an idempotent call is worth another upstream, in ms. */
   #slowMs(): number {
     const { route } = this.#call;
-    const mayRepeat = route.kind === "idempotent" &&
+    const hasNext = route.kind === "idempotent" &&
       this.#runs + 1 < route.maxRuns;
-    if (!mayRepeat) return Infinity;
+    if (!hasNext) return Infinity;
     const mean = this.#opts.book.meanMs(route.name) ?? DEFAULT_WORK_MS;
     return Math.max(MIN_SLOW_MS, SLOW_FACTOR * mean);
   }
@@ -185,7 +185,13 @@
       case "complete":
         this.#opts.book.noteSuccess(id);
         this.#turn?.noteRead(id);
-        await this.#finish(upstream, result);
+        await finishCall({
+          call: this.#call,
+          turn: this.#turn,
+          turns: this.#opts.turns,
+          upstream: id,
+          result,
+        });
         return true;
       case "declined":
         this.#noteDeclined(id, result.status);
@@ -248,9 +254,7 @@
     const isDown = failure.reason === "connect_refused" ||
       failure.reason === "connect_timeout";
     if (isDown) book.noteFailure(id, now);
-    const mayHaveCrashed = failure.reason === "connection_lost" &&
-      failure.verdict === "may_have_run";
-    if (mayHaveCrashed) crashes.note(this.#call.fingerprint, id, now);
+    if (mayHaveCrashed(failure)) crashes.note(this.#call.fingerprint, id, now);
   }
 
   /** A run at an upstream that has ended does not count among the runs. */
@@ -259,9 +263,8 @@
     failure: ChannelFailure,
   ): Promise<void> {
     const { route } = this.#call;
-    const isLost = failure.reason === "connection_lost" &&
-      failure.verdict === "may_have_run";
-    if (!isLost || !mayRepeat(route) || this.#runs < route.maxRuns) return;
+    if (!mayHaveCrashed(failure) || !mayRepeat(route)) return;
+    if (this.#runs < route.maxRuns) return;
     if (this.#endedRuns >= MAX_ENDED_RUNS) return;
     const hasEnded = !await isListening(upstream.entry.address);
     if (!hasEnded) return;
@@ -326,44 +329,6 @@
     });
   }
 
-  /** Hands over the end of a complete answer. */
-  async #finish(
-    upstream: KnownUpstream,
-    result: Extract<AttemptResult, { kind: "complete" }>,
-  ): Promise<void> {
-    const call = this.#call;
-    const { res } = call;
-    const { head, rest } = result;
-    const isWhole = head.status === 200 && this.#turn !== undefined;
-    if (isWhole && !await this.#turn?.keep(upstream.entry.id)) {
-      this.#answerNotKept();
-      return;
-    }
-    if (!res.headersSent) {
-      res.writeHead(head.status, answerHeaders(head, this.#turn !== undefined));
-    }
-    this.#turn?.settle();
-    for (const part of rest) res.write(part);
-    res.end();
-    call.trail.end("answered", {
-      status: head.status,
-      verdict: "ran",
-      reason: `answered by ${upstream.entry.id}`,
-    });
-  }
-
-  /** A turn that is not surely kept must not look complete. */
-  #answerNotKept(): void {
-    const call = this.#call;
-    const { turns } = this.#opts;
-    call.trail.note("not_kept", "the finished turn cannot be kept", {
-      view: turns.view?.number,
-      reachesTurnStores: turns.isUsable,
-    });
-    if (call.res.headersSent) breakOff(call, "the turn is not kept");
-    else this.#answerFailed("the turn is not kept");
-  }
-
   #noteRouted(
     upstream: KnownUpstream,
     opts: { unread: number; timeLeftMs: number },
@@ -397,6 +362,12 @@
   }
 }
 
+/** Whether an upstream may have ended on the request that it ran. */
+function mayHaveCrashed(failure: ChannelFailure): boolean {
+  return failure.reason === "connection_lost" &&
+    failure.verdict === "may_have_run";
+}
+
 /** Counts a request at an upstream; the result ends the reading of its prompt. */
 function countLoad(upstream: KnownUpstream, unread: number): () => void {
   upstream.own.running += 1;
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -9,7 +9,7 @@
   type RoutingConfig,
   UpstreamBook,
 } from "@toucantrestle/routing";
-import type { Timer } from "@toucantrestle/timer";
+import { sleep, type Timer } from "@toucantrestle/timer";
 import { type Relay, TurnStoreClient } from "@toucantrestle/turn_store";
 import {
   createServer,
@@ -22,7 +22,7 @@
 import { ConfigWatch } from "./config_watch.ts";
 import { directoryAnswer } from "./directory.ts";
 import type { Digest, FrontState, Protocol } from "./protocol.ts";
-import { listen, MAX_HEAD_BYTES, sleepMs } from "./listening.ts";
+import { listen, MAX_HEAD_BYTES } from "./listening.ts";
 import { readCall } from "./read_call.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServeOptions } from "./serve_options.ts";
@@ -183,14 +183,14 @@
     this.#siblings.tellNow();
     const leaving = fleet.leave();
     const endAt = timer.steady() + graceMs - EXIT_MARGIN_MS;
-    await sleepMs(timer, Math.min(SERVE_ON_MS, graceMs / 2));
+    await sleep(timer, Math.min(SERVE_ON_MS, graceMs / 2));
     this.#callers.close();
     while (this.#calls.size > 0 && timer.steady() < endAt) {
       this.#callers.closeIdleConnections();
-      await sleepMs(timer, END_CHECK_MS);
+      await sleep(timer, END_CHECK_MS);
     }
     this.#callers.closeIdleConnections();
-    await Promise.race([leaving, sleepMs(timer, 100)]);
+    await Promise.race([leaving, sleep(timer, 100)]);
     loggers("front").info(`stopped, ${this.#calls.size} calls cut off`);
   }
 
--- a/packages/front/src/listening.ts
+++ b/packages/front/src/listening.ts
@@ -1,4 +1,3 @@
-import type { Timer } from "@toucantrestle/timer";
 import type { Server } from "node:http";
 
 /** Largest head of a request that is read at all, in bytes. */
@@ -12,10 +11,3 @@
     server.listen(Number(url.port), url.hostname, resolve);
   });
 }
-
-/** Resolves after `ms` on the given timer. */
-export function sleepMs(timer: Timer, ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    timer.after(ms, resolve);
-  });
-}
