Routing: learned engine speeds, fresh load reports, heavier uncached prompts

Cause: in a burst most programs end late although the engines' capacity is about the demand. The choice of upstream used the speeds of one make of engine (42 prompt tokens per ms, 5.7 ms per token; here 77.4 and 2.73) and sibling loads that were up to 250 ms old, longer than a turn runs, so that fronts moved together to the same idle engine and prompts were read again. Change: SpeedEstimate tracks a low quantile of samples from lightly loaded engines and serves both fronts; loads have a notice of their own, at most every 50 ms (8 ms per sibling, so that it stays linear in the fleet); uncached tokens weigh 30, tokens that wait for prefill 7.

--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -2,12 +2,12 @@
   canResumeStream,
   CHOOSERS,
   decideFailureAction,
-  idleDecodeMs,
   isRetrySafe,
   type PromptPart,
   type TrackedUpstream,
   urgencyOf,
 } from "@toucantrestle/routing";
+import type { SpeedEstimate } from "@toucantrestle/policy";
 import {
   type ChannelFailure,
   isListening,
@@ -15,16 +15,18 @@
 import { abortResponse, refuseCall, respond } from "./responses.ts";
 import { type Attempt, type AttemptResult, startAttempt } from "./attempt.ts";
 import type { Call } from "./call.ts";
+import { EventTimes } from "./event_times.ts";
 import { finishCall } from "./finish_call.ts";
+import { LoadShare } from "./load_share.ts";
 import type { ServeOptions } from "./serve_options.ts";
 import type { TurnState } from "./turn_state.ts";
 
 /** Expected output of a turn whose caller gives no estimate, in tokens. */
 const DEFAULT_OUTPUT_TOKENS = 40;
-/** Prompt tokens that an engine prefills in the time it produces one event. */
-const PREFILL_TOKENS_PER_EVENT = 800;
 /** Expected duration of a non-streaming call without a recorded mean, in ms. */
 const DEFAULT_CALL_DURATION_MS = 100;
+/** Fill of the slots up to which an attempt measures an upstream's speed. */
+const MAX_MEASURED_FILL = 0.5;
 /** The deadline of an upstream precedes that of the caller by this margin. */
 const DEADLINE_MARGIN_MS = 10;
 /**
@@ -83,6 +85,7 @@
       parts: this.#promptParts,
       promptTokens: this.#promptTokens,
       outputTokens: this.#outputTokens,
+      speed: this.#speed,
       workMs: upstreamRegistry.meanMs(this.#call.route.name) ??
         DEFAULT_CALL_DURATION_MS,
       lastUpstream: this.#turn?.hints.at(-1)?.upstream,
@@ -101,6 +104,10 @@
     return this.#call.head.expectedOutputTokens ?? DEFAULT_OUTPUT_TOKENS;
   }
 
+  get #speed(): SpeedEstimate {
+    return this.#opts.speedOf(this.#call.service);
+  }
+
   get #promptParts(): PromptPart[] {
     return this.#call.head.promptParts;
   }
@@ -114,8 +121,10 @@
     const cachedTokens = prefixIndex.cachedTokens(id, this.#promptParts);
     const uncachedTokens = Math.max(0, this.#promptTokens - cachedTokens);
     this.#recordRouted(upstream, { uncachedTokens, timeLeftMs });
-    const endPrefill = addLoad(upstream, uncachedTokens);
+    const isLightlyLoaded = this.#isLightlyLoaded(upstream, startedAt);
+    const load = this.#addLoad(upstream, uncachedTokens);
     if (this.#turn) prefixIndex.recordPrefill(id, this.#promptParts);
+    const eventTimes = new EventTimes(startedAt);
     const attempt = startAttempt({
       call,
       upstream,
@@ -126,25 +135,39 @@
       resumeAfter: call.res.headersSent ? this.#lastEventId : undefined,
       timeLeftMs: Math.max(1, Math.floor(timeLeftMs - DEADLINE_MARGIN_MS)),
       onEvent: (event) => {
+        eventTimes.record(timer.monotonicNow());
         this.#lastEventId = event.id;
         this.#turn?.recordEvent(event);
       },
-      onFirstByte: endPrefill,
+      onFirstByte: () => load.endPrefill(),
     });
     const result = await this.#awaitResult(attempt, timeLeftMs);
-    endPrefill();
-    upstream.localLoad.running -= 1;
+    load.end();
     if (result.kind === "complete") {
       this.#recordDuration(upstream, startedAt, uncachedTokens);
+      if (isLightlyLoaded) {
+        this.#turn?.updateSpeed(this.#speed, { uncachedTokens, eventTimes });
+      }
     }
     return result;
   }
 
+  /** Whether an attempt that starts now measures the speed of the upstream. */
+  #isLightlyLoaded(upstream: TrackedUpstream, now: number): boolean {
+    const { running } = this.#opts.upstreamRegistry.loadOf(upstream, now);
+    return running <= MAX_MEASURED_FILL * upstream.entry.slots;
+  }
+
+  #addLoad(upstream: TrackedUpstream, uncachedTokens: number): LoadShare {
+    const { onLoadChange } = this.#opts;
+    return new LoadShare(upstream.localLoad, { uncachedTokens, onLoadChange });
+  }
+
   #urgency(now: number): number {
     return urgencyOf({
       rank: this.#call.route.rank,
       programLeftMs: this.#programLeftMs(now),
-      minDurationMs: idleDecodeMs(this.#outputTokens),
+      minDurationMs: this.#outputTokens * this.#speed.idleDecodeMsPerToken,
     });
   }
 
@@ -390,6 +413,9 @@
       configVersion: this.#call.config.version,
       upstreamsAgeMs: Math.round(upstreamsAgeMs()),
       running: load.running,
+      prefillTokens: load.prefillTokens,
+      decodeMsPerToken: round3(this.#speed.idleDecodeMsPerToken),
+      prefillMsPerToken: round3(this.#speed.prefillMsPerToken),
       unreadTokens: this.#turn ? opts.uncachedTokens : undefined,
       timeLeftMs: Math.round(opts.timeLeftMs),
       programLeftMs: this.#programLeftMs(timer.monotonicNow()),
@@ -399,7 +425,7 @@
 
   /**
    * Records the duration of a complete call. The duration of a turn is divided
-   * by its size in events, so that turns of different sizes compare.
+   * by that on an idle engine, so that turns of different sizes compare.
    */
   #recordDuration(
     upstream: TrackedUpstream,
@@ -411,9 +437,10 @@
     const ms = now - startedAt;
     const { id, service } = upstream.entry;
     if (this.#turn) {
-      const sizeInEvents = this.#turn.events +
-        uncachedTokens / PREFILL_TOKENS_PER_EVENT + 1;
-      upstreamRegistry.recordDuration(id, service, ms / sizeInEvents, now);
+      const { idleDecodeMsPerToken, prefillMsPerToken } = this.#speed;
+      const idleMs = this.#turn.outputTokens * idleDecodeMsPerToken +
+        uncachedTokens * prefillMsPerToken;
+      upstreamRegistry.recordDuration(id, service, ms / (idleMs + 1), now);
     } else upstreamRegistry.recordDuration(id, this.#call.route.name, ms, now);
   }
 }
@@ -424,20 +451,6 @@
     failure.verdict === "may_have_run";
 }
 
-/**
- * Adds a request to the load of an upstream. Returns a function that subtracts
- * the uncached prompt tokens again, to be called when the prompt is prefilled.
- */
-function addLoad(
-  upstream: TrackedUpstream,
-  uncachedTokens: number,
-): () => void {
-  upstream.localLoad.running += 1;
-  upstream.localLoad.prefillTokens += uncachedTokens;
-  let isPrefilling = true;
-  return () => {
-    if (!isPrefilling) return;
-    isPrefilling = false;
-    upstream.localLoad.prefillTokens -= uncachedTokens;
-  };
+function round3(value: number): number {
+  return Math.round(value * 1_000) / 1_000;
 }
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -2,6 +2,7 @@
 import type { Fleet } from "@toucantrestle/fleet";
 import type { LoggerFactory } from "@toucantrestle/log";
 import type { Metrics } from "@toucantrestle/metrics";
+import { SpeedEstimate } from "@toucantrestle/policy";
 import {
   type ChooserName,
   CrashTracker,
@@ -21,8 +22,9 @@
 import type { Call } from "./call.ts";
 import { ConfigWatcher } from "./config_watcher.ts";
 import { buildDirectoryResponse } from "./directory.ts";
-import type { Digest, FrontState, Protocol } from "./protocol.ts";
+import type { Digest, FrontState, LoadReport, Protocol } from "./protocol.ts";
 import { listen, MAX_HEADER_BYTES } from "./listen.ts";
+import { LoadReporter } from "./load_reporter.ts";
 import { readCall } from "./read_call.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServeOptions } from "./serve_options.ts";
@@ -79,12 +81,14 @@
   readonly #configWatcher: ConfigWatcher;
   readonly #upstreamWatcher: UpstreamWatcher;
   readonly #siblings: Siblings;
+  readonly #loadReporter: LoadReporter;
   readonly #turnStore: TurnStoreClient;
   readonly #upstreamRegistry: UpstreamRegistry;
   readonly #serveOptions: ServeOptions;
   readonly #callerServer: Server;
   readonly #auxiliaryServers: Server[] = [];
   readonly #activeCalls = new Set<Call>();
+  readonly #speeds = new Map<string, SpeedEstimate>();
   #graceMs: number;
   #isStopping = false;
 
@@ -134,8 +138,10 @@
       pools,
       turnStore: this.#turnStore,
       chooser: opts.chooser,
+      speedOf: (service) => this.#speedOf(service),
       host,
       dataCentre,
+      onLoadChange: () => this.#loadReporter.schedule(),
       upstreamsAgeMs: () => this.#upstreamWatcher.ageMs,
       timer,
     };
@@ -147,6 +153,12 @@
       configWatcher: this.#configWatcher,
       digest: () => this.#createDigest(),
       onDigest: (digest) => this.#applyDigest(digest),
+      onLoads: ({ host: sibling, loads }) =>
+        this.#upstreamRegistry.recordSiblingLoads(
+          sibling,
+          loads,
+          timer.monotonicNow(),
+        ),
       forward: ({ memberId, name, args }) =>
         this.#turnStore.links.forward(memberId, name, args as never),
       forwardSettle: ({ memberId, notice }) => {
@@ -157,6 +169,11 @@
       timer,
       log: loggers("sibling"),
     });
+    this.#loadReporter = new LoadReporter({
+      timer,
+      siblingCount: () => this.#siblings.count,
+      report: () => this.#siblings.broadcastLoads(this.#createLoadReport()),
+    });
     this.#callerServer = this.#createServer((req, res) =>
       this.#onCall(req, res)
     );
@@ -256,6 +273,16 @@
       this.#configWatcher.config !== undefined;
   }
 
+  /** Returns the speed of a service's engines, learned from its answers. */
+  #speedOf(service: string): SpeedEstimate {
+    let speed = this.#speeds.get(service);
+    if (!speed) {
+      speed = new SpeedEstimate();
+      this.#speeds.set(service, speed);
+    }
+    return speed;
+  }
+
   #createServer(
     handler: (req: IncomingMessage, res: ServerResponse) => void,
   ): Server {
@@ -346,26 +373,28 @@
   }
 
   #createDigest(): Digest {
-    const loads: Digest["loads"] = {};
-    for (const { entry, localLoad } of this.#upstreamRegistry.all()) {
-      if (localLoad.running > 0) loads[entry.id] = { ...localLoad };
-    }
     const { timer, host } = this.#opts;
     return {
       host,
       state: this.#state,
       reachesTurnStores: this.#turnStore.isQuorumReachable,
       configVersion: this.#configWatcher.config?.version ?? -1,
-      loads,
       crashes: this.#serveOptions.crashTracker.crashesSince(
         timer.monotonicNow() - CRASH_REPORT_WINDOW_MS,
       ),
     };
   }
 
+  #createLoadReport(): LoadReport {
+    const loads: LoadReport["loads"] = {};
+    for (const { entry, localLoad } of this.#upstreamRegistry.all()) {
+      if (localLoad.running > 0) loads[entry.id] = { ...localLoad };
+    }
+    return { host: this.#opts.host, loads };
+  }
+
   #applyDigest(digest: Digest): void {
     const now = this.#opts.timer.monotonicNow();
-    this.#upstreamRegistry.recordSiblingLoads(digest.host, digest.loads, now);
     for (const { fingerprint, upstreams } of digest.crashes) {
       for (const id of upstreams) {
         this.#serveOptions.crashTracker.recordCrash(fingerprint, id, now);
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -88,12 +88,16 @@
   /** Whether this front reaches a quorum of turn stores. */
   reachesTurnStores: boolean;
   configVersion: number;
-  /** Load that this front puts on upstreams, by upstream id. */
-  loads: Record<string, UpstreamLoad>;
   /** Requests that recently crashed upstreams, and these upstreams. */
   crashes: { fingerprint: string; upstreams: string[] }[];
 }
 
+/** Load that a front puts on upstreams, by upstream id. */
+export interface LoadReport {
+  host: string;
+  loads: Record<string, UpstreamLoad>;
+}
+
 /** Request methods between fronts. */
 export type FrontMethods = {
   /** Forwards a request to a turn store that the sender does not reach. */
@@ -113,6 +117,7 @@
 /** One-way notices between fronts. */
 export type FrontNotices = {
   digest: Digest;
+  loads: LoadReport;
   /** Forwards a notice to a turn store that the sender does not reach. */
   settle: { memberId: string; notice: SettleNotice };
 };
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -1,3 +1,4 @@
+import type { SpeedEstimate } from "@toucantrestle/policy";
 import type {
   ChooserName,
   CrashTracker,
@@ -18,8 +19,12 @@
   pools: UpstreamPools;
   turnStore: TurnStoreClient;
   chooser: ChooserName;
+  /** Returns the speed of the engines of a service. */
+  speedOf: (service: string) => SpeedEstimate;
   host: string;
   dataCentre: string;
+  /** Called when the load that this front puts on an upstream changes. */
+  onLoadChange: () => void;
   /** Time since the last update of the list of upstreams, in ms. */
   upstreamsAgeMs: () => number;
   timer: Timer;
--- a/packages/front/src/siblings.ts
+++ b/packages/front/src/siblings.ts
@@ -8,6 +8,7 @@
   FrontMethods,
   FrontNotices,
   FrontState,
+  LoadReport,
 } from "./protocol.ts";
 import type { UpstreamEntry } from "@toucantrestle/routing";
 
@@ -21,6 +22,7 @@
   configWatcher: ConfigWatcher;
   digest: () => Digest;
   onDigest: (digest: Digest) => void;
+  onLoads: (report: LoadReport) => void;
   /** Forwards a sibling's request to a turn store. */
   forward: RelayHandlers["relay"];
   forwardSettle: (it: FrontNotices["settle"]) => void;
@@ -70,6 +72,7 @@
       },
       notices: {
         digest: (digest) => this.#applyDigest(digest),
+        loads: (report) => opts.onLoads(report),
         settle: (it) => opts.forwardSettle(it),
       },
     });
@@ -141,6 +144,16 @@
     this.#broadcastDigest();
   }
 
+  /** Number of siblings with a link. */
+  get count(): number {
+    return this.#links.size;
+  }
+
+  /** Sends a load report to all siblings. */
+  broadcastLoads(report: LoadReport): void {
+    for (const link of this.#links.values()) link.notify("loads", report);
+  }
+
   #broadcastDigest(): void {
     const digest = this.#opts.digest();
     for (const link of this.#links.values()) link.notify("digest", digest);
--- a/packages/front/src/turn_state.ts
+++ b/packages/front/src/turn_state.ts
@@ -1,7 +1,9 @@
+import type { SpeedEstimate } from "@toucantrestle/policy";
 import type { LookupVerdict, PromptHint } from "@toucantrestle/turn_log";
 import type { Reservation, TurnStoreClient } from "@toucantrestle/turn_store";
 import type { Call } from "./call.ts";
 import type { StreamEvent } from "./event_splitter.ts";
+import type { EventTimes } from "./event_times.ts";
 
 /** Why a turn cannot start. */
 export type TurnStartFailure = "budget_spent" | "no_such_turn" | "unknown";
@@ -60,6 +62,25 @@
     return undefined;
   }
 
+  /** Number of output tokens forwarded to the caller. */
+  get outputTokens(): number {
+    return this.#events * this.#tokensPerEvent;
+  }
+
+  /** Updates a speed estimate with the attempt that completed the turn. */
+  updateSpeed(
+    speed: SpeedEstimate,
+    opts: { uncachedTokens: number; eventTimes: EventTimes },
+  ): void {
+    const { eventTimes, uncachedTokens } = opts;
+    speed.update({
+      uncachedTokens,
+      firstTokenMs: eventTimes.firstEventMs,
+      outputTokens: (eventTimes.count - 1) * this.#tokensPerEvent + 1,
+      decodeMs: eventTimes.decodeMs,
+    });
+  }
+
   /** Records an event that is forwarded to the caller. */
   recordEvent(event: StreamEvent): void {
     this.#events += 1;
@@ -78,7 +99,7 @@
     if (!route.keepsTurns) return true;
     const prompt = Buffer.concat([this.#prompt, ...this.#outputs]);
     const tokens = (head.promptTokens ?? 0) +
-      this.#events * this.#tokensPerEvent;
+      this.outputTokens;
     return await this.#store.put(
       { id: head.id, prompt, upstream, tokens },
       { keepMs: route.keepMs, deadlineMs: deadlineAt },
@@ -94,7 +115,7 @@
       program: head.program ?? "",
       turn: head.id,
       reserved: head.maxOutputTokens ?? 0,
-      settled: this.#events * this.#tokensPerEvent,
+      settled: this.outputTokens,
       hint: this.#createHint(),
       keepMs: route.keepMs,
     });
@@ -105,7 +126,7 @@
     const parts = this.#call.head.promptParts.map((it) => ({ ...it }));
     const lastPart = parts.at(-1);
     if (!lastPart || this.#prefilledBy === undefined) return undefined;
-    lastPart.tokens += this.#events * this.#tokensPerEvent;
+    lastPart.tokens += this.outputTokens;
     return { parts, upstream: this.#prefilledBy };
   }
 
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -22,6 +22,7 @@
   type WorkResult,
 } from "./dispatcher.ts";
 export { POLICIES, type PolicyDef, type PolicyName } from "./policies.ts";
+export { SpeedEstimate, type SpeedSample } from "./speed_estimate.ts";
 export { RetryBudget } from "./retry_budget.ts";
 export { refusalDelayMs } from "./refusal.ts";
 export { HashRing } from "./hash_ring.ts";
--- a/packages/routing/src/choose_upstream.ts
+++ b/packages/routing/src/choose_upstream.ts
@@ -1,3 +1,4 @@
+import type { SpeedEstimate } from "@toucantrestle/policy";
 import type { PrefixIndex, PromptPart } from "./prefix_index.ts";
 import type { TrackedUpstream, UpstreamRegistry } from "./upstream_registry.ts";
 
@@ -17,6 +18,8 @@
   parts: PromptPart[];
   promptTokens: number;
   outputTokens: number;
+  /** Speed of the service's engines. */
+  speed: SpeedEstimate;
   /** Expected duration on an idle upstream that is not an engine, in ms. */
   workMs: number;
   /** Id of the upstream that ran the previous turn. */
@@ -34,17 +37,19 @@
 
 type Chooser = (input: ChooserInput) => TrackedUpstream | undefined;
 
-/** Prompt tokens that an engine prefills per ms. */
-const PREFILL_TOKENS_PER_MS = 42;
-/** Duration of a decoding step on an idle engine, in ms per token. */
-const IDLE_TOKEN_MS = 5.7;
 /** Relative increase of the decoding step for each running request. */
 const BATCH_SLOWDOWN = 0.006;
 /**
  * Weight of the prompt tokens that the engine has not cached. Prefilling a
- * prompt stalls all requests that the engine runs, about ten when it is busy.
+ * prompt stalls all requests that the engine runs, and the cache that it fills
+ * is lost to other programs.
  */
-const UNCACHED_WEIGHT = 10;
+const UNCACHED_WEIGHT = 30;
+/**
+ * Weight of the prompt tokens that wait for prefill. They delay the first token
+ * of every later request.
+ */
+const BACKLOG_WEIGHT = 7;
 /** Weight of queueing: a queued request also delays the requests behind it. */
 const QUEUE_WEIGHT = 3;
 /** Added latency of an upstream in another data centre, in ms. */
@@ -68,11 +73,6 @@
       chooseLeastLoaded(input),
 };
 
-/** Returns the time that an idle engine takes to decode tokens, in ms. */
-export function idleDecodeMs(outputTokens: number): number {
-  return outputTokens * IDLE_TOKEN_MS;
-}
-
 /** Estimates the time until an upstream would finish the request, in ms. */
 export function expectedFinishMs(
   upstream: TrackedUpstream,
@@ -104,10 +104,12 @@
   );
   const cached = input.prefixIndex.cachedTokens(upstream.entry.id, input.parts);
   const uncachedTokens = Math.max(0, input.promptTokens - cached);
-  const prefillMs = (UNCACHED_WEIGHT * uncachedTokens + prefillTokens) /
-    PREFILL_TOKENS_PER_MS;
+  const prefillMs =
+    (UNCACHED_WEIGHT * uncachedTokens + BACKLOG_WEIGHT * prefillTokens) *
+    input.speed.prefillMsPerToken;
   const batchSize = Math.min(running + 1, upstream.entry.slots);
-  const tokenMs = IDLE_TOKEN_MS * (1 + BATCH_SLOWDOWN * batchSize);
+  const tokenMs = input.speed.idleDecodeMsPerToken *
+    (1 + BATCH_SLOWDOWN * batchSize);
   const decodeMs = input.outputTokens * tokenMs;
   const queued = Math.max(0, running + 1 - upstream.entry.slots);
   const waitMs = QUEUE_WEIGHT * queued * decodeMs / upstream.entry.slots;
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -25,7 +25,6 @@
   type ChooserName,
   CHOOSERS,
   expectedFinishMs,
-  idleDecodeMs,
 } from "./choose_upstream.ts";
 export { CrashTracker } from "./crash_tracker.ts";
 export {
--- a/packages/routing/test/choose_upstream_test.ts
+++ b/packages/routing/test/choose_upstream_test.ts
@@ -7,7 +7,7 @@
   type PromptPart,
   UpstreamRegistry,
 } from "../src/mod.ts";
-import { createEntry } from "./fixtures.ts";
+import { createEntry, createSpeed } from "./fixtures.ts";
 
 const NOW = 10_000;
 const SHARED: PromptPart = { id: "shared", tokens: 2_500 };
@@ -31,6 +31,23 @@
     expect(choose(input)).toEqual("u2");
   });
 
+  it("burst: leaves a cached prompt where other prompts wait for prefill", () => {
+    const input = createInput(["u1", "u2"]);
+    input.prefixIndex.recordPrefill("u1", [SHARED, OWN]);
+    input.prefixIndex.recordPrefill("u2", [SHARED]);
+    addLoad(input, "u1", 12, 9_000);
+    addLoad(input, "u2", 12);
+    expect(choose(input)).toEqual("u2");
+  });
+
+  it("burst: does not move a conversation for a few waiting prompts", () => {
+    const input = createInput(["u1", "u2"]);
+    input.prefixIndex.recordPrefill("u1", [SHARED, OWN]);
+    input.prefixIndex.recordPrefill("u2", [SHARED]);
+    addLoad(input, "u1", 20, 1_500);
+    expect(choose(input)).toEqual("u1");
+  });
+
   it("spreads work over all upstreams after a release with cold caches", () => {
     const ids = Array.from({ length: 13 }, (_, i) => `u${i}`);
     const input = createInput(ids);
@@ -87,6 +104,7 @@
     parts: [SHARED, OWN],
     promptTokens: SHARED.tokens + OWN.tokens,
     outputTokens: 40,
+    speed: createSpeed(),
     workMs: 50,
     lastUpstream: undefined,
     dataCentre: "a",
@@ -113,9 +131,16 @@
   return counts;
 }
 
-function addLoad(input: ChooserInput, id: string, running: number): void {
+function addLoad(
+  input: ChooserInput,
+  id: string,
+  running: number,
+  prefillTokens = 0,
+): void {
   const known = input.upstreamRegistry.get(id);
-  if (known) known.localLoad.running += running;
+  if (!known) return;
+  known.localLoad.running += running;
+  known.localLoad.prefillTokens += prefillTokens;
 }
 
 function setLatencyRatio(
--- a/packages/routing/test/fixtures.ts
+++ b/packages/routing/test/fixtures.ts
@@ -1,3 +1,4 @@
+import { SpeedEstimate } from "@toucantrestle/policy";
 import type { Route, RoutingConfig, UpstreamEntry } from "../src/mod.ts";
 
 export function createRoute(opts: Partial<Route> = {}): Route {
@@ -48,3 +49,12 @@
     ...opts,
   };
 }
+
+/** Creates the speed of an engine that prefills 42 tokens per ms. */
+export function createSpeed(): SpeedEstimate {
+  const speed = new SpeedEstimate();
+  speed.prefillMsPerToken = 1 / 42;
+  speed.decodeMsPerToken = 5.7;
+  speed.idleDecodeMsPerToken = 5.7;
+  return speed;
+}
--- a/packages/routing/test/upstream_registry_test.ts
+++ b/packages/routing/test/upstream_registry_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { CHOOSERS, PrefixIndex, UpstreamRegistry } from "../src/mod.ts";
-import { createEntry } from "./fixtures.ts";
+import { createEntry, createSpeed } from "./fixtures.ts";
 
 function createRegistry() {
   const gone: string[] = [];
@@ -121,6 +121,7 @@
       parts,
       promptTokens,
       outputTokens: 30,
+      speed: createSpeed(),
       workMs: 100,
       lastUpstream: undefined,
       dataCentre: "a",
