Fronts: exact loads among many fronts, quorum requests to turn stores, paced pings

Among 54 fronts digests, pings and load reports of all to all were about 1,100 messages per second and front. Change: beyond 12 siblings one front per upstream, by rendezvous hashing, collects its loads, and the others query it before a choice (25 ms at most); digests and pings are paced by the number of siblings; turn stores get reservations, reads and settlements at a quorum, nearest first, with the rest as hedges, in place of all replicas.

--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -1,6 +1,8 @@
 import {
   canResumeStream,
+  type ChooserInput,
   CHOOSERS,
+  closestCandidates,
   decideFailureAction,
   isRetrySafe,
   type PromptPart,
@@ -25,6 +27,8 @@
 const DEFAULT_OUTPUT_TOKENS = 40;
 /** Expected duration of a non-streaming call without a recorded mean, in ms. */
 const DEFAULT_CALL_DURATION_MS = 100;
+/** Upstreams whose load is queried before a choice. */
+const MAX_QUERIED = 3;
 /** Fill of the slots up to which an attempt measures an upstream's speed. */
 const MAX_MEASURED_FILL = 0.5;
 /** The deadline of an upstream precedes that of the caller by this margin. */
@@ -63,7 +67,8 @@
   /** Attempts the call on one upstream after another until it is finished. */
   async run(): Promise<void> {
     while (!this.#call.isAbandoned) {
-      const upstream = this.#chooseUpstream();
+      const upstream = await this.#chooseUpstream();
+      if (this.#call.isAbandoned) return;
       if (!upstream) return this.#respondWithoutUpstream();
       const result = await this.#attempt(upstream);
       const isFinished = await this.#handleResult(upstream, result);
@@ -71,15 +76,23 @@
     }
   }
 
-  #chooseUpstream(): TrackedUpstream | undefined {
-    const { upstreamRegistry, prefixIndex, timer, dataCentre, chooser, pools } =
+  /** Chooses an upstream, with a fresh view of the load of the likely ones. */
+  async #chooseUpstream(): Promise<TrackedUpstream | undefined> {
+    const { chooser, queryLoads } = this.#opts;
+    const likely = closestCandidates(this.#chooserInput(), MAX_QUERIED);
+    if (likely.length > 0) await queryLoads(likely);
+    if (this.#call.isAbandoned) return undefined;
+    const input = this.#chooserInput();
+    return input.candidates.length > 0 ? CHOOSERS[chooser](input) : undefined;
+  }
+
+  #chooserInput(): ChooserInput {
+    const { upstreamRegistry, prefixIndex, timer, dataCentre, pools } =
       this.#opts;
     const now = timer.monotonicNow();
-    const candidates = upstreamRegistry.candidates(this.#call.service, now)
-      .filter((it) => !this.#excluded.has(it.entry.id));
-    if (candidates.length === 0) return undefined;
-    return CHOOSERS[chooser]({
-      candidates,
+    return {
+      candidates: upstreamRegistry.candidates(this.#call.service, now)
+        .filter((it) => !this.#excluded.has(it.entry.id)),
       upstreamRegistry,
       prefixIndex,
       parts: this.#promptParts,
@@ -93,7 +106,7 @@
       hasIdleConnection: (id) => pools.hasIdle(id),
       now,
       draw: Math.random(),
-    });
+    };
   }
 
   get #promptTokens(): number {
@@ -159,8 +172,11 @@
   }
 
   #addLoad(upstream: TrackedUpstream, uncachedTokens: number): LoadShare {
-    const { onLoadChange } = this.#opts;
-    return new LoadShare(upstream.localLoad, { uncachedTokens, onLoadChange });
+    const { id } = upstream.entry;
+    return new LoadShare(upstream.localLoad, {
+      uncachedTokens,
+      onLoadChange: () => this.#opts.onLoadChange(id),
+    });
   }
 
   #urgency(now: number): number {
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -24,7 +24,7 @@
 import { buildDirectoryResponse } from "./directory.ts";
 import type { Digest, FrontState, LoadReport, Protocol } from "./protocol.ts";
 import { listen, MAX_HEADER_BYTES } from "./listen.ts";
-import { LoadReporter } from "./load_reporter.ts";
+import { LoadSharing } from "./load_sharing.ts";
 import { readCall } from "./read_call.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServeOptions } from "./serve_options.ts";
@@ -81,7 +81,7 @@
   readonly #configWatcher: ConfigWatcher;
   readonly #upstreamWatcher: UpstreamWatcher;
   readonly #siblings: Siblings;
-  readonly #loadReporter: LoadReporter;
+  readonly #loadSharing: LoadSharing;
   readonly #turnStore: TurnStoreClient;
   readonly #upstreamRegistry: UpstreamRegistry;
   readonly #serveOptions: ServeOptions;
@@ -141,7 +141,8 @@
       speedOf: (service) => this.#speedOf(service),
       host,
       dataCentre,
-      onLoadChange: () => this.#loadReporter.schedule(),
+      onLoadChange: (id) => this.#loadSharing.reportChange(id),
+      queryLoads: (upstreams) => this.#loadSharing.query(upstreams),
       upstreamsAgeMs: () => this.#upstreamWatcher.ageMs,
       timer,
     };
@@ -153,12 +154,8 @@
       configWatcher: this.#configWatcher,
       digest: () => this.#createDigest(),
       onDigest: (digest) => this.#applyDigest(digest),
-      onLoads: ({ host: sibling, loads }) =>
-        this.#upstreamRegistry.recordSiblingLoads(
-          sibling,
-          loads,
-          timer.monotonicNow(),
-        ),
+      onLoads: (report) => this.#loadSharing.applyReport(report),
+      answerLoads: (query) => this.#loadSharing.answerQuery(query),
       forward: ({ memberId, name, args }) =>
         this.#turnStore.links.forward(memberId, name, args as never),
       forwardSettle: ({ memberId, notice }) => {
@@ -169,10 +166,12 @@
       timer,
       log: loggers("sibling"),
     });
-    this.#loadReporter = new LoadReporter({
+    this.#loadSharing = new LoadSharing({
+      self: host,
       timer,
-      siblingCount: () => this.#siblings.count,
-      report: () => this.#siblings.broadcastLoads(this.#createLoadReport()),
+      upstreamRegistry: this.#upstreamRegistry,
+      siblings: this.#siblings,
+      log: loggers("sibling"),
     });
     this.#callerServer = this.#createServer((req, res) =>
       this.#onCall(req, res)
@@ -385,14 +384,6 @@
     };
   }
 
-  #createLoadReport(): LoadReport {
-    const loads: LoadReport["loads"] = {};
-    for (const { entry, localLoad } of this.#upstreamRegistry.all()) {
-      if (localLoad.running > 0) loads[entry.id] = { ...localLoad };
-    }
-    return { host: this.#opts.host, loads };
-  }
-
   #applyDigest(digest: Digest): void {
     const now = this.#opts.timer.monotonicNow();
     for (const { fingerprint, upstreams } of digest.crashes) {
--- /dev/null
+++ b/packages/front/src/load_sharing.ts
@@ -0,0 +1,188 @@
+import type { Logger } from "@toucantrestle/log";
+import { rankByRendezvous } from "@toucantrestle/membership";
+import type {
+  TrackedUpstream,
+  UpstreamLoad,
+  UpstreamRegistry,
+} from "@toucantrestle/routing";
+import type { Timer } from "@toucantrestle/timer";
+import type { FrontMethods, LoadReport } from "./protocol.ts";
+
+/** Links to the siblings that `LoadSharing` needs. */
+export interface LoadLinks {
+  readonly connectedHosts: string[];
+  sendLoads(host: string, report: LoadReport): void;
+  queryLoads(
+    host: string,
+    upstreams: string[],
+    timeoutMs: number,
+  ): Promise<Record<string, UpstreamLoad>>;
+}
+
+/** Options of `LoadSharing`. */
+export interface LoadSharingOptions {
+  self: string;
+  timer: Timer;
+  upstreamRegistry: UpstreamRegistry;
+  siblings: LoadLinks;
+  log: Logger;
+}
+
+/** Up to this many siblings all receive each report; beyond, one collects. */
+const MAX_BROADCAST_SIBLINGS = 12;
+/** Changes within this time are reported together. */
+const BROADCAST_DELAY_MS = 50;
+const COLLECTOR_DELAY_MS = 2;
+/** A load without changes is reported again after this time. */
+const REFRESH_INTERVAL_MS = 600;
+/** Fronts that join or leave change the collectors after this time. */
+const COLLECTORS_TTL_MS = 250;
+/** A collector that does not answer within this time is not waited for. */
+const QUERY_TIMEOUT_MS = 25;
+
+/**
+ * Shares with the siblings how many requests this front has in flight at each
+ * upstream. Few fronts send each other all changes. Among many fronts, one
+ * front per upstream collects the loads, and the others query it before a
+ * choice; the messages per request then do not depend on the number of fronts.
+ */
+export class LoadSharing {
+  readonly #opts: LoadSharingOptions;
+  /** Upstreams whose load has changed since the last report. */
+  readonly #changed = new Set<string>();
+  readonly #collectors = new Map<string, string>();
+  #collectorsAt = -Infinity;
+  #siblings: string[] = [];
+  #isScheduled = false;
+
+  constructor(opts: LoadSharingOptions) {
+    this.#opts = opts;
+    opts.timer.every(REFRESH_INTERVAL_MS, () => this.#refresh());
+  }
+
+  /** Schedules a report of this front's load on an upstream. */
+  reportChange(id: string): void {
+    this.#changed.add(id);
+    if (this.#isScheduled) return;
+    this.#isScheduled = true;
+    const delayMs = this.#isBroadcasting
+      ? BROADCAST_DELAY_MS
+      : COLLECTOR_DELAY_MS;
+    this.#opts.timer.after(delayMs, () => {
+      this.#isScheduled = false;
+      this.#sendReports();
+    });
+  }
+
+  /** Applies a sibling's report. */
+  applyReport({ host, loads }: LoadReport): void {
+    const { timer, upstreamRegistry } = this.#opts;
+    const now = timer.monotonicNow();
+    for (const [id, load] of Object.entries(loads)) {
+      upstreamRegistry.recordSiblingLoad(host, id, load, now);
+    }
+  }
+
+  /** Returns the loads of all fronts but the one that asks. */
+  answerQuery(
+    { host, upstreams }: FrontMethods["loads"]["args"],
+  ): Record<string, UpstreamLoad> {
+    const { timer, upstreamRegistry } = this.#opts;
+    const now = timer.monotonicNow();
+    const loads: Record<string, UpstreamLoad> = {};
+    for (const id of upstreams) {
+      const load = upstreamRegistry.loadWithout(host, id, now);
+      if (load) loads[id] = load;
+    }
+    return loads;
+  }
+
+  /** Asks the collectors of upstreams for their load, if others collect it. */
+  async query(upstreams: TrackedUpstream[]): Promise<void> {
+    if (this.#isBroadcasting) return;
+    const idsByCollector = new Map<string, string[]>();
+    for (const known of upstreams) {
+      const collector = this.#collectorOf(known.entry.id);
+      if (collector === this.#opts.self) known.queriedLoad = undefined;
+      else append(idsByCollector, collector, known.entry.id);
+    }
+    await Promise.all(
+      [...idsByCollector].map(([host, ids]) => this.#queryCollector(host, ids)),
+    );
+  }
+
+  async #queryCollector(host: string, ids: string[]): Promise<void> {
+    const { siblings, timer, upstreamRegistry, log } = this.#opts;
+    try {
+      const loads = await siblings.queryLoads(host, ids, QUERY_TIMEOUT_MS);
+      const now = timer.monotonicNow();
+      for (const [id, load] of Object.entries(loads)) {
+        upstreamRegistry.recordQueriedLoad(id, load, now);
+      }
+    } catch (err) {
+      log.debug(`load query to front ${host} failed: ${String(err)}`);
+    }
+  }
+
+  get #isBroadcasting(): boolean {
+    this.#updateSiblings();
+    return this.#siblings.length <= MAX_BROADCAST_SIBLINGS;
+  }
+
+  #updateSiblings(): void {
+    const now = this.#opts.timer.monotonicNow();
+    if (now - this.#collectorsAt < COLLECTORS_TTL_MS) return;
+    this.#collectorsAt = now;
+    this.#siblings = this.#opts.siblings.connectedHosts;
+    this.#collectors.clear();
+  }
+
+  /** Returns the front that collects the loads of an upstream. */
+  #collectorOf(id: string): string {
+    this.#updateSiblings();
+    const known = this.#collectors.get(id);
+    if (known !== undefined) return known;
+    const { self } = this.#opts;
+    const collector = rankByRendezvous(id, [self, ...this.#siblings])[0] ??
+      self;
+    this.#collectors.set(id, collector);
+    return collector;
+  }
+
+  /** Repeats the loads that are not zero, before they expire at siblings. */
+  #refresh(): void {
+    for (const { entry, localLoad } of this.#opts.upstreamRegistry.all()) {
+      if (localLoad.running > 0) this.reportChange(entry.id);
+    }
+  }
+
+  #sendReports(): void {
+    const ids = [...this.#changed];
+    this.#changed.clear();
+    if (this.#isBroadcasting) {
+      for (const host of this.#siblings) this.#sendReport(host, ids);
+      return;
+    }
+    const idsByCollector = new Map<string, string[]>();
+    for (const id of ids) append(idsByCollector, this.#collectorOf(id), id);
+    for (const [host, collected] of idsByCollector) {
+      if (host !== this.#opts.self) this.#sendReport(host, collected);
+    }
+  }
+
+  #sendReport(host: string, ids: string[]): void {
+    const { self, siblings, upstreamRegistry } = this.#opts;
+    const loads: LoadReport["loads"] = {};
+    for (const id of ids) {
+      const known = upstreamRegistry.get(id);
+      if (known) loads[id] = { ...known.localLoad };
+    }
+    siblings.sendLoads(host, { host: self, loads });
+  }
+}
+
+function append(map: Map<string, string[]>, key: string, value: string): void {
+  const values = map.get(key);
+  if (values) values.push(value);
+  else map.set(key, [value]);
+}
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -92,7 +92,7 @@
   crashes: { fingerprint: string; upstreams: string[] }[];
 }
 
-/** Load that a front puts on upstreams, by upstream id. */
+/** Load that a front puts on upstreams, by upstream id; zero if it ended. */
 export interface LoadReport {
   host: string;
   loads: Record<string, UpstreamLoad>;
@@ -100,6 +100,11 @@
 
 /** Request methods between fronts. */
 export type FrontMethods = {
+  /** Returns the load of all fronts but the sender, by upstream id. */
+  loads: {
+    args: { host: string; upstreams: string[] };
+    result: { loads: Record<string, UpstreamLoad> };
+  };
   /** Forwards a request to a turn store that the sender does not reach. */
   relay: {
     args: { memberId: string; name: RecordMethod; args: unknown };
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -3,6 +3,7 @@
   ChooserName,
   CrashTracker,
   PrefixIndex,
+  TrackedUpstream,
   UpstreamRegistry,
 } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
@@ -24,7 +25,9 @@
   host: string;
   dataCentre: string;
   /** Called when the load that this front puts on an upstream changes. */
-  onLoadChange: () => void;
+  onLoadChange: (upstream: string) => void;
+  /** Updates the known load of upstreams, if that takes a query. */
+  queryLoads: (upstreams: TrackedUpstream[]) => Promise<void>;
   /** Time since the last update of the list of upstreams, in ms. */
   upstreamsAgeMs: () => number;
   timer: Timer;
--- a/packages/front/src/siblings.ts
+++ b/packages/front/src/siblings.ts
@@ -23,6 +23,10 @@
   digest: () => Digest;
   onDigest: (digest: Digest) => void;
   onLoads: (report: LoadReport) => void;
+  /** Returns the loads that a sibling asks for. */
+  answerLoads: (
+    query: FrontMethods["loads"]["args"],
+  ) => FrontMethods["loads"]["result"]["loads"];
   /** Forwards a sibling's request to a turn store. */
   forward: RelayHandlers["relay"];
   forwardSettle: (it: FrontNotices["settle"]) => void;
@@ -38,9 +42,16 @@
 
 type FrontLink = LinkClient<FrontMethods, FrontNotices>;
 
-const DIGEST_INTERVAL_MS = 250;
-/** A digest older than this is stale. */
-const DIGEST_TTL_MS = 1_200;
+const MIN_DIGEST_INTERVAL_MS = 250;
+const MIN_PING_INTERVAL_MS = 500;
+/**
+ * Time between two digests, and between two pings, for each sibling. It bounds
+ * the messages that a front sends per second, however many fronts there are.
+ */
+const DIGEST_INTERVAL_PER_SIBLING_MS = 20;
+const PING_INTERVAL_PER_SIBLING_MS = 30;
+/** A digest older than this multiple of its interval is stale. */
+const DIGEST_TTL_FACTOR = 4.8;
 /** Delay before a newer configuration is fetched from a sibling. */
 const CONFIG_FETCH_DELAY_MS = 150;
 const REQUEST_TIMEOUT_MS = 700;
@@ -68,6 +79,7 @@
         config: () => ({ text: opts.configWatcher.text }),
         fleet: () => opts.fleet.snapshot(),
         upstreams: () => ({ entries: opts.upstreams() }),
+        loads: (query) => ({ loads: opts.answerLoads(query) }),
         relay: (it) => opts.forward(it),
       },
       notices: {
@@ -83,7 +95,7 @@
     await this.#server.listen(this.#opts.linkAddress);
     fleet.onHostsChanged(() => this.#reconcileLinks());
     this.#reconcileLinks();
-    timer.every(DIGEST_INTERVAL_MS, () => this.#broadcastDigest());
+    this.#scheduleDigest();
     timer.every(SYNC_INTERVAL_MS, () => this.#syncFromSibling());
   }
 
@@ -103,7 +115,7 @@
     const received = this.#digests.get(host);
     if (!received) return undefined;
     const age = this.#opts.timer.monotonicNow() - received.receivedAt;
-    return age < DIGEST_TTL_MS ? received.digest.state : undefined;
+    return age < this.#digestTtlMs ? received.digest.state : undefined;
   }
 
   /** Whether a sibling can forward requests to turn stores. */
@@ -131,7 +143,7 @@
     const now = this.#opts.timer.monotonicNow();
     for (const [host, { digest, receivedAt }] of this.#digests) {
       const link = this.#links.get(host);
-      const isFresh = now - receivedAt < DIGEST_TTL_MS;
+      const isFresh = now - receivedAt < this.#digestTtlMs;
       if (isFresh && digest.reachesTurnStores && link?.isOpen) {
         candidates.push(link);
       }
@@ -144,14 +156,55 @@
     this.#broadcastDigest();
   }
 
-  /** Number of siblings with a link. */
-  get count(): number {
-    return this.#links.size;
+  /** Names of the siblings with an open link. */
+  get connectedHosts(): string[] {
+    return [...this.#links].filter(([, it]) => it.isOpen).map(([host]) => host);
+  }
+
+  /** Sends a load report to one sibling. */
+  sendLoads(host: string, report: LoadReport): void {
+    this.#links.get(host)?.notify("loads", report);
+  }
+
+  /**
+   * Asks a sibling for the load of all other fronts.
+   *
+   * @throws {Error} when the sibling does not answer in time
+   */
+  async queryLoads(
+    host: string,
+    upstreams: string[],
+    timeoutMs: number,
+  ): Promise<FrontMethods["loads"]["result"]["loads"]> {
+    const link = this.#links.get(host);
+    if (!link) throw new Error(`no link to front ${host}`);
+    const args = { host: this.#opts.self, upstreams };
+    return (await link.request("loads", args, timeoutMs)).loads;
   }
 
-  /** Sends a load report to all siblings. */
-  broadcastLoads(report: LoadReport): void {
-    for (const link of this.#links.values()) link.notify("loads", report);
+  get #digestIntervalMs(): number {
+    return Math.max(
+      MIN_DIGEST_INTERVAL_MS,
+      DIGEST_INTERVAL_PER_SIBLING_MS * this.#links.size,
+    );
+  }
+
+  get #digestTtlMs(): number {
+    return DIGEST_TTL_FACTOR * this.#digestIntervalMs;
+  }
+
+  get #pingIntervalMs(): number {
+    return Math.max(
+      MIN_PING_INTERVAL_MS,
+      PING_INTERVAL_PER_SIBLING_MS * this.#links.size,
+    );
+  }
+
+  #scheduleDigest(): void {
+    this.#opts.timer.after(this.#digestIntervalMs, () => {
+      this.#broadcastDigest();
+      this.#scheduleDigest();
+    });
   }
 
   #broadcastDigest(): void {
@@ -236,7 +289,13 @@
 
   #dial(host: string, address: string): void {
     const { self, timer, log } = this.#opts;
-    const link: FrontLink = new LinkClient({ self, address, timer, log });
+    const link: FrontLink = new LinkClient({
+      self,
+      address,
+      timer,
+      log,
+      pingIntervalMs: () => this.#pingIntervalMs,
+    });
     this.#links.set(host, link);
   }
 }
--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -14,6 +14,8 @@
   address: string;
   timer: Timer;
   log: Logger;
+  /** Returns the time between pings; default 500 ms. */
+  pingIntervalMs?: () => number;
   onOpen?: () => void;
   onLost?: () => void;
 }
@@ -24,9 +26,12 @@
   timeout: Subscription;
 }
 
-const PING_INTERVAL_MS = 500;
-/** A connection on which nothing was received for this long is closed. */
-const SILENCE_TIMEOUT_MS = 1_300;
+const DEFAULT_PING_INTERVAL_MS = 500;
+/**
+ * A connection on which nothing was received for this multiple of the ping
+ * interval is closed.
+ */
+const SILENCE_FACTOR = 2.6;
 const HANDSHAKE_TIMEOUT_MS = 500;
 
 /** Client side of a link. Reconnects whenever the connection is lost. */
@@ -120,10 +125,7 @@
     this.#isOpen = true;
     this.#lastReceivedAt = this.#opts.timer.monotonicNow();
     sendMessage(socket, { t: "hello", host: this.#opts.self });
-    this.#pingTimer = this.#opts.timer.every(
-      PING_INTERVAL_MS,
-      () => this.#pingOrClose(),
-    );
+    this.#schedulePing();
     this.#opts.onOpen?.();
   }
 
@@ -142,16 +144,24 @@
     this.#opts.timer.after(delayMs, () => this.#dial());
   }
 
-  #pingOrClose(): void {
+  #schedulePing(): void {
+    const intervalMs = this.#opts.pingIntervalMs?.() ??
+      DEFAULT_PING_INTERVAL_MS;
+    this.#pingTimer = this.#opts.timer.after(
+      intervalMs,
+      () => this.#pingOrClose(intervalMs),
+    );
+  }
+
+  #pingOrClose(intervalMs: number): void {
     if (!this.#socket) return;
-    if (
-      this.#opts.timer.monotonicNow() - this.#lastReceivedAt >
-        SILENCE_TIMEOUT_MS
-    ) {
+    const silentMs = this.#opts.timer.monotonicNow() - this.#lastReceivedAt;
+    if (silentMs > SILENCE_FACTOR * intervalMs) {
       this.#socket.terminate();
       return;
     }
     sendMessage(this.#socket, { t: "ping" });
+    this.#schedulePing();
   }
 
   #rejectPending(): void {
--- a/packages/routing/src/choose_upstream.ts
+++ b/packages/routing/src/choose_upstream.ts
@@ -62,6 +62,13 @@
 /** Estimates within this margin of the best one count as equal, in ms. */
 const TIE_MARGIN_MS = 3;
 
+/** Random part of an estimate whose load is not known exactly, in ms. */
+const UNKNOWN_LOAD_MARGIN_MS = 10;
+/** Loads seldom differ from their last known value by more than this, in ms. */
+const CLOSE_ESTIMATE_MS = 300;
+/** Spreads multiples of one random number evenly over [0, 1). */
+const GOLDEN_RATIO = 1.618;
+
 /** Upstream choosers by name. */
 export const CHOOSERS: Record<ChooserName, Chooser> = {
   expected_finish: chooseByExpectedFinish,
@@ -142,6 +149,28 @@
   return tied[Math.floor(input.draw * tied.length)]?.upstream;
 }
 
+/**
+ * Returns the upstreams that might turn out best once their load is known
+ * exactly: those whose estimate is close to the best, in random order among
+ * equals, and no more than `count`.
+ */
+export function closestCandidates(
+  input: ChooserInput,
+  count: number,
+): TrackedUpstream[] {
+  const estimates = input.candidates.map((upstream, i) => ({
+    upstream,
+    ms: expectedFinishMs(upstream, input) +
+      UNKNOWN_LOAD_MARGIN_MS * ((input.draw * (i + 1) * GOLDEN_RATIO) % 1),
+  }));
+  estimates.sort((a, b) => a.ms - b.ms);
+  const bestMs = estimates[0]?.ms ?? 0;
+  return estimates
+    .filter((it) => it.ms <= bestMs + CLOSE_ESTIMATE_MS)
+    .slice(0, count)
+    .map((it) => it.upstream);
+}
+
 function chooseLeastLoaded(input: ChooserInput): TrackedUpstream | undefined {
   let best: TrackedUpstream | undefined;
   let bestLoad = Infinity;
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -24,6 +24,7 @@
   type ChooserInput,
   type ChooserName,
   CHOOSERS,
+  closestCandidates,
   expectedFinishMs,
 } from "./choose_upstream.ts";
 export { CrashTracker } from "./crash_tracker.ts";
--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -18,6 +18,8 @@
   localLoad: UpstreamLoad;
   /** Loads reported by siblings, by host. */
   siblingLoads: Map<string, { load: UpstreamLoad; at: number }>;
+  /** Total load of all siblings, as one of them returned it. */
+  queriedLoad: { load: UpstreamLoad; at: number } | undefined;
   /** Smoothed ratio of its durations to the mean of all; 1 if equal. */
   latencyRatio: number;
   latencyRatioAt: number;
@@ -32,6 +34,8 @@
 const MAX_BACKOFF_MS = 4_000;
 /** A sibling's load report is ignored after this time. */
 const LOAD_REPORT_TTL_MS = 1_500;
+/** A queried load is used for this long; it changes with each request. */
+const QUERIED_LOAD_TTL_MS = 500;
 const LATENCY_RATIO_SMOOTHING = 0.2;
 const MAX_LATENCY_RATIO = 12;
 /**
@@ -190,11 +194,54 @@
     }
   }
 
-  /** Returns the load from this process and from siblings' recent reports. */
+  /** Records a sibling's report of its in-flight load for one upstream. */
+  recordSiblingLoad(
+    host: string,
+    id: string,
+    load: UpstreamLoad,
+    now: number,
+  ): void {
+    const loads = this.#upstreams.get(id)?.siblingLoads;
+    if (load.running > 0) loads?.set(host, { load, at: now });
+    else loads?.delete(host);
+  }
+
+  /** Records the total load of all siblings for one upstream. */
+  recordQueriedLoad(id: string, load: UpstreamLoad, now: number): void {
+    const known = this.#upstreams.get(id);
+    if (known) known.queriedLoad = { load, at: now };
+  }
+
+  /** Returns the load from this process and all siblings, as far as known. */
   loadOf(known: TrackedUpstream, now: number): UpstreamLoad {
+    const queried = known.queriedLoad;
+    const isQueryRecent = queried && now - queried.at <= QUERIED_LOAD_TTL_MS;
+    if (!isQueryRecent) return this.#sumLoads(known, now, undefined);
+    return {
+      running: known.localLoad.running + queried.load.running,
+      prefillTokens: known.localLoad.prefillTokens +
+        queried.load.prefillTokens,
+    };
+  }
+
+  /** Returns the load of all fronts but one, from their own reports. */
+  loadWithout(
+    host: string,
+    id: string,
+    now: number,
+  ): UpstreamLoad | undefined {
+    const known = this.#upstreams.get(id);
+    return known && this.#sumLoads(known, now, host);
+  }
+
+  #sumLoads(
+    known: TrackedUpstream,
+    now: number,
+    excludedHost: string | undefined,
+  ): UpstreamLoad {
     let { running, prefillTokens } = known.localLoad;
-    for (const { load, at } of known.siblingLoads.values()) {
-      if (now - at > LOAD_REPORT_TTL_MS) continue;
+    for (const [host, { load, at }] of known.siblingLoads) {
+      if (host === excludedHost || now - at > LOAD_REPORT_TTL_MS) continue;
       running += load.running;
       prefillTokens += load.prefillTokens;
     }
@@ -210,6 +257,7 @@
     consecutiveFailures: 0,
     localLoad: { running: 0, prefillTokens: 0 },
     siblingLoads: new Map(),
+    queriedLoad: undefined,
     latencyRatio: 1,
     latencyRatioAt: 0,
   };
--- a/packages/turn_store/src/client.ts
+++ b/packages/turn_store/src/client.ts
@@ -3,10 +3,10 @@
   type BudgetVerdict,
   decideBudget,
   decideLookup,
+  intersectsAllQuorums,
   type LookupVerdict,
   type PromptHint,
   quorumSize,
-  replicasOf,
   type View,
 } from "@toucantrestle/turn_log";
 import type { NewTurn, ReserveArgs, SettleNotice } from "./messages.ts";
@@ -21,8 +21,6 @@
 /** Options of the client. */
 export interface TurnStoreClientOptions extends ReplicaLinksOptions {
   timer: Timer;
-  /** Forwards a settle notice to a replica through a sibling. */
-  relaySettle?: (memberId: string, notice: SettleNotice) => void;
   /** Returns whether a sibling can forward requests to the replicas. */
   canRelay?: () => boolean;
 }
@@ -125,21 +123,25 @@
   ): Promise<Reservation> {
     const { program, turn, tokens } = args;
     const viewNumber = view.number;
-    const reservations = await this.#links.requestFromAll(
+    const required = requiredReplies(view, program);
+    const reservations = await this.#links.requestHedged({
       view,
-      program,
-      "reserve",
-      {
-        ...args,
-        viewNumber,
-      },
-    );
-    const replies = reservations.length < requiredReplies(view, program)
-      ? []
-      : await this.#links.requestFromAll(view, program, "spending", {
-        viewNumber,
-        program,
-      });
+      key: program,
+      name: "reserve",
+      args: { ...args, viewNumber },
+      concurrency: required,
+      isEnough: (it) => it.length >= required,
+    });
+    const isReserved = reservations.length >= required;
+    const replies = !isReserved ? [] : await this.#links.requestHedged({
+      view,
+      key: program,
+      name: "spending",
+      args: { viewNumber, program },
+      concurrency: required,
+      isEnough: (it) =>
+        it.length >= required && intersectsAllQuorums(view, program, it),
+    });
     const verdict = decideBudget({
       view,
       program,
@@ -157,12 +159,7 @@
    * the budget.
    */
   settle(notice: SettleNotice): void {
-    if (!this.#view) return;
-    for (const member of replicasOf(this.#view, notice.program)) {
-      if (!this.#links.forwardSettle(member.id, notice)) {
-        this.#opts.relaySettle?.(member.id, notice);
-      }
-    }
+    if (this.#view) this.#links.settle(this.#view, notice);
   }
 
   /** Looks up a turn, asking replicas of the own data centre first. */
--- a/packages/turn_store/src/replica_links.ts
+++ b/packages/turn_store/src/replica_links.ts
@@ -29,6 +29,8 @@
   onReachabilityChange?: () => void;
   /** Sends a request to a replica through a sibling. */
   relay?: Relay;
+  /** Forwards a settle notice to a replica through a sibling. */
+  relaySettle?: (memberId: string, notice: SettleNotice) => void;
 }
 
 /** Request methods on records, which siblings can forward for each other. */
@@ -98,6 +100,25 @@
     return link.request(name, args, REPLY_TIMEOUT_MS);
   }
 
+  /**
+   * Sends a notice to a quorum of the replicas of a program, nearest first.
+   * Every other quorum intersects it. Replicas without an open link are reached
+   * through a sibling, and only if too few have one.
+   */
+  settle(view: View, notice: SettleNotice): void {
+    const replicas = this.#sortByProximity(replicasOf(view, notice.program));
+    const unreached: ReplicaHost[] = [];
+    let missing = requiredReplies(view, notice.program);
+    for (const member of replicas) {
+      if (missing === 0) return;
+      if (this.forwardSettle(member.id, notice)) missing -= 1;
+      else unreached.push(member);
+    }
+    for (const member of unreached.slice(0, missing)) {
+      this.#opts.relaySettle?.(member.id, notice);
+    }
+  }
+
   /** Forwards a notice to a replica. Returns false if its link is not open. */
   forwardSettle(memberId: string, notice: SettleNotice): boolean {
     const link = this.#links.get(memberId);
@@ -106,31 +127,6 @@
     return true;
   }
 
-  /**
-   * Sends a request to all replicas of a key. Resolves once enough of them have
-   * served it or none is pending.
-   */
-  requestFromAll<K extends RecordMethod>(
-    view: View,
-    key: string,
-    name: K,
-    args: StoreMethods[K]["args"],
-  ): Promise<ServedReply<K>[]> {
-    const replicas = replicasOf(view, key);
-    const required = requiredReplies(view, key);
-    return new Promise((resolve) => {
-      const replies: ServedReply<K>[] = [];
-      let pending = replicas.length;
-      for (const member of replicas) {
-        this.#tryRequest(view, member, name, args).then((reply) => {
-          pending -= 1;
-          if (reply) replies.push(reply);
-          if (replies.length >= required || pending === 0) resolve(replies);
-        });
-      }
-    });
-  }
-
   /**
    * Sends hedged requests to the replicas of a key, nearest first: starts with
    * `concurrency` requests and adds one when a replica fails or is slow, or
