--- a/bench/src/choosers/run_day.ts
+++ b/bench/src/choosers/run_day.ts
@@ -12,8 +12,9 @@
   site: string;
   /** Name of the day to run. */
   day: string;
-  /** Algorithm that selects an upstream for a call. */
-  chooser: string;
+  /** What the run tries, for the journal. */
+  reason: string;
+  seed?: number;
   /** Copy of the repository that is put under load. */
   folder: string;
 }
@@ -25,18 +26,25 @@
 const FRONT_ROLE_HEADER = "[roles.front]\n";
 
 /**
- * Copies the repository and sets the chooser in the deploy file of the copy.
+ * Copies the repository and sets an environment variable of the fronts in the
+ * deploy file of the copy.
  *
  * @returns the folder of the copy
  */
-export function copyRepositoryWithChooser(
-  opts: { from: string; scratch: string; chooser: string },
+export function copyRepositoryWithEnv(
+  opts: {
+    from: string;
+    scratch: string;
+    name: string;
+    variable: string;
+    value: string;
+  },
 ): string {
-  const folder = join(opts.scratch, opts.chooser);
+  const folder = join(opts.scratch, opts.name);
   mkdirSync(folder, { recursive: true });
   cpSync(opts.from, folder, { recursive: true, verbatimSymlinks: true });
   const path = join(folder, DEPLOY_FILE);
-  const env = `env = { TOUCANTRESTLE_CHOOSER = "${opts.chooser}" }\n`;
+  const env = `env = { ${opts.variable} = "${opts.value}" }\n`;
   const text = readFileSync(path, "utf8");
   writeFileSync(path, text.replace(FRONT_ROLE_HEADER, FRONT_ROLE_HEADER + env));
   return folder;
@@ -47,10 +55,10 @@
  * (`--no-cpu`): without that charge the results are mostly reproducible.
  */
 export async function runDay(run: DayRun): Promise<DayMetrics> {
-  const reason = `trial on a copy: ${run.chooser} as chooser`;
+  const seed = run.seed === undefined ? [] : ["--seed", String(run.seed)];
   const { stdout } = await execFileAsync(
     run.tool,
-    ["run", run.site, run.day, "--no-cpu", "--why", reason],
+    ["run", run.site, run.day, ...seed, "--no-cpu", "--why", run.reason],
     { cwd: run.folder, maxBuffer: MAX_OUTPUT_BYTES, timeout: DAY_TIMEOUT_MS },
   );
   return parseDay(stdout);
--- a/bench/src/commands/choosers.ts
+++ b/bench/src/commands/choosers.ts
@@ -1,6 +1,6 @@
 import { resolve } from "node:path";
 import process from "node:process";
-import { copyRepositoryWithChooser, runDay } from "../choosers/run_day.ts";
+import { copyRepositoryWithEnv, runDay } from "../choosers/run_day.ts";
 import type { DayMetrics } from "../choosers/parse_day.ts";
 import type { BenchCommand } from "../command.ts";
 
@@ -29,10 +29,12 @@
     const chooserNames = String(flags["choosers"]).split(",");
     const rows: DayResult[] = [];
     for (const chooser of chooserNames) {
-      const folder = copyRepositoryWithChooser({
+      const folder = copyRepositoryWithEnv({
         from: process.cwd(),
         scratch: resolve(String(flags["scratch"])),
-        chooser,
+        name: chooser,
+        variable: "TOUCANTRESTLE_CHOOSER",
+        value: chooser,
       });
       const dayRows = await Promise.all(
         days.map(async (day): Promise<DayResult> => ({
@@ -42,7 +44,7 @@
             tool: resolve(String(flags["tool"])),
             site: resolve(String(flags["site"])),
             day,
-            chooser,
+            reason: `trial on a copy: ${chooser} as chooser`,
             folder,
           }),
         })),
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -7,12 +7,14 @@
 import { writeFileSync } from "node:fs";
 import process from "node:process";
 import type { BenchCommand } from "./command.ts";
+import { ablation } from "./commands/ablation.ts";
 import { capacity } from "./commands/capacity.ts";
 import { choosers } from "./commands/choosers.ts";
 import { path } from "./commands/path.ts";
 import { policy } from "./commands/policy.ts";
 
 const COMMANDS: Readonly<Record<string, BenchCommand>> = {
+  ablation,
   capacity,
   choosers,
   path,
--- a/deploy/build.js
+++ b/deploy/build.js
@@ -14,6 +14,9 @@
   ]),
 );
 
+// The whole library would lengthen each start of a process.
+alias.undici = "./deploy/undici_dispatchers.cjs";
+
 await build({
   entryPoints: ["platform/src/main.ts"],
   outfile: "target/toucantrestle.js",
@@ -28,5 +31,7 @@
       "const require = requireFrom(import.meta.url);",
   },
   sourcemap: false,
+  minifySyntax: true,
+  minifyWhitespace: true,
   legalComments: "none",
 });
--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -1,15 +1,9 @@
 import {
   canResumeStream,
-  type ChooserInput,
-  CHOOSERS,
-  closestCandidates,
   decideFailureAction,
   isRetrySafe,
-  type PromptPart,
   type TrackedUpstream,
-  urgencyOf,
 } from "@toucantrestle/routing";
-import type { SpeedEstimate } from "@toucantrestle/policy";
 import {
   type ChannelFailure,
   isListening,
@@ -19,18 +13,14 @@
 import type { Call } from "./call.ts";
 import { EventTimes } from "./event_times.ts";
 import { finishCall } from "./finish_call.ts";
-import { LoadShare } from "./load_share.ts";
 import type { ServeOptions } from "./serve_options.ts";
 import type { TurnState } from "./turn_state.ts";
+import {
+  type AttemptStart,
+  DEFAULT_CALL_DURATION_MS,
+  UpstreamChoice,
+} from "./upstream_choice.ts";
 
-/** Expected output of a turn whose caller gives no estimate, in tokens. */
-const DEFAULT_OUTPUT_TOKENS = 40;
-/** Expected duration of a non-streaming call without a recorded mean, in ms. */
-const DEFAULT_CALL_DURATION_MS = 100;
-/** Upstreams whose load is queried before a choice. */
-const MAX_QUERIED = 3;
-/** Fill of the slots up to which an attempt measures an upstream's speed. */
-const MAX_MEASURED_FILL = 0.5;
 /** The deadline of an upstream precedes that of the caller by this margin. */
 const DEADLINE_MARGIN_MS = 10;
 /**
@@ -50,7 +40,7 @@
   readonly #call: Call;
   readonly #turn: TurnState | undefined;
   readonly #opts: ServeOptions;
-  readonly #excluded = new Set<string>();
+  readonly #choice: UpstreamChoice;
   #runs = 0;
   #declines = 0;
   /** Runs not counted in `#runs` because their upstream crashed. */
@@ -62,12 +52,13 @@
     this.#call = call;
     this.#turn = turn;
     this.#opts = opts;
+    this.#choice = new UpstreamChoice(call, turn, opts);
   }
 
   /** Attempts the call on one upstream after another until it is finished. */
   async run(): Promise<void> {
     while (!this.#call.isAbandoned) {
-      const upstream = await this.#chooseUpstream();
+      const upstream = await this.#choice.choose();
       if (this.#call.isAbandoned) return;
       if (!upstream) return this.#respondWithoutUpstream();
       const result = await this.#attempt(upstream);
@@ -76,122 +67,52 @@
     }
   }
 
-  /** Chooses an upstream, with a fresh view of the load of the likely ones. */
-  async #chooseUpstream(): Promise<TrackedUpstream | undefined> {
-    const { chooser, queryLoads } = this.#opts;
-    const likely = closestCandidates(this.#chooserInput(), MAX_QUERIED);
-    if (likely.length > 0) await queryLoads(likely);
-    if (this.#call.isAbandoned) return undefined;
-    const input = this.#chooserInput();
-    return input.candidates.length > 0 ? CHOOSERS[chooser](input) : undefined;
-  }
-
-  #chooserInput(): ChooserInput {
-    const { upstreamRegistry, prefixIndex, timer, dataCentre, pools } =
-      this.#opts;
-    const now = timer.monotonicNow();
-    return {
-      candidates: upstreamRegistry.candidates(this.#call.service, now)
-        .filter((it) => !this.#excluded.has(it.entry.id)),
-      upstreamRegistry,
-      prefixIndex,
-      parts: this.#promptParts,
-      promptTokens: this.#promptTokens,
-      outputTokens: this.#outputTokens,
-      speed: this.#speed,
-      workMs: upstreamRegistry.meanMs(this.#call.route.name) ??
-        DEFAULT_CALL_DURATION_MS,
-      lastUpstream: this.#turn?.hints.at(-1)?.upstream,
-      dataCentre,
-      hasIdleConnection: (id) => pools.hasIdle(id),
-      now,
-      draw: Math.random(),
-    };
-  }
-
-  get #promptTokens(): number {
-    return this.#turn ? this.#call.head.promptTokens ?? 1 : 0;
-  }
-
-  get #outputTokens(): number {
-    return this.#call.head.expectedOutputTokens ?? DEFAULT_OUTPUT_TOKENS;
-  }
-
-  get #speed(): SpeedEstimate {
-    return this.#opts.speedOf(this.#call.service);
-  }
-
-  get #promptParts(): PromptPart[] {
-    return this.#call.head.promptParts;
-  }
-
   async #attempt(upstream: TrackedUpstream): Promise<AttemptResult> {
     const { timer, prefixIndex, pools, protocol } = this.#opts;
     const call = this.#call;
     const { id } = upstream.entry;
-    const startedAt = timer.monotonicNow();
-    const timeLeftMs = call.deadlineAt - startedAt;
-    const cachedTokens = prefixIndex.cachedTokens(id, this.#promptParts);
-    const uncachedTokens = Math.max(0, this.#promptTokens - cachedTokens);
-    this.#recordRouted(upstream, { uncachedTokens, timeLeftMs });
-    const isLightlyLoaded = this.#isLightlyLoaded(upstream, startedAt);
-    const load = this.#addLoad(upstream, uncachedTokens);
-    if (this.#turn) prefixIndex.recordPrefill(id, this.#promptParts);
-    const eventTimes = new EventTimes(startedAt);
+    const start = this.#startMeasurement(upstream);
+    const timeLeftMs = call.deadlineAt - start.startedAt;
+    if (this.#turn) prefixIndex.recordPrefill(id, call.head.promptParts);
     const attempt = startAttempt({
       call,
       upstream,
       pool: pools.poolOf(upstream),
       protocol,
       body: this.#turn?.prompt ?? call.body,
-      urgency: this.#turn ? this.#urgency(startedAt) : undefined,
+      urgency: this.#choice.urgency(start.startedAt),
       resumeAfter: call.res.headersSent ? this.#lastEventId : undefined,
       timeLeftMs: Math.max(1, Math.floor(timeLeftMs - DEADLINE_MARGIN_MS)),
       onEvent: (event) => {
-        eventTimes.record(timer.monotonicNow());
+        start.eventTimes.record(timer.monotonicNow());
         this.#lastEventId = event.id;
         this.#turn?.recordEvent(event);
       },
-      onFirstByte: () => load.endPrefill(),
+      onFirstByte: () => start.load.endPrefill(),
     });
     const result = await this.#awaitResult(attempt, timeLeftMs);
-    load.end();
+    start.load.end();
     if (result.kind === "complete") {
-      this.#recordDuration(upstream, startedAt, uncachedTokens);
-      if (isLightlyLoaded) {
-        this.#turn?.updateSpeed(this.#speed, { uncachedTokens, eventTimes });
-      }
+      this.#choice.recordComplete(upstream, start);
     }
     return result;
   }
 
-  /** Whether an attempt that starts now measures the speed of the upstream. */
-  #isLightlyLoaded(upstream: TrackedUpstream, now: number): boolean {
-    const { running } = this.#opts.upstreamRegistry.loadOf(upstream, now);
-    return running <= MAX_MEASURED_FILL * upstream.entry.slots;
-  }
-
-  #addLoad(upstream: TrackedUpstream, uncachedTokens: number): LoadShare {
-    const { id } = upstream.entry;
-    return new LoadShare(upstream.localLoad, {
+  /** Records the choice and adds the attempt to the load of the upstream. */
+  #startMeasurement(upstream: TrackedUpstream): AttemptStart {
+    const startedAt = this.#opts.timer.monotonicNow();
+    const uncachedTokens = this.#choice.uncachedTokens(upstream.entry.id);
+    this.#recordRouted(upstream, {
       uncachedTokens,
-      onLoadChange: () => this.#opts.onLoadChange(id),
+      timeLeftMs: this.#call.deadlineAt - startedAt,
     });
-  }
-
-  #urgency(now: number): number {
-    return urgencyOf({
-      rank: this.#call.route.rank,
-      programLeftMs: this.#programLeftMs(now),
-      minDurationMs: this.#outputTokens * this.#speed.idleDecodeMsPerToken,
-    });
-  }
-
-  /** Time left until the target finish time of the program, in ms. */
-  #programLeftMs(now: number): number | undefined {
-    const { head, arrivedAt } = this.#call;
-    if (head.programTimeLeftMs === undefined) return undefined;
-    return Math.round(head.programTimeLeftMs - (now - arrivedAt));
+    return {
+      startedAt,
+      uncachedTokens,
+      isLightlyLoaded: this.#choice.isLightlyLoaded(upstream, startedAt),
+      load: this.#choice.addLoad(upstream, uncachedTokens),
+      eventTimes: new EventTimes(startedAt),
+    };
   }
 
   /**
@@ -224,7 +145,8 @@
    */
   #slowAttemptMs(): number {
     const { route } = this.#call;
-    const mayTryAnother = route.kind === "idempotent" &&
+    const mayTryAnother = !this.#opts.disabled.has("slow_attempts") &&
+      route.kind === "idempotent" &&
       this.#runs + 1 < route.maxRuns;
     if (!mayTryAnother) return Infinity;
     const mean = this.#opts.upstreamRegistry.meanMs(route.name) ??
@@ -255,7 +177,7 @@
         return this.#retryOrRespond("not_run");
       case "failed":
         // An upstream that declined the initial stream may accept the rest.
-        if (result.failure.hasDeliveredHead) this.#excluded.clear();
+        if (result.failure.hasDeliveredHead) this.#choice.excluded.clear();
         this.#recordFailure(id, result.failure);
         await this.#discountCrashedRun(upstream, result.failure);
         return this.#retryOrRespond(result.failure.verdict);
@@ -269,7 +191,7 @@
     result: Extract<AttemptResult, { kind: "stopped" }>,
   ): boolean {
     this.#runs += 1;
-    this.#excluded.add(id);
+    this.#choice.excluded.add(id);
     this.#call.recorder.record(
       "stopped",
       `attempt on ${id} stopped: ${result.reason}`,
@@ -289,7 +211,7 @@
   }
 
   #recordDeclined(id: string, status: number): void {
-    this.#excluded.add(id);
+    this.#choice.excluded.add(id);
     this.#declines += 1;
     this.#call.recorder.record(
       "declined",
@@ -312,7 +234,7 @@
   #recordFailure(id: string, failure: ChannelFailure): void {
     const { upstreamRegistry, timer, crashTracker } = this.#opts;
     const now = timer.monotonicNow();
-    this.#excluded.add(id);
+    this.#choice.excluded.add(id);
     if (failure.verdict === "not_run") this.#declines += 1;
     else this.#runs += 1;
     this.#call.recorder.record(
@@ -429,36 +351,13 @@
       configVersion: this.#call.config.version,
       upstreamsAgeMs: Math.round(upstreamsAgeMs()),
       running: load.running,
-      prefillTokens: load.prefillTokens,
-      decodeMsPerToken: round3(this.#speed.idleDecodeMsPerToken),
-      prefillMsPerToken: round3(this.#speed.prefillMsPerToken),
+      waitingTokens: this.#turn ? load.prefillTokens : undefined,
       unreadTokens: this.#turn ? opts.uncachedTokens : undefined,
       timeLeftMs: Math.round(opts.timeLeftMs),
-      programLeftMs: this.#programLeftMs(timer.monotonicNow()),
+      programLeftMs: this.#choice.programLeftMs(timer.monotonicNow()),
       tries: this.#runs + this.#declines,
     });
   }
-
-  /**
-   * Records the duration of a complete call. The duration of a turn is divided
-   * by that on an idle engine, so that turns of different sizes compare.
-   */
-  #recordDuration(
-    upstream: TrackedUpstream,
-    startedAt: number,
-    uncachedTokens: number,
-  ) {
-    const { upstreamRegistry, timer } = this.#opts;
-    const now = timer.monotonicNow();
-    const ms = now - startedAt;
-    const { id, service } = upstream.entry;
-    if (this.#turn) {
-      const { idleDecodeMsPerToken, prefillMsPerToken } = this.#speed;
-      const idleMs = this.#turn.outputTokens * idleDecodeMsPerToken +
-        uncachedTokens * prefillMsPerToken;
-      upstreamRegistry.recordDuration(id, service, ms / (idleMs + 1), now);
-    } else upstreamRegistry.recordDuration(id, this.#call.route.name, ms, now);
-  }
 }
 
 /** Whether the upstream may have crashed while it ran the request. */
@@ -466,7 +365,3 @@
   return failure.reason === "connection_lost" &&
     failure.verdict === "may_have_run";
 }
-
-function round3(value: number): number {
-  return Math.round(value * 1_000) / 1_000;
-}
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -6,6 +6,7 @@
 import {
   type ChooserName,
   CrashTracker,
+  type Mechanism,
   PrefixIndex,
   type RoutingConfig,
   UpstreamRegistry,
@@ -22,7 +23,7 @@
 import type { Call } from "./call.ts";
 import { ConfigWatcher } from "./config_watcher.ts";
 import { buildDirectoryResponse } from "./directory.ts";
-import type { Digest, FrontState, LoadReport, Protocol } from "./protocol.ts";
+import type { Digest, FrontState, Protocol } from "./protocol.ts";
 import { listen, MAX_HEADER_BYTES } from "./listen.ts";
 import { LoadSharing } from "./load_sharing.ts";
 import { readCall } from "./read_call.ts";
@@ -49,6 +50,8 @@
   /** Time from the stop signal until the process is killed, in ms. */
   graceMs: number;
   chooser: ChooserName;
+  /** Mechanisms that are switched off, to measure their worth. */
+  disabled: ReadonlySet<Mechanism>;
   protocol: Protocol;
   store: ConfigStore;
   fleet: Fleet;
@@ -138,6 +141,7 @@
       pools,
       turnStore: this.#turnStore,
       chooser: opts.chooser,
+      disabled: opts.disabled,
       speedOf: (service) => this.#speedOf(service),
       host,
       dataCentre,
@@ -171,6 +175,7 @@
       timer,
       upstreamRegistry: this.#upstreamRegistry,
       siblings: this.#siblings,
+      isEnabled: !opts.disabled.has("shared_loads"),
       log: loggers("sibling"),
     });
     this.#callerServer = this.#createServer((req, res) =>
--- a/packages/front/src/load_sharing.ts
+++ b/packages/front/src/load_sharing.ts
@@ -25,6 +25,8 @@
   timer: Timer;
   upstreamRegistry: UpstreamRegistry;
   siblings: LoadLinks;
+  /** False to share nothing. */
+  isEnabled: boolean;
   log: Logger;
 }
 
@@ -62,6 +64,7 @@
 
   /** Schedules a report of this front's load on an upstream. */
   reportChange(id: string): void {
+    if (!this.#opts.isEnabled) return;
     this.#changed.add(id);
     if (this.#isScheduled) return;
     this.#isScheduled = true;
@@ -99,7 +102,7 @@
 
   /** Asks the collectors of upstreams for their load, if others collect it. */
   async query(upstreams: TrackedUpstream[]): Promise<void> {
-    if (this.#isBroadcasting) return;
+    if (!this.#opts.isEnabled || this.#isBroadcasting) return;
     const idsByCollector = new Map<string, string[]>();
     for (const known of upstreams) {
       const collector = this.#collectorOf(known.entry.id);
--- a/packages/front/src/serve_call.ts
+++ b/packages/front/src/serve_call.ts
@@ -49,8 +49,10 @@
     return false;
   }
   const startFailure = await turn?.prepare();
-  for (const { parts, upstream } of turn?.hints ?? []) {
-    opts.prefixIndex.recordPrefill(upstream, parts);
+  if (!opts.disabled.has("prompt_hints")) {
+    for (const { parts, upstream } of turn?.hints ?? []) {
+      opts.prefixIndex.recordPrefill(upstream, parts);
+    }
   }
   if (call.isAbandoned) return false;
   if (!startFailure) return true;
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -2,6 +2,7 @@
 import type {
   ChooserName,
   CrashTracker,
+  Mechanism,
   PrefixIndex,
   TrackedUpstream,
   UpstreamRegistry,
@@ -20,6 +21,8 @@
   pools: UpstreamPools;
   turnStore: TurnStoreClient;
   chooser: ChooserName;
+  /** Mechanisms that are switched off. */
+  disabled: ReadonlySet<Mechanism>;
   /** Returns the speed of the engines of a service. */
   speedOf: (service: string) => SpeedEstimate;
   host: string;
--- a/packages/front/src/siblings.ts
+++ b/packages/front/src/siblings.ts
@@ -48,10 +48,11 @@
  * Time between two digests, and between two pings, for each sibling. It bounds
  * the messages that a front sends per second, however many fronts there are.
  */
-const DIGEST_INTERVAL_PER_SIBLING_MS = 20;
-const PING_INTERVAL_PER_SIBLING_MS = 30;
+const DIGEST_INTERVAL_PER_SIBLING_MS = 45;
+const PING_INTERVAL_PER_SIBLING_MS = 120;
 /** A digest older than this multiple of its interval is stale. */
-const DIGEST_TTL_FACTOR = 4.8;
+const DIGEST_TTL_FACTOR = 2.6;
+const MIN_DIGEST_TTL_MS = 1_200;
 /** Delay before a newer configuration is fetched from a sibling. */
 const CONFIG_FETCH_DELAY_MS = 150;
 const REQUEST_TIMEOUT_MS = 700;
@@ -115,6 +116,9 @@
     const received = this.#digests.get(host);
     if (!received) return undefined;
     const age = this.#opts.timer.monotonicNow() - received.receivedAt;
+    // A link closes at once when its host's process ends.
+    const isLinked = this.#links.get(host)?.isOpen === true;
+    if (!isLinked && age >= MIN_DIGEST_TTL_MS) return undefined;
     return age < this.#digestTtlMs ? received.digest.state : undefined;
   }
 
@@ -156,9 +160,13 @@
     this.#broadcastDigest();
   }
 
-  /** Names of the siblings with an open link. */
+  /** Names of the siblings that are linked and were heard recently. */
   get connectedHosts(): string[] {
-    return [...this.#links].filter(([, it]) => it.isOpen).map(([host]) => host);
+    const hosts: string[] = [];
+    for (const [host, link] of this.#links) {
+      if (link.isOpen && this.stateOf(host)) hosts.push(host);
+    }
+    return hosts;
   }
 
   /** Sends a load report to one sibling. */
@@ -190,7 +198,10 @@
   }
 
   get #digestTtlMs(): number {
-    return DIGEST_TTL_FACTOR * this.#digestIntervalMs;
+    return Math.max(
+      MIN_DIGEST_TTL_MS,
+      DIGEST_TTL_FACTOR * this.#digestIntervalMs,
+    );
   }
 
   get #pingIntervalMs(): number {
--- /dev/null
+++ b/packages/front/src/upstream_choice.ts
@@ -0,0 +1,163 @@
+import type { SpeedEstimate } from "@toucantrestle/policy";
+import {
+  type ChooserInput,
+  CHOOSERS,
+  closestCandidates,
+  type TrackedUpstream,
+  urgencyOf,
+} from "@toucantrestle/routing";
+import type { Call } from "./call.ts";
+import type { EventTimes } from "./event_times.ts";
+import { LoadShare } from "./load_share.ts";
+import type { ServeOptions } from "./serve_options.ts";
+import type { TurnState } from "./turn_state.ts";
+
+/** Expected output of a turn whose caller gives no estimate, in tokens. */
+const DEFAULT_OUTPUT_TOKENS = 40;
+/** Expected duration of a non-streaming call without a recorded mean, in ms. */
+export const DEFAULT_CALL_DURATION_MS = 100;
+/** Upstreams whose load is queried before a choice. */
+const MAX_QUERIED = 3;
+/** Fill of the slots up to which an attempt measures an upstream's speed. */
+const MAX_MEASURED_FILL = 0.5;
+
+/** Start of an attempt, for measuring the speed of its upstream. */
+export interface AttemptStart {
+  startedAt: number;
+  uncachedTokens: number;
+  /** Whether few other requests ran when the attempt started. */
+  isLightlyLoaded: boolean;
+  load: LoadShare;
+  eventTimes: EventTimes;
+}
+
+/** Chooses upstreams for one call and learns from its attempts. */
+export class UpstreamChoice {
+  readonly #call: Call;
+  readonly #turn: TurnState | undefined;
+  readonly #opts: ServeOptions;
+  /** Upstreams that declined or failed the call. */
+  readonly excluded = new Set<string>();
+
+  constructor(call: Call, turn: TurnState | undefined, opts: ServeOptions) {
+    this.#call = call;
+    this.#turn = turn;
+    this.#opts = opts;
+  }
+
+  /** Speed of the engines of the call's service. */
+  get speed(): SpeedEstimate {
+    return this.#opts.speedOf(this.#call.service);
+  }
+
+  /**
+   * Chooses an upstream, with a fresh view of the load of the likely ones.
+   * Returns undefined if none is left or the caller has disconnected.
+   */
+  async choose(): Promise<TrackedUpstream | undefined> {
+    const { chooser, queryLoads } = this.#opts;
+    const likely = closestCandidates(this.#createInput(), MAX_QUERIED);
+    if (likely.length > 0) await queryLoads(likely);
+    if (this.#call.isAbandoned) return undefined;
+    const input = this.#createInput();
+    return input.candidates.length > 0 ? CHOOSERS[chooser](input) : undefined;
+  }
+
+  /** Returns the prompt tokens that an upstream has probably not cached. */
+  uncachedTokens(id: string): number {
+    const { promptParts } = this.#call.head;
+    const cached = this.#opts.prefixIndex.cachedTokens(id, promptParts);
+    return Math.max(0, this.#promptTokens - cached);
+  }
+
+  /** Adds an attempt to the load of an upstream; it ends with the attempt. */
+  addLoad(upstream: TrackedUpstream, uncachedTokens: number): LoadShare {
+    const { id } = upstream.entry;
+    return new LoadShare(upstream.localLoad, {
+      uncachedTokens,
+      onLoadChange: () => this.#opts.onLoadChange(id),
+    });
+  }
+
+  /** Whether an attempt that starts now measures the speed of the upstream. */
+  isLightlyLoaded(upstream: TrackedUpstream, now: number): boolean {
+    const { running } = this.#opts.upstreamRegistry.loadOf(upstream, now);
+    return running <= MAX_MEASURED_FILL * upstream.entry.slots;
+  }
+
+  /** Returns the urgency of the turn at an engine, if it has one. */
+  urgency(now: number): number | undefined {
+    if (!this.#turn || this.#opts.disabled.has("urgency")) return undefined;
+    return urgencyOf({
+      rank: this.#call.route.rank,
+      programLeftMs: this.programLeftMs(now),
+      minDurationMs: this.#outputTokens * this.speed.idleDecodeMsPerToken,
+    });
+  }
+
+  /** Time left until the target finish time of the program, in ms. */
+  programLeftMs(now: number): number | undefined {
+    const { head, arrivedAt } = this.#call;
+    if (head.programTimeLeftMs === undefined) return undefined;
+    return Math.round(head.programTimeLeftMs - (now - arrivedAt));
+  }
+
+  /** Learns from an attempt that completed the call. */
+  recordComplete(upstream: TrackedUpstream, start: AttemptStart): void {
+    this.#recordDuration(upstream, start);
+    const mayLearn = start.isLightlyLoaded &&
+      !this.#opts.disabled.has("learned_speeds");
+    if (mayLearn) this.#turn?.updateSpeed(this.speed, start);
+  }
+
+  /**
+   * Records the duration of a complete call. The duration of a turn is divided
+   * by that on an idle engine, so that turns of different sizes compare.
+   */
+  #recordDuration(upstream: TrackedUpstream, start: AttemptStart): void {
+    const { upstreamRegistry, timer } = this.#opts;
+    const now = timer.monotonicNow();
+    const ms = now - start.startedAt;
+    const { id, service } = upstream.entry;
+    if (!this.#turn) {
+      upstreamRegistry.recordDuration(id, this.#call.route.name, ms, now);
+      return;
+    }
+    const { idleDecodeMsPerToken, prefillMsPerToken } = this.speed;
+    const idleMs = this.#turn.outputTokens * idleDecodeMsPerToken +
+      start.uncachedTokens * prefillMsPerToken;
+    upstreamRegistry.recordDuration(id, service, ms / (idleMs + 1), now);
+  }
+
+  #createInput(): ChooserInput {
+    const { upstreamRegistry, prefixIndex, timer, dataCentre, pools } =
+      this.#opts;
+    const now = timer.monotonicNow();
+    return {
+      candidates: upstreamRegistry.candidates(this.#call.service, now)
+        .filter((it) => !this.excluded.has(it.entry.id)),
+      upstreamRegistry,
+      prefixIndex,
+      parts: this.#call.head.promptParts,
+      promptTokens: this.#promptTokens,
+      outputTokens: this.#outputTokens,
+      speed: this.speed,
+      workMs: upstreamRegistry.meanMs(this.#call.route.name) ??
+        DEFAULT_CALL_DURATION_MS,
+      lastUpstream: this.#turn?.hints.at(-1)?.upstream,
+      dataCentre,
+      hasIdleConnection: (id) => pools.hasIdle(id),
+      now,
+      disabled: this.#opts.disabled,
+      draw: Math.random(),
+    };
+  }
+
+  get #promptTokens(): number {
+    return this.#turn ? this.#call.head.promptTokens ?? 1 : 0;
+  }
+
+  get #outputTokens(): number {
+    return this.#call.head.expectedOutputTokens ?? DEFAULT_OUTPUT_TOKENS;
+  }
+}
--- a/packages/front/test/load_sharing_test.ts
+++ b/packages/front/test/load_sharing_test.ts
@@ -119,7 +119,14 @@
     const log = createNoopLoggers()("sibling");
     sharings.set(
       self,
-      new LoadSharing({ self, timer, upstreamRegistry, siblings, log }),
+      new LoadSharing({
+        self,
+        timer,
+        upstreamRegistry,
+        siblings,
+        isEnabled: true,
+        log,
+      }),
     );
   }
   const known = (host: string, id: string) => {
--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -114,6 +114,7 @@
       seeds: [],
       graceMs: 3_000,
       chooser: "expected_finish",
+      disabled: new Set(),
       protocol: testProtocol,
       store: this.store,
       fleet,
--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -160,7 +160,8 @@
       this.#socket.terminate();
       return;
     }
-    sendMessage(this.#socket, { t: "ping" });
+    // Any message shows that the link works.
+    if (silentMs >= intervalMs) sendMessage(this.#socket, { t: "ping" });
     this.#schedulePing();
   }
 
--- a/packages/metrics/src/prometheus_metrics.ts
+++ b/packages/metrics/src/prometheus_metrics.ts
@@ -1,5 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import type { Labels, Metrics } from "./mod.ts";
+import type { Labels, Metrics } from "./metrics.ts";
 
 /** Metrics that are kept in memory until they are scraped. */
 export interface PrometheusMetrics extends Metrics {
--- a/packages/routing/src/choose_upstream.ts
+++ b/packages/routing/src/choose_upstream.ts
@@ -1,4 +1,5 @@
 import type { SpeedEstimate } from "@toucantrestle/policy";
+import type { Mechanism } from "./mechanism.ts";
 import type { PrefixIndex, PromptPart } from "./prefix_index.ts";
 import type { TrackedUpstream, UpstreamRegistry } from "./upstream_registry.ts";
 
@@ -28,6 +29,8 @@
   /** Returns whether an idle keep-alive connection to an upstream is open. */
   hasIdleConnection: (upstream: string) => boolean;
   now: number;
+  /** Mechanisms that are switched off. */
+  disabled: ReadonlySet<Mechanism>;
   /**
    * Random number in [0, 1). Fronts that hold the same state choose different
    * upstreams, so that they do not all select the same one.
@@ -94,10 +97,9 @@
   const connectionMs = input.hasIdleConnection(upstream.entry.id)
     ? 0
     : NEW_CONNECTION_MS;
-  const latencyRatio = input.upstreamRegistry.latencyRatioOf(
-    upstream,
-    input.now,
-  );
+  const latencyRatio = input.disabled.has("latency_ratio")
+    ? 1
+    : input.upstreamRegistry.latencyRatioOf(upstream, input.now);
   return networkMs + connectionMs + ms * Math.max(1, latencyRatio);
 }
 
@@ -111,8 +113,14 @@
   );
   const cached = input.prefixIndex.cachedTokens(upstream.entry.id, input.parts);
   const uncachedTokens = Math.max(0, input.promptTokens - cached);
+  const uncachedWeight = input.disabled.has("uncached_weight")
+    ? 1
+    : UNCACHED_WEIGHT;
+  const backlogWeight = input.disabled.has("backlog_weight")
+    ? 1
+    : BACKLOG_WEIGHT;
   const prefillMs =
-    (UNCACHED_WEIGHT * uncachedTokens + BACKLOG_WEIGHT * prefillTokens) *
+    (uncachedWeight * uncachedTokens + backlogWeight * prefillTokens) *
     input.speed.prefillMsPerToken;
   const batchSize = Math.min(running + 1, upstream.entry.slots);
   const tokenMs = input.speed.idleDecodeMsPerToken *
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -27,6 +27,7 @@
   closestCandidates,
   expectedFinishMs,
 } from "./choose_upstream.ts";
+export { type Mechanism, MECHANISMS, parseMechanisms } from "./mechanism.ts";
 export { CrashTracker } from "./crash_tracker.ts";
 export {
   canResumeStream,
--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -181,19 +181,6 @@
     return 1 + (known.latencyRatio - 1) * decay;
   }
 
-  /** Records a sibling's report of its in-flight load for each upstream. */
-  recordSiblingLoads(
-    host: string,
-    loads: Record<string, UpstreamLoad>,
-    now: number,
-  ) {
-    for (const [id, known] of this.#upstreams) {
-      const load = loads[id];
-      if (load) known.siblingLoads.set(host, { load, at: now });
-      else known.siblingLoads.delete(host);
-    }
-  }
-
   /** Records a sibling's report of its in-flight load for one upstream. */
   recordSiblingLoad(
     host: string,
--- a/packages/routing/test/choose_upstream_test.ts
+++ b/packages/routing/test/choose_upstream_test.ts
@@ -72,15 +72,16 @@
 
   it("counts siblings' load, so that not all choose the same upstream", () => {
     const input = createInput(["u1", "u2"], { promptTokens: 0, parts: [] });
-    const report = { u1: { running: 8, prefillTokens: 0 } };
-    input.upstreamRegistry.recordSiblingLoads("front-2", report, NOW);
+    const load = { running: 8, prefillTokens: 0 };
+    input.upstreamRegistry.recordSiblingLoad("front-2", "u1", load, NOW);
     expect(choose(input)).toEqual("u2");
   });
 
   it("ignores stale load reports of siblings after a network partition", () => {
     const input = createInput(["u1", "u2"], { promptTokens: 0, parts: [] });
-    const report = { u1: { running: 8, prefillTokens: 0 } };
-    input.upstreamRegistry.recordSiblingLoads("front-2", report, NOW - 5_000);
+    const load = { running: 8, prefillTokens: 0 };
+    const reportedAt = NOW - 5_000;
+    input.upstreamRegistry.recordSiblingLoad("front-2", "u1", load, reportedAt);
     expect(new Set(chooseMany(input, 4).keys())).toEqual(new Set(["u1", "u2"]));
   });
 
@@ -110,6 +111,7 @@
     dataCentre: "a",
     hasIdleConnection: () => true,
     now: NOW,
+    disabled: new Set(),
     draw: 0.5,
     ...overrides,
   };
--- a/packages/routing/test/upstream_registry_test.ts
+++ b/packages/routing/test/upstream_registry_test.ts
@@ -85,7 +85,7 @@
     const { registry } = createRegistry();
     registry.put(createEntry("u1"));
     const load = { running: 3, prefillTokens: 7 };
-    registry.recordSiblingLoads("front-2", { u1: load }, 0);
+    registry.recordSiblingLoad("front-2", "u1", load, 0);
     const known = registry.get("u1")!;
     expect(registry.loadOf(known, 100)).toEqual(load);
     expect(registry.loadOf(known, 9_000).running).toEqual(0);
@@ -127,6 +127,7 @@
       dataCentre: "a",
       hasIdleConnection: () => true,
       now: 0,
+      disabled: new Set(),
       draw: 0,
     })?.entry.id;
   }
