--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -145,7 +145,7 @@
       speedOf: (service) => this.#speedOf(service),
       host,
       dataCentre,
-      onLoadChange: (id) => this.#loadSharing.reportChange(id),
+      onLoadChange: (id, kind) => this.#loadSharing.reportChange(id, kind),
       queryLoads: (upstreams) => this.#loadSharing.query(upstreams),
       upstreamsAgeMs: () => this.#upstreamWatcher.ageMs,
       timer,
--- a/packages/front/src/load_sharing.ts
+++ b/packages/front/src/load_sharing.ts
@@ -6,6 +6,7 @@
   UpstreamRegistry,
 } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
+import type { WorkKind } from "@toucantrestle/policy";
 import type { FrontMethods, LoadReport } from "./protocol.ts";
 
 /** Links to the siblings that `LoadSharing` needs. */
@@ -34,7 +35,7 @@
 const MAX_BROADCAST_SIBLINGS = 12;
 /** Changes within this time are reported together. */
 const BROADCAST_DELAY_MS = 50;
-const COLLECTOR_DELAY_MS = 2;
+const COLLECTOR_DELAY_MS = 20;
 /** A load without changes is reported again after this time. */
 const REFRESH_INTERVAL_MS = 600;
 /** Fronts that join or leave change the collectors after this time. */
@@ -63,14 +64,15 @@
   }
 
   /** Schedules a report of this front's load on an upstream. */
-  reportChange(id: string): void {
+  reportChange(id: string, kind: WorkKind): void {
     if (!this.#opts.isEnabled) return;
+    const isBroadcasting = this.#isBroadcasting;
+    // A short call is not worth the messages of a collector.
+    if (!isBroadcasting && kind === "service") return;
     this.#changed.add(id);
     if (this.#isScheduled) return;
     this.#isScheduled = true;
-    const delayMs = this.#isBroadcasting
-      ? BROADCAST_DELAY_MS
-      : COLLECTOR_DELAY_MS;
+    const delayMs = isBroadcasting ? BROADCAST_DELAY_MS : COLLECTOR_DELAY_MS;
     this.#opts.timer.after(delayMs, () => {
       this.#isScheduled = false;
       this.#sendReports();
@@ -155,8 +157,9 @@
   /** Repeats the loads that are not zero, before they expire at siblings. */
   #refresh(): void {
     for (const { entry, localLoad } of this.#opts.upstreamRegistry.all()) {
-      if (localLoad.running > 0) this.reportChange(entry.id);
+      if (localLoad.running > 0) this.#changed.add(entry.id);
     }
+    if (this.#changed.size > 0) this.#sendReports();
   }
 
   #sendReports(): void {
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -1,4 +1,4 @@
-import type { SpeedEstimate } from "@toucantrestle/policy";
+import type { SpeedEstimate, WorkKind } from "@toucantrestle/policy";
 import type {
   ChooserName,
   CrashTracker,
@@ -28,7 +28,7 @@
   host: string;
   dataCentre: string;
   /** Called when the load that this front puts on an upstream changes. */
-  onLoadChange: (upstream: string) => void;
+  onLoadChange: (upstream: string, kind: WorkKind) => void;
   /** Updates the known load of upstreams, if that takes a query. */
   queryLoads: (upstreams: TrackedUpstream[]) => Promise<void>;
   /** Time since the last update of the list of upstreams, in ms. */
--- a/packages/front/src/upstream_choice.ts
+++ b/packages/front/src/upstream_choice.ts
@@ -1,4 +1,4 @@
-import type { SpeedEstimate } from "@toucantrestle/policy";
+import type { SpeedEstimate, WorkKind } from "@toucantrestle/policy";
 import {
   type ChooserInput,
   CHOOSERS,
@@ -56,9 +56,11 @@
    */
   async choose(): Promise<TrackedUpstream | undefined> {
     const { chooser, queryLoads } = this.#opts;
-    const likely = closestCandidates(this.#createInput(), MAX_QUERIED);
-    if (likely.length > 0) await queryLoads(likely);
-    if (this.#call.isAbandoned) return undefined;
+    if (this.#kind === "engine") {
+      const likely = closestCandidates(this.#createInput(), MAX_QUERIED);
+      if (likely.length > 0) await queryLoads(likely);
+      if (this.#call.isAbandoned) return undefined;
+    }
     const input = this.#createInput();
     return input.candidates.length > 0 ? CHOOSERS[chooser](input) : undefined;
   }
@@ -75,7 +77,7 @@
     const { id } = upstream.entry;
     return new LoadShare(upstream.localLoad, {
       uncachedTokens,
-      onLoadChange: () => this.#opts.onLoadChange(id),
+      onLoadChange: () => this.#opts.onLoadChange(id, this.#kind),
     });
   }
 
@@ -153,6 +155,10 @@
     };
   }
 
+  get #kind(): WorkKind {
+    return this.#turn ? "engine" : "service";
+  }
+
   get #promptTokens(): number {
     return this.#turn ? this.#call.head.promptTokens ?? 1 : 0;
   }
--- a/packages/routing/src/choose_upstream.ts
+++ b/packages/routing/src/choose_upstream.ts
@@ -48,13 +48,8 @@
  * is lost to other programs.
  */
 const UNCACHED_WEIGHT = 30;
-/**
- * Weight of the prompt tokens that wait for prefill. They delay the first token
- * of every later request.
- */
-const BACKLOG_WEIGHT = 7;
 /** Weight of queueing: a queued request also delays the requests behind it. */
-const QUEUE_WEIGHT = 3;
+const QUEUE_WEIGHT = 9;
 /** Added latency of an upstream in another data centre, in ms. */
 const CROSS_DATA_CENTRE_MS = 4;
 /**
@@ -116,11 +111,7 @@
   const uncachedWeight = input.disabled.has("uncached_weight")
     ? 1
     : UNCACHED_WEIGHT;
-  const backlogWeight = input.disabled.has("backlog_weight")
-    ? 1
-    : BACKLOG_WEIGHT;
-  const prefillMs =
-    (uncachedWeight * uncachedTokens + backlogWeight * prefillTokens) *
+  const prefillMs = (uncachedWeight * uncachedTokens + prefillTokens) *
     input.speed.prefillMsPerToken;
   const batchSize = Math.min(running + 1, upstream.entry.slots);
   const tokenMs = input.speed.idleDecodeMsPerToken *
--- a/packages/routing/src/mechanism.ts
+++ b/packages/routing/src/mechanism.ts
@@ -6,8 +6,6 @@
   | "shared_loads"
   /** Extra weight of prompt tokens that an engine has not cached. */
   | "uncached_weight"
-  /** Extra weight of prompt tokens that wait for prefill. */
-  | "backlog_weight"
   /** Durations of an upstream relative to the others. */
   | "latency_ratio"
   /** Hints of the turn stores where earlier prompts were processed. */
@@ -22,7 +20,6 @@
   "learned_speeds",
   "shared_loads",
   "uncached_weight",
-  "backlog_weight",
   "latency_ratio",
   "prompt_hints",
   "urgency",
--- a/packages/turn_store/src/replica_links.ts
+++ b/packages/turn_store/src/replica_links.ts
@@ -50,6 +50,12 @@
 
 type StoreLink = LinkClient<StoreMethods, StoreNotices>;
 
+/**
+ * Time between two pings of a silent link, for each member of the view. It
+ * bounds the messages per second, however many replicas there are.
+ */
+const PING_INTERVAL_PER_MEMBER_MS = 125;
+const MIN_PING_INTERVAL_MS = 500;
 /** Timeout for the reply of a replica. */
 const REPLY_TIMEOUT_MS = 1_000;
 /** Time without a reply after which the next replica is asked as well. */
@@ -241,6 +247,11 @@
       address: member.address,
       timer,
       log,
+      pingIntervalMs: () =>
+        Math.max(
+          MIN_PING_INTERVAL_MS,
+          PING_INTERVAL_PER_MEMBER_MS * this.#links.size,
+        ),
       onOpen: () => {
         log.info(`connected to turn store ${member.host}`);
         onReachabilityChange?.();
