Bench: bad input gets one line

Cause: an unknown policy ended in a TypeError, a load that is no number in an endless or empty run, and an unknown mechanism in a stack trace. Change: names and loads are checked, failures are printed in one line.

--- a/bench/src/commands/policy.ts
+++ b/bench/src/commands/policy.ts
@@ -38,8 +38,8 @@
     const workload = String(flags["workload"]) as WorkloadName;
     const def = WORKLOADS[workload];
     if (!def) throw new Error(`unknown workload "${workload}"`);
-    const loads = String(flags["load"]).split(",").map(Number);
-    const policyNames = String(flags["policies"]).split(",") as PolicyName[];
+    const loads = String(flags["load"]).split(",").map(parseLoad);
+    const policyNames = String(flags["policies"]).split(",").map(parsePolicy);
     const seed = Number(flags["seed"]);
     const runs = loads.flatMap((load) =>
       policyNames.map((name) => runSimulation(def, { name, load, seed }))
@@ -53,6 +53,18 @@
   },
 };
 
+function parsePolicy(text: string): PolicyName {
+  const name = Object.keys(POLICIES).find((it) => it === text);
+  if (name === undefined) throw new Error(`unknown policy "${text}"`);
+  return name as PolicyName;
+}
+
+function parseLoad(text: string): number {
+  const load = Number(text);
+  if (load > 0) return load;
+  throw new Error(`load "${text}" is not a positive number`);
+}
+
 function runSimulation(
   def: WorkloadDef,
   run: { name: PolicyName; load: number; seed: number },
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -35,7 +35,7 @@
   argv: remaining.argv,
   flags: command.flags,
 });
-const results = await command.handler(cli.flags);
+const results = await runCommand(command).catch(exitWithError);
 if (json.file !== undefined) {
   writeFileSync(json.file, JSON.stringify(results, null, 2) + "\n");
 }
@@ -45,6 +45,17 @@
 );
 process.exit(0);
 
+async function runCommand(it: BenchCommand): Promise<unknown> {
+  return await it.handler(cli.flags);
+}
+
+/** Prints a failure in one line, since most are caused by bad input. */
+function exitWithError(err: unknown): never {
+  const reason = err instanceof Error ? err.message : String(err);
+  process.stderr.write(`bench ${name}: ${reason}\n`);
+  process.exit(1);
+}
+
 /**
  * Extracts the `--json` flag: `--json` prints the results on a single line,
  * `--json FILE` also writes them to a file.
