Load sharing: plain calls are not repeated to collectors

Cause: the repetition of unchanged loads every 600 ms passed by the rule that collectors serve engines only, and by the switch for ablations. Change: only loads that were reported are repeated. Shown: 'burst: plain calls cause no messages' failed before.

--- a/packages/front/src/load_sharing.ts
+++ b/packages/front/src/load_sharing.ts
@@ -53,6 +53,8 @@
   readonly #opts: LoadSharingOptions;
   /** Upstreams whose load has changed since the last report. */
   readonly #changed = new Set<string>();
+  /** Upstreams whose load was reported at least once. */
+  readonly #reported = new Set<string>();
   readonly #collectors = new Map<string, string>();
   #collectorsAt = -Infinity;
   #siblings: string[] = [];
@@ -70,6 +72,7 @@
     // A short call is not worth the messages of a collector.
     if (!isBroadcasting && kind === "service") return;
     this.#changed.add(id);
+    this.#reported.add(id);
     if (this.#isScheduled) return;
     this.#isScheduled = true;
     const delayMs = isBroadcasting ? BROADCAST_DELAY_MS : COLLECTOR_DELAY_MS;
@@ -156,8 +159,10 @@
 
   /** Repeats the loads that are not zero, before they expire at siblings. */
   #refresh(): void {
-    for (const { entry, localLoad } of this.#opts.upstreamRegistry.all()) {
-      if (localLoad.running > 0) this.#changed.add(entry.id);
+    for (const id of this.#reported) {
+      const known = this.#opts.upstreamRegistry.get(id);
+      if (!known) this.#reported.delete(id);
+      else if (known.localLoad.running > 0) this.#changed.add(id);
     }
     if (this.#changed.size > 0) this.#sendReports();
   }
--- a/packages/front/test/load_sharing_test.ts
+++ b/packages/front/test/load_sharing_test.ts
@@ -1,4 +1,5 @@
 import { createNoopLoggers } from "@toucantrestle/log";
+import type { WorkKind } from "@toucantrestle/policy";
 import { type UpstreamLoad, UpstreamRegistry } from "@toucantrestle/routing";
 import { createManualTimer, type ManualTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
@@ -61,6 +62,13 @@
     expect(fleet.messageCount()).toBeLessThanOrEqual(101);
   });
 
+  it("burst: plain calls cause no messages", () => {
+    const fleet = createFleet(54);
+    fleet.addLoad("front-0", "u1", 5, "service");
+    fleet.timer.advance(5_000);
+    expect(fleet.messageCount()).toEqual(0);
+  });
+
   it("goes on without the collector when it does not answer", async () => {
     const fleet = createFleet(54);
     for (const host of fleet.hosts) fleet.addLoad(host, "u1", 1);
@@ -137,9 +145,14 @@
   return {
     timer,
     hosts,
-    addLoad(host: string, id: string, running: number) {
+    addLoad(
+      host: string,
+      id: string,
+      running: number,
+      kind: WorkKind = "engine",
+    ) {
       known(host, id).localLoad.running += running;
-      sharings.get(host)?.reportChange(id, "engine");
+      sharings.get(host)?.reportChange(id, kind);
     },
     query: async (host: string, id: string) =>
       await sharings.get(host)?.query([known(host, id)]),
