--- a/packages/routing/src/choose_upstream.ts
+++ b/packages/routing/src/choose_upstream.ts
@@ -47,9 +47,9 @@
  * prompt stalls all requests that the engine runs, and the cache that it fills
  * is lost to other programs.
  */
-const UNCACHED_WEIGHT = 30;
+const UNCACHED_WEIGHT = 10;
 /** Weight of queueing: a queued request also delays the requests behind it. */
-const QUEUE_WEIGHT = 9;
+const QUEUE_WEIGHT = 3;
 /** Added latency of an upstream in another data centre, in ms. */
 const CROSS_DATA_CENTRE_MS = 4;
 /**
