Front: log what was received of an upstream's response body

Both 'answered' and 'attempt_failed' now have delimiter, bytes, events (of this attempt) and partialEventBytes; the counter upstream_bodies has the delimiter and the result.

No decision is changed.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -9,6 +9,7 @@
 import { EventSplitter } from "./event_splitter.ts";
 import { responseHeaders, upstreamHeaders } from "./headers.ts";
 import type { Protocol } from "./protocol.ts";
+import type { ReceivedBody } from "./response_body.ts";
 
 /** Result of one attempt on an upstream. */
 export type AttemptResult =
@@ -16,10 +17,20 @@
    * The response is complete. `unsentBody` holds the part of the body that is
    * not forwarded yet; the caller's response is not ended.
    */
-  | { kind: "complete"; head: ResponseHead; unsentBody: Buffer[] }
+  | {
+    kind: "complete";
+    head: ResponseHead;
+    unsentBody: Buffer[];
+    received: ReceivedBody;
+  }
   /** The upstream did not run the request. */
   | { kind: "declined"; status: number }
-  | { kind: "failed"; failure: ChannelFailure }
+  /** `received` is undefined if there was no response head. */
+  | {
+    kind: "failed";
+    failure: ChannelFailure;
+    received: ReceivedBody | undefined;
+  }
   /** This front stopped the attempt. */
   | { kind: "stopped"; reason: StopReason; hasDeliveredHead: boolean };
 
@@ -62,6 +73,7 @@
   let head: ResponseHead | undefined;
   let buffered: Buffer[] = [];
   let bufferedBytes = 0;
+  let bodyBytes = 0;
   let isForwarding = opts.resumeAfter !== undefined;
   let stopReason: StopReason | undefined;
   let resolveResult: (result: AttemptResult) => void;
@@ -69,11 +81,25 @@
     resolveResult = resolve;
   });
 
-  function fail(failure: ChannelFailure): void {
+  function receivedBody(from: ResponseHead): ReceivedBody {
+    return {
+      delimiter: from.bodyDelimiter,
+      bytes: bodyBytes,
+      events: splitter.eventCount,
+      partialEventBytes: splitter.partialEventBytes,
+    };
+  }
+
+  function resolveFailed(failure: ChannelFailure): void {
     resolveResult({
       kind: "failed",
       failure: { ...failure, hasDeliveredHead: isForwarding },
+      received: head && receivedBody(head),
     });
+  }
+
+  function fail(failure: ChannelFailure): void {
+    resolveFailed(failure);
     exchange.cancel();
   }
 
@@ -136,6 +162,7 @@
       },
       onData(chunk) {
         if (!head || protocol.isDeclined(head)) return;
+        bodyBytes += chunk.length;
         if (isStream && head.status === 200) onStreamData(chunk);
         else onBodyData(chunk);
       },
@@ -145,11 +172,16 @@
           resolveResult({ kind: "declined", status: head.status });
           return;
         }
-        if (splitter.hasPartial) {
+        if (splitter.partialEventBytes > 0) {
           fail(badResponse);
           return;
         }
-        resolveResult({ kind: "complete", head, unsentBody: buffered });
+        resolveResult({
+          kind: "complete",
+          head,
+          unsentBody: buffered,
+          received: receivedBody(head),
+        });
       },
       onFailure(failure) {
         if (stopReason) {
@@ -160,10 +192,7 @@
           });
           return;
         }
-        resolveResult({
-          kind: "failed",
-          failure: { ...failure, hasDeliveredHead: isForwarding },
-        });
+        resolveFailed(failure);
       },
     },
   );
--- a/packages/front/src/call_recorder.ts
+++ b/packages/front/src/call_recorder.ts
@@ -4,6 +4,7 @@
 import type { Timer } from "@toucantrestle/timer";
 import type { Verdict } from "@toucantrestle/verdict";
 import type { CallHead } from "./protocol.ts";
+import type { ReceivedBody } from "./response_body.ts";
 
 /** Decisions that a front makes on a call. */
 export type CallEvent =
@@ -18,6 +19,16 @@
   | "cut_off"
   | "not_kept";
 
+/** Outcome of a call. */
+export interface CallOutcome {
+  /** HTTP status; 0 without a complete response. */
+  status: number;
+  verdict: Verdict;
+  reason: string;
+  /** Body that the upstream sent, if the response is an upstream's. */
+  received?: ReceivedBody;
+}
+
 const WARN_EVENTS: ReadonlySet<CallEvent> = new Set([
   "attempt_failed",
   "stopped",
@@ -68,20 +79,33 @@
     this.#metrics.count("call_events", 1, { event, route: this.#route.name });
   }
 
+  /** Counts the body that one attempt received, by how its end is marked. */
+  countBody(received: ReceivedBody, result: "complete" | "failed"): void {
+    this.#metrics.count("upstream_bodies", 1, {
+      delimiter: received.delimiter,
+      result,
+    });
+  }
+
   /** Records the outcome of the call; later outcomes are ignored. */
   recordOutcome(
     event: "answered" | "refused" | "cut_off",
-    opts: { status: number; verdict: Verdict; reason: string },
+    outcome: CallOutcome,
   ): void {
     if (this.#hasOutcome) return;
     this.#hasOutcome = true;
-    this.record(event, `${opts.reason}, status ${opts.status}`, opts);
+    const { received, ...fields } = outcome;
+    const { reason, status } = outcome;
+    this.record(event, `${reason}, status ${status}`, {
+      ...fields,
+      ...received,
+    });
     const ms = this.#timer.monotonicNow() - this.#arrivedAt;
     this.#metrics.timing("call_ms", ms, { route: this.#route.name });
     this.#metrics.count("answers", 1, {
       route: this.#route.name,
-      status: String(opts.status),
-      verdict: opts.verdict,
+      status: String(status),
+      verdict: outcome.verdict,
     });
   }
 }
--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -92,6 +92,9 @@
     });
     const result = await this.#awaitResult(attempt, timeLeftMs);
     start.load.end();
+    if ("received" in result && result.received) {
+      call.recorder.countBody(result.received, result.kind);
+    }
     if (result.kind === "complete") {
       this.#choice.recordComplete(upstream, start);
     }
@@ -178,7 +181,7 @@
       case "failed":
         // An upstream that declined the initial stream may accept the rest.
         if (result.failure.hasDeliveredHead) this.#choice.excluded.clear();
-        this.#recordFailure(id, result.failure);
+        this.#recordFailure(id, result);
         await this.#discountCrashedRun(upstream, result.failure);
         return this.#retryOrRespond(result.failure.verdict);
       case "stopped":
@@ -231,7 +234,10 @@
     }
   }
 
-  #recordFailure(id: string, failure: ChannelFailure): void {
+  #recordFailure(
+    id: string,
+    { failure, received }: Extract<AttemptResult, { kind: "failed" }>,
+  ): void {
     const { upstreamRegistry, timer, crashTracker } = this.#opts;
     const now = timer.monotonicNow();
     this.#choice.excluded.add(id);
@@ -244,7 +250,7 @@
         upstream: id,
         reason: failure.reason,
         verdict: failure.verdict,
-        events: this.#turn?.events,
+        ...received,
       },
     );
     const isUnreachable = failure.reason === "connect_refused" ||
--- a/packages/front/src/event_splitter.ts
+++ b/packages/front/src/event_splitter.ts
@@ -10,10 +10,16 @@
 /** Splits a byte stream into complete events. */
 export class EventSplitter {
   #pending = Buffer.alloc(0);
+  #eventCount = 0;
 
-  /** Whether the buffer holds an incomplete event. */
-  get hasPartial(): boolean {
-    return this.#pending.length > 0;
+  /** Number of complete events. */
+  get eventCount(): number {
+    return this.#eventCount;
+  }
+
+  /** Size of the incomplete event in the buffer, in bytes. */
+  get partialEventBytes(): number {
+    return this.#pending.length;
   }
 
   /** Appends a chunk and returns the events that it completes. */
@@ -31,6 +37,7 @@
       events.push(parseEvent(bytes.subarray(start, end)));
       start = end;
     }
+    this.#eventCount += events.length;
     this.#pending = Buffer.from(bytes.subarray(start));
     return events;
   }
--- a/packages/front/src/finish_call.ts
+++ b/packages/front/src/finish_call.ts
@@ -20,7 +20,7 @@
 export async function finishCall(opts: FinishOptions): Promise<void> {
   const { call, turn, upstream } = opts;
   const { res } = call;
-  const { head, unsentBody } = opts.result;
+  const { head, unsentBody, received } = opts.result;
   const isCompletedTurn = head.status === 200 && turn !== undefined;
   if (isCompletedTurn && !await turn.persist(upstream)) {
     respondNotPersisted(call, opts.turnStore);
@@ -36,6 +36,7 @@
     status: head.status,
     verdict: "ran",
     reason: `answered by ${upstream}`,
+    received,
   });
 }
 
--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -1,11 +1,12 @@
 import { MemoryStore } from "@toucantrestle/config_store";
 import { Fleet, type HostEntry } from "@toucantrestle/fleet";
-import { createNoopLoggers } from "@toucantrestle/log";
+import { createNoopLoggers, type LoggerFactory } from "@toucantrestle/log";
 import { createNoopMetrics } from "@toucantrestle/metrics";
 import type { Route, UpstreamEntry } from "@toucantrestle/routing";
 import { createSystemTimer, createTimerScope } from "@toucantrestle/timer";
 import { writeState } from "@toucantrestle/turn_journal";
 import { TurnStoreServer } from "@toucantrestle/turn_store";
+import type { BodyDelimiter } from "@toucantrestle/upstream_channel";
 import { mkdtemp, rm } from "node:fs/promises";
 import {
   createServer,
@@ -21,7 +22,6 @@
 import { testProtocol } from "./test_protocol.ts";
 
 const timer = createTimerScope(createSystemTimer());
-const loggers = createNoopLoggers();
 const READY_TIMEOUT_MS = 8_000;
 /** Header limit of upstreams, above the limit for callers, in bytes. */
 const MAX_UPSTREAM_HEADER_BYTES = 65_536;
@@ -61,8 +61,13 @@
   readonly #turnStores: TurnStoreServer[] = [];
   readonly #fleets: Fleet[] = [];
   readonly #folders: string[] = [];
+  readonly #loggers: LoggerFactory;
   #version = 0;
 
+  constructor(opts: { loggers?: LoggerFactory } = {}) {
+    this.#loggers = opts.loggers ?? createNoopLoggers();
+  }
+
   /** Stores a new version of the configuration with these routes. */
   configure(routes: Partial<Route>[]): void {
     this.#version += 1;
@@ -119,7 +124,7 @@
       store: this.store,
       fleet,
       timer,
-      loggers,
+      loggers: this.#loggers,
       metrics: createNoopMetrics(),
     });
     await front.start();
@@ -249,7 +254,7 @@
       listRetiringHosts: () => [],
       onHostRetired: () => {},
       timer,
-      loggers,
+      loggers: this.#loggers,
       metrics: createNoopMetrics(),
     });
     await server.start();
@@ -258,7 +263,7 @@
   }
 
   #createFleet(self: HostEntry): Fleet {
-    const log = loggers("fleet");
+    const log = this.#loggers("fleet");
     const fleet = new Fleet({ self, store: this.store, timer, log });
     this.#fleets.push(fleet);
     return fleet;
@@ -292,6 +297,43 @@
   };
 }
 
+/** Response of an upstream as raw bytes. */
+export interface RawResponse {
+  delimiter: BodyDelimiter;
+  /** The part of the body that is sent. */
+  body: string;
+  /** True if the body lacks its rest. */
+  isCut: boolean;
+  /** How the connection ends after a body that is cut or has no length. */
+  ending: "close" | "reset";
+}
+
+/** Time between the last byte and the reset of a connection, in ms. */
+const RESET_DELAY_MS = 20;
+
+/** Writes a response to the connection of a request, byte by byte as given. */
+export function writeRaw(res: ServerResponse, response: RawResponse): void {
+  const { delimiter, body, isCut, ending } = response;
+  const { socket } = res.req;
+  const bytes = Buffer.byteLength(body);
+  const chunk = bytes === 0 ? "" : `${bytes.toString(16)}\r\n${body}\r\n`;
+  const framed: Record<BodyDelimiter, [header: string, body: string]> = {
+    length: [`content-length: ${isCut ? bytes + 10 : bytes}\r\n`, body],
+    chunked: [
+      "transfer-encoding: chunked\r\n",
+      isCut ? chunk : `${chunk}0\r\n\r\n`,
+    ],
+    close: ["", body],
+  };
+  const [header, framedBody] = framed[delimiter];
+  const id = `x-id: ${res.getHeader("x-id")}\r\n`;
+  const mark = `x-mark: ${res.getHeader("x-mark")}\r\n`;
+  socket.write(`HTTP/1.1 200 OK\r\n${id}${mark}${header}\r\n${framedBody}`);
+  if (ending === "reset") {
+    setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+  } else if (isCut || delimiter === "close") socket.end();
+}
+
 /** Sends a request to an address and reads the response. */
 export function sendRequest(
   address: string,
--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -3,6 +3,7 @@
 import { HTTPParser, type HTTPParserJS } from "http-parser-js";
 import { connect, type Socket } from "node:net";
 import type {
+  BodyDelimiter,
   ChannelFailure,
   OutgoingRequest,
   ResponseHandlers,
@@ -154,7 +155,9 @@
   #onHead(status: number, rawHeaders: string[], canKeepAlive: boolean): void {
     const exchange = this.#exchange;
     if (!exchange) return this.#close("bad_answer");
-    const head = { status, rawHeaders, headers: toHeaderMap(rawHeaders) };
+    const headers = toHeaderMap(rawHeaders);
+    const bodyDelimiter = bodyDelimiterOf(headers);
+    const head = { status, bodyDelimiter, rawHeaders, headers };
     const echoedId = this.#opts.echoedRequestId(head);
     const isInterim = status < 200;
     this.#isSkipping = isInterim ||
@@ -224,6 +227,12 @@
   return headers;
 }
 
+function bodyDelimiterOf(headers: Map<string, string>): BodyDelimiter {
+  const transferEncoding = headers.get("transfer-encoding")?.toLowerCase();
+  if (transferEncoding === "chunked") return "chunked";
+  return headers.has("content-length") ? "length" : "close";
+}
+
 /** Returns the idle timeout announced by a `Keep-Alive` header, in ms. */
 function parseIdleTimeoutMs(headers: Map<string, string>): number | undefined {
   const match = /timeout=(\d+)/i.exec(headers.get("keep-alive") ?? "");
--- a/packages/upstream_channel/src/exchange.ts
+++ b/packages/upstream_channel/src/exchange.ts
@@ -11,9 +11,16 @@
   body: Uint8Array;
 }
 
+/**
+ * How the end of a response body is marked (RFC 9112 section 6.3). The body of
+ * `close` lasts until the upstream closes the connection.
+ */
+export type BodyDelimiter = "length" | "chunked" | "close";
+
 /** Status and headers of a response. */
 export interface ResponseHead {
   status: number;
+  bodyDelimiter: BodyDelimiter;
   /** Alternating names and values, unchanged and in the received order. */
   rawHeaders: string[];
   /** Values by lower-case name; the last value of a repeated header. */
--- a/packages/upstream_channel/src/mod.ts
+++ b/packages/upstream_channel/src/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export type {
+  BodyDelimiter,
   ChannelFailure,
   OutgoingRequest,
   ResponseHandlers,
