--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -9,7 +9,7 @@
 import { EventSplitter } from "./event_splitter.ts";
 import { responseHeaders, upstreamHeaders } from "./headers.ts";
 import type { Protocol } from "./protocol.ts";
-import type { ReceivedBody } from "./response_body.ts";
+import { isWholeStream, type ReceivedBody } from "./response_body.ts";
 
 /** Result of one attempt on an upstream. */
 export type AttemptResult =
@@ -69,6 +69,7 @@
   const { call, protocol, pool } = opts;
   const { res } = call;
   const isStream = call.route.kind === "streaming";
+  const isEventStream = (from: ResponseHead) => isStream && from.status === 200;
   const splitter = new EventSplitter();
   let head: ResponseHead | undefined;
   let buffered: Buffer[] = [];
@@ -163,7 +164,7 @@
       onData(chunk) {
         if (!head || protocol.isDeclined(head)) return;
         bodyBytes += chunk.length;
-        if (isStream && head.status === 200) onStreamData(chunk);
+        if (isEventStream(head)) onStreamData(chunk);
         else onBodyData(chunk);
       },
       onEnd() {
@@ -172,7 +173,8 @@
           resolveResult({ kind: "declined", status: head.status });
           return;
         }
-        if (splitter.partialEventBytes > 0) {
+        const received = receivedBody(head);
+        if (isEventStream(head) && !isWholeStream(received)) {
           fail(badResponse);
           return;
         }
@@ -180,7 +182,7 @@
           kind: "complete",
           head,
           unsentBody: buffered,
-          received: receivedBody(head),
+          received,
         });
       },
       onFailure(failure) {
--- a/packages/front/src/response_body.ts
+++ b/packages/front/src/response_body.ts
@@ -9,3 +9,13 @@
   /** Size of the incomplete event at the end, in bytes. */
   partialEventBytes: number;
 }
+
+/**
+ * Returns whether an event stream whose body has ended is whole. The end of the
+ * connection alone does not prove it: a run generates at least one event, so a
+ * stream without any was interrupted.
+ */
+export function isWholeStream(received: ReceivedBody): boolean {
+  if (received.partialEventBytes > 0) return false;
+  return received.delimiter !== "close" || received.events > 0;
+}
