--- a/packages/front/test/interrupted_response_test.ts
+++ b/packages/front/test/interrupted_response_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import { after, before, beforeEach, describe, it } from "node:test";
 import {
+  type CallResult,
   type RawResponse,
   type ReceivedRequest,
   TestCluster,
@@ -54,12 +55,16 @@
 
 let nextId = 0;
 
-/** Makes a call; returns the body if the response looks complete. */
-async function completeBody(path: string): Promise<string | undefined> {
+function call(path: string): Promise<CallResult> {
   nextId += 1;
-  const result = await cluster.call(path, {
+  return cluster.call(path, {
     headers: { ...TURN_HEADERS, "x-id": `i${nextId}` },
   });
+}
+
+/** Makes a call; returns the body if the response looks complete. */
+async function completeBody(path: string): Promise<string | undefined> {
+  const result = await call(path);
   return result.status === 200 && result.isComplete ? result.body : undefined;
 }
 
@@ -150,6 +155,37 @@
   });
 });
 
+// Guards against claiming that a response is complete when the upstream did not.
+describe("a response without a length or chunks", () => {
+  for (const path of [...PLAIN_PATHS, ...STREAM_PATHS]) {
+    it(`is returned without a length or chunks (${path})`, async () => {
+      respond = () => ({
+        delimiter: "close",
+        body: STREAM,
+        isCut: false,
+        ending: "close",
+      });
+      const { headers, body } = await call(path);
+      expect(body).toEqual(STREAM);
+      expect(headers["content-length"]).toEqual(undefined);
+      expect(headers["transfer-encoding"]).toEqual(undefined);
+      expect(headers.connection).toEqual("close");
+    });
+  }
+
+  it("is returned in part with a reset when its connection is reset", async () => {
+    const body = "x".repeat(300_000);
+    respond = () => ({
+      delimiter: "close",
+      body,
+      isCut: true,
+      ending: "reset",
+    });
+    const result = await call("/once/");
+    expect([result.status, result.isComplete]).toEqual([200, false]);
+  });
+});
+
 describe("a plain response without a length", () => {
   for (const path of PLAIN_PATHS) {
     it(`is complete when its connection is closed (${path})`, async () => {
