Front: a response is returned without a length or chunks if it came without

Cause: Node.js adds chunks to a response without a length. The front thereby stated that the body is complete, although the upstream had not stated it, and a closed connection looks the same after half of a body.

Ruled out: that the front overlooks a reset.

Change: where only the end of the connection marks the end of a plain body, the caller's response has no other mark either. An interrupted response without chunks is ended by a reset, also towards callers of HTTP/1.0, to which a closed connection is the end of any body. Event streams stay chunked: their events show whether they are complete, and clients of several libraries, Node.js among them, take a reset for the end of a body without a length.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -7,9 +7,10 @@
 import type { Call } from "./call.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import { EventSplitter } from "./event_splitter.ts";
-import { responseHeaders, upstreamHeaders } from "./headers.ts";
+import { upstreamHeaders } from "./headers.ts";
 import type { Protocol } from "./protocol.ts";
 import { isWholeStream, type ReceivedBody } from "./response_body.ts";
+import { writeResponseHead } from "./response_head.ts";
 
 /** Result of one attempt on an upstream. */
 export type AttemptResult =
@@ -107,7 +108,7 @@
   function forwardHead(): void {
     if (isForwarding || !head) return;
     isForwarding = true;
-    res.writeHead(head.status, responseHeaders(head, isStream));
+    writeResponseHead(res, head, { isEventStream: isEventStream(head) });
     res.flushHeaders();
   }
 
--- a/packages/front/src/finish_call.ts
+++ b/packages/front/src/finish_call.ts
@@ -2,7 +2,7 @@
 import { abortResponse, respond } from "./responses.ts";
 import type { AttemptResult } from "./attempt.ts";
 import type { Call } from "./call.ts";
-import { responseHeaders } from "./headers.ts";
+import { writeResponseHead } from "./response_head.ts";
 import type { TurnState } from "./turn_state.ts";
 
 /** Options of `finishCall`, for a call with a complete upstream response. */
@@ -27,7 +27,7 @@
     return;
   }
   if (!res.headersSent) {
-    res.writeHead(head.status, responseHeaders(head, turn !== undefined));
+    writeResponseHead(res, head, { isEventStream: isCompletedTurn });
   }
   turn?.settle();
   for (const part of unsentBody) res.write(part);
--- a/packages/front/src/headers.ts
+++ b/packages/front/src/headers.ts
@@ -1,8 +1,7 @@
-import type { ResponseHead } from "@toucantrestle/upstream_channel";
 import type { Protocol, UpstreamRequestAttributes } from "./protocol.ts";
 
 /** Hop-by-hop headers, which are not forwarded (RFC 9110 section 7.6.1). */
-const HOP_BY_HOP = new Set([
+export const HOP_BY_HOP: ReadonlySet<string> = new Set([
   "connection",
   "keep-alive",
   "proxy-connection",
@@ -19,7 +18,7 @@
 const LAST_EVENT_ID = "last-event-id";
 
 /** Returns the header names that `Connection` lists, in lower case. */
-function connectionHeaderNames(rawHeaders: string[]): Set<string> {
+export function connectionHeaderNames(rawHeaders: string[]): Set<string> {
   const connectionNames = new Set<string>();
   for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
     if (rawHeaders[i]?.toLowerCase() !== "connection") continue;
@@ -58,24 +57,3 @@
   if (resumeAfter !== undefined) headers.push(LAST_EVENT_ID, resumeAfter);
   return headers;
 }
-
-/** Builds the headers of the caller's response from those of the upstream's. */
-export function responseHeaders(
-  head: ResponseHead,
-  isStream: boolean,
-): string[] {
-  const connectionNames = connectionHeaderNames(head.rawHeaders);
-  const headers: string[] = [];
-  for (let i = 0; i + 1 < head.rawHeaders.length; i += 2) {
-    const name = (head.rawHeaders[i] as string).toLowerCase();
-    if (HOP_BY_HOP.has(name) || connectionNames.has(name)) continue;
-    // A stream is sent chunked: its last chunk, which marks the end, may be
-    // withheld.
-    if (isStream && name === "content-length") continue;
-    headers.push(
-      head.rawHeaders[i] as string,
-      head.rawHeaders[i + 1] as string,
-    );
-  }
-  return headers;
-}
--- /dev/null
+++ b/packages/front/src/response_head.ts
@@ -0,0 +1,44 @@
+import type { ResponseHead } from "@toucantrestle/upstream_channel";
+import type { ServerResponse } from "node:http";
+import { connectionHeaderNames, HOP_BY_HOP } from "./headers.ts";
+
+/**
+ * Writes the head of an upstream's response to the caller. If only the end of
+ * the upstream's connection marks the end of the body, the caller's response
+ * has no other mark either: a length or chunks would state that the body is
+ * complete, which this front cannot know. An event stream is always chunked,
+ * because its events show whether it is complete.
+ */
+export function writeResponseHead(
+  res: ServerResponse,
+  head: ResponseHead,
+  opts: { isEventStream: boolean },
+): void {
+  const { isEventStream } = opts;
+  const headers = responseHeaders(head, isEventStream);
+  if (head.bodyDelimiter === "close" && !isEventStream) {
+    res.removeHeader("transfer-encoding");
+    headers.push("connection", "close");
+  }
+  res.writeHead(head.status, headers);
+}
+
+/** Builds the headers of the caller's response from those of the upstream's. */
+function responseHeaders(
+  head: ResponseHead,
+  isEventStream: boolean,
+): string[] {
+  const connectionNames = connectionHeaderNames(head.rawHeaders);
+  const headers: string[] = [];
+  for (let i = 0; i + 1 < head.rawHeaders.length; i += 2) {
+    const name = (head.rawHeaders[i] as string).toLowerCase();
+    if (HOP_BY_HOP.has(name) || connectionNames.has(name)) continue;
+    // The last chunk, which marks the end of a stream, may be withheld.
+    if (isEventStream && name === "content-length") continue;
+    headers.push(
+      head.rawHeaders[i] as string,
+      head.rawHeaders[i + 1] as string,
+    );
+  }
+  return headers;
+}
