Services: a reset is not the end of a response without a length

What callers would see: a service's response whose connection is reset midway is recorded as the call's outcome and returned as complete, by the product's own interface.

Cause: undici treats ECONNRESET on a response without a length or chunks as its end (client-h1, onHttpSocketError), so ServiceClient got half of the body and no error. Model calls are not affected: their streams must end with [DONE]. Replies of control calls, of the host list, of the key-value service and of operators are JSON, of which a part does not parse.

Evidence: service_client_test, 'is not complete when its connection is reset in place of a length', fails before ('The promise was not rejected'); the other 8 cases pass before and after.

Why it works: ServiceClient now uses ChannelPool, the client that the front uses: one place decides how a response ended, tells a reset from a closed connection and says whether a request may have run.

--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -20,6 +20,7 @@
  */
 export class Upstreams {
   readonly #view: () => TableView;
+  readonly #timer: Timer;
   readonly #log: Logger;
   readonly #clients = new Map<string, UpstreamClient>();
   readonly #onChange: (infos: UpstreamInfo[]) => void;
@@ -36,6 +37,7 @@
     },
   ) {
     this.#view = opts.view;
+    this.#timer = opts.timer;
     this.#log = opts.log;
     this.#onChange = opts.onChange;
     const { hostList } = opts;
@@ -93,13 +95,15 @@
     if (existing?.address === policy.address) return;
     if (existing) this.#removeClient(policy.name);
     const { name, address } = policy;
+    const timer = this.#timer;
+    const log = this.#log;
     this.#clients.set(name, {
       address,
       engine: policy.kind === "engine"
         ? new EngineClient({ name, address })
         : undefined,
       service: policy.kind === "service"
-        ? new ServiceClient({ name, address })
+        ? new ServiceClient({ name, address, timer, log })
         : undefined,
     });
   }
--- a/packages/service/src/service_client.ts
+++ b/packages/service/src/service_client.ts
@@ -1,10 +1,15 @@
+import type { Logger } from "@toucantrestle/log";
+import type { Timer } from "@toucantrestle/timer";
+import {
+  type ChannelFailure,
+  ChannelPool,
+  type ResponseHead,
+} from "@toucantrestle/upstream_channel";
 import {
   parseDeclaredVerdict,
-  RequestError,
-  toUpstreamError,
+  TimeoutError,
   UpstreamError,
 } from "@toucantrestle/verdict";
-import { Pool } from "undici";
 
 /** A call to a service route. */
 export interface ServiceCall {
@@ -25,19 +30,28 @@
   body: string;
 }
 
-const CONNECT_TIMEOUT_MS = 1_000;
-const KEEP_ALIVE_MS = 2_000;
+/** Options of `ServiceClient`. */
+export interface ServiceClientOptions {
+  name: string;
+  address: string;
+  timer: Timer;
+  log: Logger;
+}
 
 /** Client of one service upstream. */
 export class ServiceClient {
   readonly #name: string;
-  readonly #pool: Pool;
+  readonly #timer: Timer;
+  readonly #pool: ChannelPool;
 
-  constructor(opts: { name: string; address: string }) {
-    this.#name = opts.name;
-    this.#pool = new Pool(`http://${opts.address}`, {
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      keepAliveTimeout: KEEP_ALIVE_MS,
+  constructor({ name, address, timer, log }: ServiceClientOptions) {
+    this.#name = name;
+    this.#timer = timer;
+    this.#pool = new ChannelPool({
+      address,
+      timer,
+      log,
+      echoedRequestId: () => undefined,
     });
   }
 
@@ -56,32 +70,81 @@
   }
 
   /** Closes all connections. Calls in flight fail. */
-  async close(): Promise<void> {
-    await this.#pool.destroy();
+  close(): void {
+    this.#pool.close();
   }
 
-  async #exchange(call: ServiceCall): Promise<ServiceResponse> {
-    try {
-      const res = await this.#pool.request({
-        path: `/call/${encodeURIComponent(call.route)}`,
+  #exchange(call: ServiceCall): Promise<ServiceResponse> {
+    const body = Buffer.from(call.body);
+    const chunks: Buffer[] = [];
+    let head: ResponseHead | undefined;
+    let hasTimedOut = false;
+    return new Promise((resolve, reject) => {
+      const exchange = this.#pool.send({
+        id: call.requestId,
         method: "POST",
-        headers: {
-          "content-type": "application/json",
-          "x-request-id": call.requestId,
-          "x-program": call.program,
-          "x-step": String(call.step),
+        path: `/call/${encodeURIComponent(call.route)}`,
+        headers: [
+          "host",
+          this.#name,
+          "content-type",
+          "application/json",
+          "content-length",
+          String(body.length),
+          "x-request-id",
+          call.requestId,
+          "x-program",
+          call.program,
+          "x-step",
+          String(call.step),
+        ],
+        body,
+      }, {
+        onHead: (received) => {
+          head = received;
         },
-        body: call.body,
-        signal: AbortSignal.timeout(call.deadlineMs),
+        onData: (chunk) => chunks.push(Buffer.from(chunk)),
+        onEnd: () => {
+          timeout.cancel();
+          resolve(toResponse(head as ResponseHead, chunks));
+        },
+        onFailure: (failure) => {
+          timeout.cancel();
+          reject(this.#toError(failure, hasTimedOut));
+        },
+      });
+      const timeout = this.#timer.after(call.deadlineMs, () => {
+        hasTimedOut = true;
+        exchange.cancel();
       });
-      return {
-        status: res.statusCode,
-        contentType: String(res.headers["content-type"] ?? "text/plain"),
-        body: await res.body.text(),
-      };
-    } catch (err) {
-      if (err instanceof RequestError) throw err;
-      throw toUpstreamError(this.#name, err);
+    });
+  }
+
+  #toError({ reason, verdict }: ChannelFailure, hasTimedOut: boolean) {
+    const props = { props: { verdict } };
+    if (hasTimedOut) {
+      return new TimeoutError(`call of service ${this.#name} timed out`, props);
     }
+    return new UpstreamError(FAILURE_MESSAGES[reason](this.#name), props);
   }
 }
+
+const FAILURE_MESSAGES: Record<
+  ChannelFailure["reason"],
+  (name: string) => string
+> = {
+  connect_refused: (name) => `service ${name} refused the connection`,
+  connect_timeout: (name) => `service ${name} did not accept the connection`,
+  connection_lost: (name) =>
+    `service ${name} closed the connection before the response was complete`,
+  bad_answer: (name) => `service ${name} sent a malformed response`,
+  cancelled: (name) => `call of service ${name} was cancelled`,
+};
+
+function toResponse(head: ResponseHead, chunks: Buffer[]): ServiceResponse {
+  return {
+    status: head.status,
+    contentType: head.headers.get("content-type") ?? "text/plain",
+    body: Buffer.concat(chunks).toString(),
+  };
+}
--- /dev/null
+++ b/packages/service/test/service_client_test.ts
@@ -0,0 +1,141 @@
+import { createNoopLoggers } from "@toucantrestle/log";
+import { createSystemTimer } from "@toucantrestle/timer";
+import { expect } from "earl";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { ServiceClient, type ServiceResponse } from "../src/mod.ts";
+
+const RESET_DELAY_MS = 20;
+const closers: (() => void)[] = [];
+
+afterEach(() => {
+  for (const close of closers.splice(0)) close();
+});
+
+function createClient(address: string): ServiceClient {
+  return new ServiceClient({
+    name: "s1",
+    address,
+    timer: createSystemTimer(),
+    log: createNoopLoggers()("service"),
+  });
+}
+
+/** Starts a service that handles each request's connection as given. */
+async function startService(
+  onRequest: (socket: Socket) => void,
+): Promise<ServiceClient> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => socket.destroy());
+    socket.on("data", () => onRequest(socket));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = createClient(`127.0.0.1:${port}`);
+  closers.push(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+    client.close();
+  });
+  return client;
+}
+
+function call(
+  client: ServiceClient,
+  deadlineMs = 2_000,
+): Promise<ServiceResponse> {
+  return client.call({
+    requestId: "q1",
+    program: "p1",
+    step: 1,
+    route: "book",
+    body: "{}",
+    deadlineMs,
+  });
+}
+
+const HEAD = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n";
+
+/** Sends the bytes and then ends the connection. */
+function sendAndEnd(
+  bytes: string,
+  ending: "close" | "reset",
+): (socket: Socket) => void {
+  return (socket) => {
+    socket.write(bytes);
+    if (ending === "close") socket.end();
+    else setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+  };
+}
+
+describe("a service's response", () => {
+  it("is returned when it has a length", async () => {
+    const client = await startService((socket) =>
+      socket.write(`${HEAD}content-length: 4\r\n\r\ndone`)
+    );
+    const { status, contentType, body } = await call(client);
+    expect([status, contentType, body]).toEqual([200, "text/plain", "done"]);
+  });
+
+  it("is returned when its connection is closed in place of a length", async () => {
+    const client = await startService(sendAndEnd(`${HEAD}\r\ndone`, "close"));
+    expect((await call(client)).body).toEqual("done");
+  });
+
+  // Guards against taking a reset for the end of a body without a length.
+  it("is not complete when its connection is reset in place of a length", async () => {
+    const client = await startService(sendAndEnd(`${HEAD}\r\ndo`, "reset"));
+    await expect(call(client)).toBeRejectedWith("closed the connection");
+  });
+
+  for (const ending of ["close", "reset"] as const) {
+    it(`is not complete when its length or chunks are cut (${ending})`, async () => {
+      for (
+        const header of [
+          "content-length: 9\r\n\r\ndone",
+          "transfer-encoding: chunked\r\n\r\n4\r\ndone\r\n",
+        ]
+      ) {
+        const client = await startService(sendAndEnd(HEAD + header, ending));
+        await expect(call(client)).toBeRejectedWith("closed the connection");
+      }
+    });
+  }
+});
+
+describe("the verdict on a call of a service", () => {
+  /** Returns the verdict of the error that a call throws. */
+  const verdictOf = (client: ServiceClient, deadlineMs?: number) =>
+    call(client, deadlineMs).then(
+      () => "ran",
+      (err) => (err as { verdict: string }).verdict,
+    );
+
+  it("is not_run when the service cannot be reached", async () => {
+    const client = createClient("127.0.0.1:1");
+    closers.push(() => client.close());
+    expect(await verdictOf(client)).toEqual("not_run");
+  });
+
+  it("is may_have_run when the connection ends without a response", async () => {
+    const client = await startService((socket) => socket.destroy());
+    expect(await verdictOf(client)).toEqual("may_have_run");
+  });
+
+  it("is may_have_run when the deadline passes", async () => {
+    const client = await startService(() => {});
+    expect(await verdictOf(client, 50)).toEqual("may_have_run");
+  });
+
+  it("is that of the response when the service declines the call", async () => {
+    const body = '{"verdict":"not_run"}';
+    const client = await startService((socket) =>
+      socket.write(
+        `HTTP/1.1 503 Busy\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+      )
+    );
+    expect(await verdictOf(client)).toEqual("not_run");
+  });
+});
