--- a/packages/front/test/interrupted_response_test.ts
+++ b/packages/front/test/interrupted_response_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "earl";
+import { connect } from "node:net";
 import { after, before, beforeEach, describe, it } from "node:test";
 import {
   type CallResult,
@@ -68,6 +69,23 @@
   return result.status === 200 && result.isComplete ? result.body : undefined;
 }
 
+/** Makes a call over HTTP/1.0; returns how its connection ends. */
+function endingOfHttp10Call(path: string): Promise<RawResponse["ending"]> {
+  const { hostname, port } = new URL(`http://${cluster.callerAddresses[0]}`);
+  nextId += 1;
+  const headers = { ...TURN_HEADERS, "x-id": `i${nextId}`, host: "x.example" };
+  const lines = Object.entries(headers).map(([name, value]) =>
+    `${name}: ${value}\r\n`
+  );
+  return new Promise((resolve) => {
+    const socket = connect(Number(port), hostname);
+    socket.resume();
+    socket.on("end", () => resolve("close"));
+    socket.on("error", () => resolve("reset"));
+    socket.write(`GET ${path} HTTP/1.0\r\n${lines.join("")}\r\n`);
+  });
+}
+
 /** Responses that end after `bytes` bytes of a body. */
 function responsesCutAt(body: string, bytes: number): RawResponse[] {
   const cut = { body: body.slice(0, bytes), isCut: true };
@@ -146,6 +164,23 @@
     });
   }
 
+  it("of a stream is ended by a reset towards a caller of HTTP/1.0", async () => {
+    respond = () => ({
+      delimiter: "chunked",
+      body: `${EVENTS[0]}id: 2`,
+      isCut: true,
+      ending: "close",
+    });
+    expect(await endingOfHttp10Call("/events/")).toEqual("reset");
+    respond = () => ({
+      delimiter: "chunked",
+      body: STREAM,
+      isCut: false,
+      ending: "close",
+    });
+    expect(await endingOfHttp10Call("/events/")).toEqual("close");
+  });
+
   it("with a large plain body that was forwarded in part is not complete", async () => {
     const body = "x".repeat(400_000);
     for (const response of responsesCutAt(body, 300_000)) {
