Front: a stream that its connection ends early counts as a lost connection

What callers would see: a request that crashes each engine that runs it is sent to engine after engine if these engines mark the end of a stream by the end of their connection alone; with a length or chunks it is refused after three.

For the parser the end of the connection is the end of the body, so the failure was 'bad_answer' (as for malformed bytes) and not 'connection_lost', and only the latter counts as a possible crash.

Evidence: crashing_call_test, 'is refused once it was interrupted on three (close)' fails before (502 in place of 503), '(chunked)' passes before and after.

packages/front: 80 passed, 0 failed.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -176,7 +176,7 @@
         }
         const received = receivedBody(head);
         if (isEventStream(head) && !isWholeStream(received)) {
-          fail(badResponse);
+          fail(interruptedStream(received));
           return;
         }
         resolveResult({
@@ -214,6 +214,15 @@
   hasDeliveredHead: false,
 };
 
+/**
+ * Returns the failure of a stream that is not whole. If only the end of the
+ * connection marks the end of the body, the connection ended too early.
+ */
+function interruptedStream({ delimiter }: ReceivedBody): ChannelFailure {
+  if (delimiter !== "close") return badResponse;
+  return { ...badResponse, reason: "connection_lost" };
+}
+
 /**
  * Whether a resumed stream repeats an event that the caller already has. An
  * event without an id counts as repeated.
