Services: a response that ended with its connection is returned in the same way

Cause: a closed connection is the end of a body without a length or chunks, also after half of it. The daemon recorded the body as the call's outcome and Node.js added chunks to the caller's response.

Change: the outcome says that the body ended with its connection; so do the start of the response between daemons (an optional field) and the response to the caller, also when a repeated request gets the recorded outcome. Model calls need none of this: their streams must end with [DONE].

--- a/packages/caller/src/http_sink.ts
+++ b/packages/caller/src/http_sink.ts
@@ -10,10 +10,14 @@
     get hasStarted() {
       return res.headersSent;
     },
-    head(status, contentType) {
-      if (!res.headersSent) {
-        res.writeHead(status, { "content-type": contentType });
+    head({ status, contentType, endsWithConnection }) {
+      if (res.headersSent) return;
+      // Without chunks the response does not state that its body is complete.
+      if (endsWithConnection) {
+        res.removeHeader("transfer-encoding");
+        res.setHeader("connection", "close");
       }
+      res.writeHead(status, { "content-type": contentType });
     },
     data(text) {
       if (!res.destroyed) res.write(text);
--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -11,6 +11,7 @@
 import { NotFoundError, RequestError, toProblem } from "@toucantrestle/verdict";
 import {
   type CompletionIds,
+  EVENT_STREAM_START,
   writeOutcome,
   writeOutcomeAsStream,
   writeStreamEnd,
@@ -294,7 +295,7 @@
     this.#outputText += delta.text;
     this.#outputTokens += delta.tokens;
     if (!this.#request.stream) return;
-    if (!this.#sink.hasStarted) this.#sink.head(200, "text/event-stream");
+    if (!this.#sink.hasStarted) this.#sink.head(EVENT_STREAM_START);
     this.#ctx.chunkBuffer.add(this.#sink, delta.events);
   }
 
--- a/packages/daemon/src/outcome_writer.ts
+++ b/packages/daemon/src/outcome_writer.ts
@@ -1,7 +1,13 @@
 import type { AnsweredOutcome, Outcome } from "@toucantrestle/program";
-import type { ResponseSink } from "@toucantrestle/sibling";
+import type { ResponseSink, ResponseStart } from "@toucantrestle/sibling";
 import { type Problem, toRequestError } from "@toucantrestle/verdict";
 
+/** Start of a streamed completion. */
+export const EVENT_STREAM_START: ResponseStart = {
+  status: 200,
+  contentType: "text/event-stream",
+};
+
 /** Fields of a model call's response that are not part of its outcome. */
 export interface CompletionIds {
   id: string;
@@ -19,7 +25,8 @@
   sink: ResponseSink,
 ): void {
   const answered = requireAnswered(outcome);
-  sink.head(answered.status, answered.contentType);
+  const { status, contentType, endsWithConnection = false } = answered;
+  sink.head({ status, contentType, endsWithConnection });
   sink.data(
     answered.message ? formatCompletion(answered, ids) : answered.body,
   );
@@ -38,7 +45,7 @@
   sink: ResponseSink,
 ): void {
   const { message } = requireAnswered(outcome);
-  sink.head(200, "text/event-stream");
+  sink.head(EVENT_STREAM_START);
   const delta = {
     role: "assistant",
     content: message?.content ?? "",
--- a/packages/daemon/src/program_calls.ts
+++ b/packages/daemon/src/program_calls.ts
@@ -229,7 +229,7 @@
 }
 
 function writeJson(sink: ResponseSink, status: number, body: unknown): void {
-  sink.head(status, "application/json");
+  sink.head({ status, contentType: "application/json" });
   sink.data(JSON.stringify(body));
   sink.end();
 }
--- a/packages/daemon/src/service_call.ts
+++ b/packages/daemon/src/service_call.ts
@@ -192,5 +192,6 @@
     status: response.status,
     contentType: response.contentType,
     body: response.body,
+    ...(response.endsWithConnection ? { endsWithConnection: true } : {}),
   };
 }
--- a/packages/program/src/record.ts
+++ b/packages/program/src/record.ts
@@ -15,6 +15,11 @@
   contentType: string;
   /** Response body as sent by the service; empty for a model call. */
   body: string;
+  /**
+   * True if the body may be incomplete, because only the end of the service's
+   * connection marked its end.
+   */
+  endsWithConnection?: boolean;
   /** The assistant's message; set for model calls only. */
   message?: ChatMessage;
   /** Reason why the engine stopped generating; set for model calls only. */
--- a/packages/service/src/service_client.ts
+++ b/packages/service/src/service_client.ts
@@ -28,6 +28,11 @@
   status: number;
   contentType: string;
   body: string;
+  /**
+   * True if the body may be incomplete, because only the end of the connection
+   * marked its end.
+   */
+  endsWithConnection: boolean;
 }
 
 /** Options of `ServiceClient`. */
@@ -146,5 +151,6 @@
     status: head.status,
     contentType: head.headers.get("content-type") ?? "text/plain",
     body: Buffer.concat(chunks).toString(),
+    endsWithConnection: head.bodyDelimiter === "close",
   };
 }
--- a/packages/service/test/service_client_test.ts
+++ b/packages/service/test/service_client_test.ts
@@ -75,13 +75,18 @@
     const client = await startService((socket) =>
       socket.write(`${HEAD}content-length: 4\r\n\r\ndone`)
     );
-    const { status, contentType, body } = await call(client);
-    expect([status, contentType, body]).toEqual([200, "text/plain", "done"]);
+    expect(await call(client)).toEqual({
+      status: 200,
+      contentType: "text/plain",
+      body: "done",
+      endsWithConnection: false,
+    });
   });
 
   it("is returned when its connection is closed in place of a length", async () => {
     const client = await startService(sendAndEnd(`${HEAD}\r\ndone`, "close"));
-    expect((await call(client)).body).toEqual("done");
+    const { body, endsWithConnection } = await call(client);
+    expect([body, endsWithConnection]).toEqual(["done", true]);
   });
 
   // Guards against taking a reset for the end of a body without a length.
--- a/packages/sibling/src/caller_request.ts
+++ b/packages/sibling/src/caller_request.ts
@@ -67,10 +67,21 @@
   | ShowRequest
   | FetchStepRequest;
 
+/** Start of the response to a caller's request. */
+export interface ResponseStart {
+  status: number;
+  contentType: string;
+  /**
+   * True if the body may be incomplete, because only the end of the upstream's
+   * connection marked its end. The response to the caller ends in the same way.
+   */
+  endsWithConnection?: boolean;
+}
+
 /** Receives the response to a caller's request as a stream. */
 export interface ResponseSink {
-  /** Sends the status and content type. Called at most once. */
-  head(status: number, contentType: string): void;
+  /** Sends the status and headers. Called at most once. */
+  head(start: ResponseStart): void;
   data(text: string): void;
   /** Completes the response. */
   end(): void;
--- a/packages/sibling/src/incoming.ts
+++ b/packages/sibling/src/incoming.ts
@@ -92,9 +92,9 @@
     get hasStarted() {
       return hasStarted;
     },
-    head(status, contentType) {
+    head(start) {
       hasStarted = true;
-      channel.send({ t: "call_head", id, status, contentType });
+      channel.send({ t: "call_head", id, ...start });
     },
     data: (text) => channel.send({ t: "call_data", id, text }),
     end: () => channel.send({ t: "call_end", id }),
--- a/packages/sibling/src/messages.ts
+++ b/packages/sibling/src/messages.ts
@@ -21,7 +21,7 @@
   TimelineFilter,
 } from "@toucantrestle/timeline";
 import type { Problem } from "@toucantrestle/verdict";
-import type { CallerRequest } from "./caller_request.ts";
+import type { CallerRequest, ResponseStart } from "./caller_request.ts";
 import type { HostStatus, ProgramSummary } from "./status.ts";
 
 /** Version of the protocol between daemons. Both sides must use the same. */
@@ -222,12 +222,10 @@
   request: CallerRequest;
 }
 
-/** Status and content type of the response to a forwarded request. */
-export interface CallHead {
+/** Start of the response to a forwarded request. */
+export interface CallHead extends ResponseStart {
   t: "call_head";
   id: number;
-  status: number;
-  contentType: string;
 }
 
 /** Chunk of the response to a forwarded request. */
--- a/packages/sibling/src/outgoing.ts
+++ b/packages/sibling/src/outgoing.ts
@@ -114,10 +114,7 @@
         this.#removeRpc(message.id)?.reject(toRequestError(message.problem));
         return;
       case "call_head":
-        this.#calls.get(message.id)?.sink.head(
-          message.status,
-          message.contentType,
-        );
+        this.#calls.get(message.id)?.sink.head(message);
         return;
       case "call_data":
         this.#calls.get(message.id)?.sink.data(message.text);
