Engine client: tests of interrupted responses

A completion is complete only after [DONE]; control responses and refusals are JSON, of which a part does not parse.

--- /dev/null
+++ b/packages/engine/test/engine_client_test.ts
@@ -0,0 +1,143 @@
+import { expect } from "earl";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { type CompletionCall, EngineClient } from "../src/mod.ts";
+
+const RESET_DELAY_MS = 20;
+const DELIMITERS = ["length", "chunked", "close"] as const;
+const ENDINGS = ["close", "reset"] as const;
+const TEXT_EVENT =
+  'data: {"choices":[{"index":0,"delta":{"content":"hi"},"finish_reason":null}]}\n\n';
+const LAST_EVENTS =
+  'data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}\n\ndata: [DONE]\n\n';
+const WHOLE_STREAM = TEXT_EVENT + LAST_EVENTS;
+const closers: (() => void)[] = [];
+
+afterEach(() => {
+  for (const close of closers.splice(0)) close();
+});
+
+interface EngineResponse {
+  status?: number;
+  delimiter: typeof DELIMITERS[number];
+  body: string;
+  /** Size of the whole body, if only a part of it is sent. */
+  wholeBytes?: number;
+  ending: typeof ENDINGS[number];
+}
+
+/** Writes a response and ends its connection. */
+function respond(socket: Socket, response: EngineResponse): void {
+  const { status = 200, delimiter, body, ending } = response;
+  const wholeBytes = response.wholeBytes ?? body.length;
+  const chunk = `${body.length.toString(16)}\r\n${body}\r\n`;
+  const lastChunk = wholeBytes === body.length ? "0\r\n\r\n" : "";
+  const framed = {
+    length: `content-length: ${wholeBytes}\r\n\r\n${body}`,
+    chunked: `transfer-encoding: chunked\r\n\r\n${chunk}${lastChunk}`,
+    close: `\r\n${body}`,
+  };
+  socket.write(`HTTP/1.1 ${status} x\r\n${framed[delimiter]}`);
+  if (ending === "close") socket.end();
+  else setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+}
+
+async function startEngine(response: EngineResponse): Promise<EngineClient> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => socket.destroy());
+    socket.on("data", () => respond(socket, response));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = new EngineClient({
+    name: "e1",
+    address: `127.0.0.1:${port}`,
+  });
+  closers.push(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+    client.close();
+  });
+  return client;
+}
+
+/** Returns the finish reason of a completion, or the verdict of its error. */
+function complete(client: EngineClient): Promise<string> {
+  const call: CompletionCall = {
+    requestId: "q1",
+    program: "p1",
+    step: 1,
+    model: "small",
+    messages: [],
+    maxTokens: 5,
+    priority: 0,
+    continueFrom: 0,
+    extra: {},
+  };
+  const signal = AbortSignal.timeout(2_000);
+  return client.complete(call, { signal, onDelta() {} }).then(
+    (result) => result.finishReason,
+    (err) => (err as { verdict: string }).verdict,
+  );
+}
+
+// Guards against taking an interrupted stream for a complete one.
+describe("a streamed completion", () => {
+  for (const delimiter of DELIMITERS) {
+    for (const ending of ENDINGS) {
+      it(`is not complete before its last event (${delimiter}, ${ending})`, async () => {
+        const lastEventAt = WHOLE_STREAM.indexOf("data: [DONE]");
+        for (const bytes of [0, 5, TEXT_EVENT.length, lastEventAt]) {
+          const client = await startEngine({
+            delimiter,
+            ending,
+            body: WHOLE_STREAM.slice(0, bytes),
+            wholeBytes: WHOLE_STREAM.length,
+          });
+          expect(await complete(client)).toEqual("may_have_run");
+        }
+      });
+    }
+
+    it(`is complete after its last event (${delimiter})`, async () => {
+      const client = await startEngine({
+        delimiter,
+        body: WHOLE_STREAM,
+        ending: "close",
+      });
+      expect(await complete(client)).toEqual("stop");
+    });
+  }
+
+  it("may have run if the refusal is cut short", async () => {
+    const refusal = '{"verdict":"not_run"}';
+    for (const bytes of [refusal.length, refusal.length - 1]) {
+      const client = await startEngine({
+        status: 503,
+        delimiter: "close",
+        body: refusal.slice(0, bytes),
+        ending: "close",
+      });
+      const expected = bytes === refusal.length ? "not_run" : "may_have_run";
+      expect(await complete(client)).toEqual(expected);
+    }
+  });
+});
+
+describe("a control response of an engine", () => {
+  for (const ending of ENDINGS) {
+    it(`is rejected if its connection ends early (${ending})`, async () => {
+      const body = '{"programs":["p1","p2"]}';
+      for (const bytes of [0, 5, body.length - 1]) {
+        const client = await startEngine({
+          delimiter: "close",
+          body: body.slice(0, bytes),
+          ending,
+        });
+        await expect(client.listPinnedPrograms()).toBeRejected();
+      }
+    });
+  }
+});
