Upstream connections: a response to HEAD has no body

What callers would see: a HEAD request on a plain route is answered with 504 at its deadline, or 502 when the upstream closes the connection.

Cause: the parser read the length of the header as that of a body to come.

Evidence: channel_pool_test, 'completes a response that has no body (HEAD, 200)', fails before and passes now.

--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -34,6 +34,8 @@
 
 /** An idle connection is not reused this shortly before its idle timeout. */
 const IDLE_MARGIN_MS = 500;
+/** Tells the parser that a response has no body in spite of its headers. */
+const SKIP_BODY = 1;
 /** Idle timeout if the upstream announces none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
 
@@ -143,6 +145,7 @@
     const parser = new HTTPParser(HTTPParser.RESPONSE);
     parser[HTTPParser.kOnHeadersComplete] = (info) => {
       this.#onHead(info.statusCode, info.headers, info.shouldKeepAlive);
+      return this.#exchange?.req.method === "HEAD" ? SKIP_BODY : 0;
     };
     parser[HTTPParser.kOnBody] = (buffer, offset, length) => {
       if (this.#isSkipping || !this.#exchange) return;
--- a/packages/upstream_channel/test/channel_pool_test.ts
+++ b/packages/upstream_channel/test/channel_pool_test.ts
@@ -55,13 +55,17 @@
   failure?: ChannelFailure;
 }
 
-function send(pool: ChannelPool, id: string): Promise<Outcome> {
+function send(
+  pool: ChannelPool,
+  id: string,
+  method = "GET",
+): Promise<Outcome> {
   const outcome: Outcome = { body: "" };
   return new Promise((resolve) => {
     pool.send(
       {
         id,
-        method: "GET",
+        method,
         path: "/",
         headers: ["x-id", id],
         body: new Uint8Array(),
@@ -148,6 +152,25 @@
     expect(outcome.failure).toEqual(undefined);
   });
 
+  for (
+    const [method, response] of [
+      ["GET", "HTTP/1.1 204 No Content\r\n"],
+      ["GET", "HTTP/1.1 304 Not Modified\r\n"],
+      ["HEAD", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n"],
+    ] as const
+  ) {
+    it(`completes a response that has no body (${method}, ${response.slice(9, 12)})`, async () => {
+      const pool = await createUpstream((id, socket) => {
+        socket.write(`${response}x-id: ${id}\r\n\r\n`);
+        setTimeout(() => socket.resetAndDestroy(), 200);
+      });
+      const outcome = await send(pool, "a", method);
+      expect(outcome.failure).toEqual(undefined);
+      expect(outcome.body).toEqual("");
+      pool.close();
+    });
+  }
+
   it("reports a failure if a response without a length is reset", async () => {
     const pool = await createUpstream((id, socket) => {
       socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\nal`);
