Siblings: malformed messages and missing hellos close the link

A message that cannot be decoded ended the daemon ('Unexpected end of MessagePack data', uncaught), also before the sender's hello was checked. It now closes the link, with a log line.

A host that accepts a connection and never sends its hello kept the link unopened for good ('The value 1 is not equal to 2': it was dialled once). The link is now closed after 2 s and dialled again.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -309,6 +309,7 @@
       isCut: (host) => this.#faults.cut.includes(host),
       isSiblingKey: (hash) => this.#keyring.isSibling(hash),
       tls: this.#tls?.readForSiblings(),
+      log: this.#logs("sibling"),
     });
   }
 
--- a/packages/sibling/src/sibling_channel.ts
+++ b/packages/sibling/src/sibling_channel.ts
@@ -37,6 +37,8 @@
       /** Whether to drop all messages, which simulates a network partition. */
       isCut: () => boolean;
       onMessage: (message: SiblingMessage) => void;
+      /** Called before the link is closed because a message is malformed. */
+      onMalformed: (reason: string) => void;
       /** Called with the size of each sent message in bytes. */
       onSent: (bytes: number) => void;
       onClose: () => void;
@@ -47,7 +49,9 @@
     this.#onSent = opts.onSent;
     this.#socket.on("message", (data: RawData) => {
       if (this.#isCut()) return;
-      opts.onMessage(this.#unpack(data));
+      const message = this.#unpack(data, opts.onMalformed);
+      if (message) opts.onMessage(message);
+      else this.close();
     });
     this.#socket.on("close", () => {
       clearTimeout(this.#retryTimer);
@@ -102,7 +106,15 @@
     }
   }
 
-  #unpack(data: RawData): SiblingMessage {
-    return this.#packr.unpack(data as Uint8Array) as SiblingMessage;
+  #unpack(
+    data: RawData,
+    onMalformed: (reason: string) => void,
+  ): SiblingMessage | undefined {
+    try {
+      return this.#packr.unpack(data as Uint8Array) as SiblingMessage;
+    } catch (err) {
+      onMalformed(err instanceof Error ? err.message : String(err));
+      return undefined;
+    }
   }
 }
--- a/packages/sibling/src/sibling_net.ts
+++ b/packages/sibling/src/sibling_net.ts
@@ -1,3 +1,4 @@
+import type { Logger } from "@toucantrestle/log";
 import { type HostRun, SILENCE_LIMIT_MS } from "@toucantrestle/membership";
 import type { Subscription, Timer } from "@toucantrestle/timer";
 import { UnavailableError, type Verdict } from "@toucantrestle/verdict";
@@ -36,6 +37,7 @@
   /** Whether a key hash is registered for the role `sibling`. */
   isSiblingKey: (keyHash: string) => boolean;
   tls: SiblingTls | undefined;
+  log: Logger;
 }
 
 interface Link {
@@ -43,12 +45,16 @@
   channel: SiblingChannel | undefined;
   session: OutgoingSession | undefined;
   isWanted: boolean;
+  /** When the channel was dialled. */
+  dialledAt: number;
   retryAt: number;
 }
 
 const HEARTBEAT_INTERVAL_MS = 500;
 const REDIAL_DELAY_MS = 250;
 const HANDSHAKE_TIMEOUT_MS = 1_000;
+/** Time from dialling to the hello of the other side. */
+const HELLO_TIMEOUT_MS = 2_000;
 const MAX_MESSAGE_BYTES = 64_000_000;
 
 /**
@@ -171,12 +177,20 @@
     const now = this.#opts.timer.now();
     for (const link of this.#links.values()) {
       if (link.session) this.#sendHeartbeat(link, message);
-      else if (link.isWanted && !link.channel && now >= link.retryAt) {
-        this.#dial(link);
-      }
+      else if (link.channel) this.#checkHello(link, now);
+      else if (link.isWanted && now >= link.retryAt) this.#dial(link);
     }
   }
 
+  /** Closes a link whose other side does not send its hello in time. */
+  #checkHello(link: Link, now: number): void {
+    if (now - link.dialledAt < HELLO_TIMEOUT_MS) return;
+    this.#opts.log.warn(
+      `no hello from ${link.address} within ${HELLO_TIMEOUT_MS} ms, closing the link`,
+    );
+    link.channel?.close();
+  }
+
   #sendHeartbeat(link: Link, message: Heartbeat): void {
     const { run } = link.session as OutgoingSession;
     link.session?.send(message);
@@ -196,6 +210,7 @@
         channel: undefined,
         session: undefined,
         isWanted: true,
+        dialledAt: 0,
         retryAt: 0,
       };
       this.#links.set(address, link);
@@ -223,10 +238,12 @@
       socket,
       isCut,
       onMessage: (message) => this.#onMessage(link, channel, message),
+      onMalformed: (reason) => this.#logMalformed(link.address, reason),
       onSent: (bytes) => this.#countSent(bytes),
       onClose: () => this.#onClosed(link, channel),
     });
     link.channel = channel;
+    link.dialledAt = this.#opts.timer.now();
     socket.on("open", () => channel.send(this.#createHello(this.#opts.key)));
   }
 
@@ -278,6 +295,8 @@
       socket,
       isCut: () => from !== undefined && this.#opts.isCut(from.host),
       onSent: (bytes) => this.#countSent(bytes),
+      onMalformed: (reason) =>
+        this.#logMalformed(from?.host ?? "an unknown host", reason),
       onMessage: (message) => {
         if (session && from) {
           this.#recordReceived(from);
@@ -312,6 +331,12 @@
     return { t: "hello", version: PROTOCOL_VERSION, run: self, key };
   }
 
+  #logMalformed(sender: string, reason: string): void {
+    this.#opts.log.warn(
+      `malformed message from ${sender}, closing the link: ${reason}`,
+    );
+  }
+
   #countSent(bytes: number): void {
     this.#bytesSent += bytes;
   }
--- a/packages/sibling/test/links_test.ts
+++ b/packages/sibling/test/links_test.ts
@@ -1,12 +1,18 @@
+import { createNoopLoggers } from "@toucantrestle/log";
 import type { HostRun } from "@toucantrestle/membership";
 import { createSystemTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
-import { createServer } from "node:net";
+import { pack } from "msgpackr";
+import { type AddressInfo, createServer } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { generate } from "selfsigned";
+import { WebSocket, WebSocketServer } from "ws";
+import { PROTOCOL_VERSION } from "../src/messages.ts";
 import { type PeerHandlers, SiblingNet, type SiblingTls } from "../src/mod.ts";
 
 const LINK_TIMEOUT_MS = 5_000;
+/** An array of two elements, of which one is missing. */
+const TRUNCATED_MESSAGE = Buffer.from([0x92, 0x01]);
 
 interface NetOptions {
   key?: string;
@@ -44,6 +50,7 @@
     isCut: (other) => opts.cut?.has(other) ?? false,
     isSiblingKey: () => false,
     tls: opts.tls,
+    log: createNoopLoggers()("sibling"),
   });
   await net.listen();
   nets.push(net);
@@ -106,6 +113,42 @@
     expect(a.net.session(b.self)).toEqual(undefined);
   });
 
+  it("closes a link that sends a malformed message, before its hello or after", async () => {
+    const { self } = await createNet("a");
+    for (const isGreeted of [false, true]) {
+      const socket = new WebSocket(`ws://${self.siblingAddress}`);
+      await new Promise((resolve) => socket.once("open", resolve));
+      if (isGreeted) {
+        socket.send(pack({
+          t: "hello",
+          version: PROTOCOL_VERSION,
+          run: { ...self, runId: "run-b", host: "b" },
+          key: "the-sibling-key",
+        }));
+      }
+      const closed = new Promise((resolve) => socket.once("close", resolve));
+      socket.send(TRUNCATED_MESSAGE);
+      await closed;
+    }
+  });
+
+  it("redials a link whose other side never sends its hello", async () => {
+    const { net } = await createNet("a");
+    let connections = 0;
+    const silent = new WebSocketServer({ host: "127.0.0.1", port: 0 });
+    silent.on("connection", () => connections += 1);
+    await new Promise((resolve) => silent.once("listening", resolve));
+    const { port } = silent.address() as AddressInfo;
+    net.setTargets([`127.0.0.1:${port}`]);
+    const deadline = Date.now() + LINK_TIMEOUT_MS;
+    while (connections < 2 && Date.now() < deadline) {
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    expect(connections).toEqual(2);
+    for (const socket of silent.clients) socket.terminate();
+    silent.close();
+  });
+
   it("drops messages on a cut link, so that a request times out", async () => {
     const cut = new Set<string>();
     const a = await createNet("a", { cut });
