--- a/packages/membership/src/tail_store.ts
+++ b/packages/membership/src/tail_store.ts
@@ -66,14 +66,13 @@
     const tail = this.#tailOf(state, input.log);
     const last = Math.max(tail.entries.at(-1)?.lsn ?? 0, input.flushedUpTo);
     if (first.lsn > last + 1) return { kind: "gap", expected: last + 1 };
-    if (this.#bytes + input.bytes > this.#limitBytes) return { kind: "full" };
     const lastLsn = tail.entries.at(-1)?.lsn ?? 0;
     const newEntries = input.entries.filter((entry) => entry.lsn > lastLsn);
+    const newBytes = shareOfBytes(input, newEntries.length);
+    if (this.#bytes + newBytes > this.#limitBytes) return { kind: "full" };
     tail.entries.push(...newEntries);
-    if (newEntries.length > 0) {
-      tail.bytes += input.bytes;
-      this.#bytes += input.bytes;
-    }
+    tail.bytes += newBytes;
+    this.#bytes += newBytes;
     return { kind: "kept", upTo: tail.entries.at(-1)?.lsn ?? last };
   }
 
@@ -120,11 +119,19 @@
   }
 
   #truncate(tail: Tail, upTo: number): void {
-    const countBefore = tail.entries.length;
-    if (countBefore === 0) return;
-    tail.entries = tail.entries.filter((entry) => entry.lsn > upTo);
-    const bytes = Math.round(tail.bytes * tail.entries.length / countBefore);
+    if (tail.entries.length === 0) return;
+    const remaining = tail.entries.filter((entry) => entry.lsn > upTo);
+    const bytes = shareOfBytes(tail, remaining.length);
     this.#bytes -= tail.bytes - bytes;
+    tail.entries = remaining;
     tail.bytes = bytes;
   }
 }
+
+/** Returns the bytes of `count` entries, as if all had the same size. */
+function shareOfBytes(
+  { entries, bytes }: { entries: JournalEntry[]; bytes: number },
+  count: number,
+): number {
+  return Math.round(bytes * count / entries.length);
+}
