Daemon: incomplete TLS settings stop the start, and the key is watched

Both, and a CA without a certificate, now stop the start with one line; a change of either file is taken over, and a file that cannot be read while it is replaced is logged (it ended the daemon before).

tls_files_test: two of its cases fail before ('did not throw', undefined in place of the new key); the fourth showed the uncaught ENOENT while it was written. Errors of the constructor are now printed as one line as well.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -194,7 +194,13 @@
     this.#view.start();
     this.#lease.start();
     this.#links.start();
-    this.#tls?.watch((files) => this.#http.setTls(files));
+    this.#tls?.watch({
+      onChange: (files) => this.#http.setTls(files),
+      onError: (err) =>
+        this.#logs("daemon").warn(
+          `cannot read the changed TLS files: ${err.message}`,
+        ),
+    });
     this.#logs("daemon").info(
       `serving callers on ${this.#cfg.listen}, run id ${this.#self.runId}`,
     );
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -8,12 +8,11 @@
 import { Daemon } from "./daemon.ts";
 import { readDaemonSettings } from "./settings.ts";
 
-const daemon = new Daemon(readDaemonSettings(import.meta));
-daemon.onStopped(() => process.exit(0));
-process.on("SIGTERM", () => daemon.stop());
-process.on("SIGINT", () => daemon.stop());
-
 try {
+  const daemon = new Daemon(readDaemonSettings(import.meta));
+  daemon.onStopped(() => process.exit(0));
+  process.on("SIGTERM", () => daemon.stop());
+  process.on("SIGINT", () => daemon.stop());
   await daemon.start();
 } catch (err) {
   const message = err instanceof Error ? err.message : String(err);
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -149,8 +149,7 @@
   tlsCert: {
     flag: "tls-cert",
     type: "string",
-    help:
-      "TLS certificate file in PEM format; takes effect only together with --tls-key",
+    help: "TLS certificate file in PEM format; requires --tls-key",
     defaultText: "none (TLS disabled)",
   },
   tlsKey: {
--- a/packages/daemon/src/tls_files.ts
+++ b/packages/daemon/src/tls_files.ts
@@ -1,5 +1,6 @@
 import type { HttpTls } from "@toucantrestle/http";
 import type { SiblingTls } from "@toucantrestle/sibling";
+import { BadSettingError } from "@toucantrestle/settings";
 import { readFileSync, watchFile } from "node:fs";
 import type { DaemonSettings } from "./settings.ts";
 
@@ -11,14 +12,32 @@
   readForHttp(): HttpTls;
   /** Reads the files for sibling links; undefined if no CA is configured. */
   readForSiblings(): SiblingTls | undefined;
-  /** Calls `fn` with the new certificate and key when `tlsCert` changes. */
-  watch(fn: (tls: HttpTls) => void): void;
+  /** Watches the certificate and the key for changes. */
+  watch(handlers: TlsWatchHandlers): void;
 }
 
-/** Returns the TLS files named in the settings, or undefined if none are. */
+/** Handlers of changes to the certificate or the key. */
+export interface TlsWatchHandlers {
+  onChange(tls: HttpTls): void;
+  /** Called if a changed file cannot be read, for instance during a replace. */
+  onError(err: Error): void;
+}
+
+/**
+ * Returns the TLS files named in the settings, or undefined if none are.
+ *
+ * @throws {BadSettingError} if a file is missing that another one needs
+ */
 export function readTlsFiles(cfg: DaemonSettings): TlsFiles | undefined {
   const { tlsCert, tlsKey, tlsCa } = cfg;
-  if (tlsCert === undefined || tlsKey === undefined) return undefined;
+  const isUsed = [tlsCert, tlsKey, tlsCa].some((it) => it !== undefined);
+  if (!isUsed) return undefined;
+  if (tlsCert === undefined) {
+    throw new BadSettingError("TLS needs a certificate: tls-cert is not set");
+  }
+  if (tlsKey === undefined) {
+    throw new BadSettingError("TLS needs a key: tls-key is not set");
+  }
   const readCertAndKey = () => ({
     cert: readFileSync(tlsCert, "utf8"),
     key: readFileSync(tlsKey, "utf8"),
@@ -30,14 +49,18 @@
       tlsCa === undefined
         ? undefined
         : { ...readCertAndKey(), ca: readFileSync(tlsCa, "utf8") },
-    watch(fn) {
-      watchFile(
-        tlsCert,
-        { interval: CHECK_INTERVAL_MS, persistent: false },
-        () => {
-          fn(readCertAndKey());
-        },
-      );
+    watch({ onChange, onError }) {
+      const watchOptions = { interval: CHECK_INTERVAL_MS, persistent: false };
+      const reload = () => {
+        try {
+          onChange(readCertAndKey());
+        } catch (err) {
+          onError(err as Error);
+        }
+      };
+      for (const file of [tlsCert, tlsKey]) {
+        watchFile(file, watchOptions, reload);
+      }
     },
   };
 }
--- /dev/null
+++ b/packages/daemon/test/tls_files_test.ts
@@ -0,0 +1,79 @@
+import { expect } from "earl";
+import { mkdtempSync, rmSync, unwatchFile, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, describe, it } from "node:test";
+import type { DaemonSettings } from "../src/settings.ts";
+import { readTlsFiles } from "../src/tls_files.ts";
+
+const folder = mkdtempSync(join(tmpdir(), "tls-"));
+const certFile = join(folder, "cert.pem");
+const keyFile = join(folder, "key.pem");
+const WAIT_MS = 6_000;
+const WRITE_INTERVAL_MS = 200;
+
+writeFileSync(certFile, "cert 1");
+writeFileSync(keyFile, "key 1");
+
+after(() => {
+  for (const file of [certFile, keyFile]) unwatchFile(file);
+  rmSync(folder, { recursive: true, force: true });
+});
+
+function createSettings(files: Partial<DaemonSettings>): DaemonSettings {
+  return files as DaemonSettings;
+}
+
+/** Returns the result; undefined if there is none in time. */
+function withinWait<T>(result: Promise<T>): Promise<T | undefined> {
+  const timeout = new Promise<undefined>((resolve) =>
+    setTimeout(() => resolve(undefined), WAIT_MS)
+  );
+  return Promise.race([result, timeout]);
+}
+
+describe("TLS files", () => {
+  it("are not used when none is set", () => {
+    expect(readTlsFiles(createSettings({}))).toEqual(undefined);
+  });
+
+  it("are rejected when the certificate or its key is missing", () => {
+    expect(() => readTlsFiles(createSettings({ tlsKey: keyFile })))
+      .toThrow("certificate");
+    expect(() => readTlsFiles(createSettings({ tlsCert: certFile })))
+      .toThrow("key");
+    expect(() => readTlsFiles(createSettings({ tlsCa: certFile })))
+      .toThrow("certificate");
+  });
+
+  it("are read again when only the key changes", async () => {
+    const files = readTlsFiles(
+      createSettings({ tlsCert: certFile, tlsKey: keyFile }),
+    );
+    const changed = new Promise<string>((resolve) =>
+      files?.watch({ onChange: (tls) => resolve(tls.key), onError() {} })
+    );
+    // The first check of the file may come after the first write.
+    const writer = setInterval(
+      () => writeFileSync(keyFile, "key 2"),
+      WRITE_INTERVAL_MS,
+    );
+    const key = await withinWait(changed);
+    clearInterval(writer);
+    expect(key).toEqual("key 2");
+  });
+
+  it("that are missing for a while are reported", async () => {
+    const files = readTlsFiles(
+      createSettings({ tlsCert: certFile, tlsKey: keyFile }),
+    );
+    const failed = new Promise<string>((resolve) =>
+      files?.watch({
+        onChange() {},
+        onError: (err) => resolve(err.message),
+      })
+    );
+    rmSync(keyFile);
+    expect((await withinWait(failed))?.includes("ENOENT")).toEqual(true);
+  });
+});
