Caller client: no retry rule for an error that no class has

BrokenStreamError does not exist; an interrupted stream is an UnavailableError with its own delay, which the rule above already handles. No change of behaviour.

--- a/packages/caller_client/src/client.ts
+++ b/packages/caller_client/src/client.ts
@@ -187,8 +187,7 @@
   if (err.retryAfterMs !== undefined) {
     return Math.max(MIN_RETRY_DELAY_MS, err.retryAfterMs);
   }
-  const isConnectionError = err.name === "UpstreamError" ||
-    err.name === "BrokenStreamError";
+  const isConnectionError = err.name === "UpstreamError";
   return isConnectionError ? CONNECTION_RETRY_DELAY_MS : undefined;
 }
 
