--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -12,6 +12,7 @@
 import { choosers } from "./commands/choosers.ts";
 import { path } from "./commands/path.ts";
 import { policy } from "./commands/policy.ts";
+import { worth } from "./commands/worth.ts";
 
 const COMMANDS: Readonly<Record<string, BenchCommand>> = {
   ablation,
@@ -19,6 +20,7 @@
   choosers,
   path,
   policy,
+  worth,
 };
 
 const [name = "", ...argv] = process.argv.slice(2);
