--- a/packages/service/src/service_client.ts
+++ b/packages/service/src/service_client.ts
@@ -3,6 +3,7 @@
 import {
   type ChannelFailure,
   ChannelPool,
+  type OutgoingRequest,
   type ResponseHead,
 } from "@toucantrestle/upstream_channel";
 import {
@@ -80,31 +81,11 @@
   }
 
   #exchange(call: ServiceCall): Promise<ServiceResponse> {
-    const body = Buffer.from(call.body);
     const chunks: Buffer[] = [];
     let head: ResponseHead | undefined;
     let hasTimedOut = false;
     return new Promise((resolve, reject) => {
-      const exchange = this.#pool.send({
-        id: call.requestId,
-        method: "POST",
-        path: `/call/${encodeURIComponent(call.route)}`,
-        headers: [
-          "host",
-          this.#name,
-          "content-type",
-          "application/json",
-          "content-length",
-          String(body.length),
-          "x-request-id",
-          call.requestId,
-          "x-program",
-          call.program,
-          "x-step",
-          String(call.step),
-        ],
-        body,
-      }, {
+      const exchange = this.#pool.send(this.#createRequest(call), {
         onHead: (received) => {
           head = received;
         },
@@ -125,6 +106,25 @@
     });
   }
 
+  #createRequest(call: ServiceCall): OutgoingRequest {
+    const body = Buffer.from(call.body);
+    const headers = {
+      "host": this.#name,
+      "content-type": "application/json",
+      "content-length": String(body.length),
+      "x-request-id": call.requestId,
+      "x-program": call.program,
+      "x-step": String(call.step),
+    };
+    return {
+      id: call.requestId,
+      method: "POST",
+      path: `/call/${encodeURIComponent(call.route)}`,
+      headers: Object.entries(headers).flat(),
+      body,
+    };
+  }
+
   #toError({ reason, verdict }: ChannelFailure, hasTimedOut: boolean) {
     const props = { props: { verdict } };
     if (hasTimedOut) {
