--- a/bench/src/commands/choosers.ts
+++ b/bench/src/commands/choosers.ts
@@ -1,6 +1,4 @@
-import { resolve } from "node:path";
-import process from "node:process";
-import { copyRepositoryWithEnv, runDay } from "../choosers/run_day.ts";
+import { createDayRunner, DAY_FLAGS } from "../choosers/run_day.ts";
 import type { DayMetrics } from "../choosers/parse_day.ts";
 import type { BenchCommand } from "../command.ts";
 
@@ -15,34 +13,28 @@
   help: "upstream choosers compared on days of the platform's bench, without " +
     "charging processor time: --tool PROGRAM --site FILE --scratch FOLDER",
   flags: {
-    tool: { type: "string", isRequired: true },
-    site: { type: "string", isRequired: true },
-    scratch: { type: "string", isRequired: true },
-    days: { type: "string", default: "scale-1,scale-2" },
+    ...DAY_FLAGS,
     choosers: {
       type: "string",
       default: "expected_finish,least_loaded,sticky,round_robin",
     },
   },
   async handler(flags) {
-    const days = String(flags["days"]).split(",");
+    const runner = createDayRunner(flags);
+    const { days } = runner;
     const chooserNames = String(flags["choosers"]).split(",");
     const rows: DayResult[] = [];
     for (const chooser of chooserNames) {
-      const folder = copyRepositoryWithEnv({
-        from: process.cwd(),
-        scratch: resolve(String(flags["scratch"])),
-        name: chooser,
-        variable: "TOUCANTRESTLE_CHOOSER",
-        value: chooser,
-      });
+      const folder = runner.copyWithEnv(
+        chooser,
+        "TOUCANTRESTLE_CHOOSER",
+        chooser,
+      );
       const dayRows = await Promise.all(
         days.map(async (day): Promise<DayResult> => ({
           day,
           chooser,
-          ...await runDay({
-            tool: resolve(String(flags["tool"])),
-            site: resolve(String(flags["site"])),
+          ...await runner.run({
             day,
             reason: `trial on a copy: ${chooser} as chooser`,
             folder,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -21,7 +21,11 @@
 import { Flusher } from "./flusher.ts";
 import { stopGracefully } from "./graceful_stop.ts";
 import { Isolation } from "./isolation.ts";
-import { LinkManager, listResponsiveHosts } from "./link_manager.ts";
+import {
+  LinkManager,
+  listJoinAddresses,
+  listResponsiveHosts,
+} from "./link_manager.ts";
 import { Journal } from "./journal.ts";
 import { Keyring } from "./keyring.ts";
 import { LateOutcomeReporter } from "./late_outcome_reporter.ts";
@@ -181,7 +185,8 @@
       self: this.#self,
       net: this.#net,
       shards: this.#shards,
-      joinAddresses: () => this.#listJoinAddresses(),
+      joinAddresses: () =>
+        listJoinAddresses(this.#cfg.siblings, this.#upstreams.entryHosts()),
     });
     this.#http = this.#createHttp();
   }
@@ -194,13 +199,10 @@
     this.#view.start();
     this.#lease.start();
     this.#links.start();
-    this.#tls?.watch({
-      onChange: (files) => this.#http.setTls(files),
-      onError: (err) =>
-        this.#logs("daemon").warn(
-          `cannot read the changed TLS files: ${err.message}`,
-        ),
-    });
+    this.#tls?.watch(
+      (files) => this.#http.setTls(files),
+      this.#logs("daemon"),
+    );
     this.#logs("daemon").info(
       `serving callers on ${this.#cfg.listen}, run id ${this.#self.runId}`,
     );
@@ -394,12 +396,4 @@
       copies: this.#cfg.tailCopies,
     });
   }
-
-  #listJoinAddresses(): string[] {
-    const configured = this.#cfg.siblings.split(",").filter((it) => it !== "");
-    const listed = this.#upstreams.entryHosts()
-      .map((it) => it.siblingAddress)
-      .filter((it) => it !== undefined);
-    return [...configured, ...listed];
-  }
 }
--- a/packages/daemon/src/link_manager.ts
+++ b/packages/daemon/src/link_manager.ts
@@ -1,3 +1,4 @@
+import type { HostEntry } from "@toucantrestle/host_list";
 import {
   chooseLinkTargets,
   type HostRecord,
@@ -94,3 +95,17 @@
     return silentMs !== undefined && silentMs < MAX_SILENT_MS;
   });
 }
+
+/**
+ * Returns the sibling addresses to dial first: the configured ones, separated
+ * by commas, and those of the host list.
+ */
+export function listJoinAddresses(
+  configured: string,
+  entryHosts: readonly HostEntry[],
+): string[] {
+  const listed = entryHosts
+    .map((it) => it.siblingAddress)
+    .filter((it) => it !== undefined);
+  return [...configured.split(",").filter((it) => it !== ""), ...listed];
+}
--- a/packages/daemon/src/tls_files.ts
+++ b/packages/daemon/src/tls_files.ts
@@ -1,5 +1,6 @@
 import type { HttpTls } from "@toucantrestle/http";
 import type { SiblingTls } from "@toucantrestle/sibling";
+import type { Logger } from "@toucantrestle/log";
 import { BadSettingError } from "@toucantrestle/settings";
 import { readFileSync, watchFile } from "node:fs";
 import type { DaemonSettings } from "./settings.ts";
@@ -12,15 +13,11 @@
   readForHttp(): HttpTls;
   /** Reads the files for sibling links; undefined if no CA is configured. */
   readForSiblings(): SiblingTls | undefined;
-  /** Watches the certificate and the key for changes. */
-  watch(handlers: TlsWatchHandlers): void;
-}
-
-/** Handlers of changes to the certificate or the key. */
-export interface TlsWatchHandlers {
-  onChange(tls: HttpTls): void;
-  /** Called if a changed file cannot be read, for instance during a replace. */
-  onError(err: Error): void;
+  /**
+   * Calls `onChange` with the certificate and key when one of them changes.
+   * Logs a changed file that cannot be read, for instance during a replace.
+   */
+  watch(onChange: (tls: HttpTls) => void, log: Logger): void;
 }
 
 /**
@@ -49,13 +46,14 @@
       tlsCa === undefined
         ? undefined
         : { ...readCertAndKey(), ca: readFileSync(tlsCa, "utf8") },
-    watch({ onChange, onError }) {
+    watch(onChange, log) {
       const watchOptions = { interval: CHECK_INTERVAL_MS, persistent: false };
       const reload = () => {
         try {
           onChange(readCertAndKey());
         } catch (err) {
-          onError(err as Error);
+          const { message } = err as Error;
+          log.warn(`cannot read the changed TLS files: ${message}`);
         }
       };
       for (const file of [tlsCert, tlsKey]) {
--- a/packages/daemon/test/tls_files_test.ts
+++ b/packages/daemon/test/tls_files_test.ts
@@ -1,3 +1,4 @@
+import { createNoopLoggers } from "@toucantrestle/log";
 import { expect } from "earl";
 import { mkdtempSync, rmSync, unwatchFile, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -51,7 +52,7 @@
       createSettings({ tlsCert: certFile, tlsKey: keyFile }),
     );
     const changed = new Promise<string>((resolve) =>
-      files?.watch({ onChange: (tls) => resolve(tls.key), onError() {} })
+      files?.watch((tls) => resolve(tls.key), createNoopLoggers()("tls"))
     );
     // The first check of the file may come after the first write.
     const writer = setInterval(
@@ -68,9 +69,9 @@
       createSettings({ tlsCert: certFile, tlsKey: keyFile }),
     );
     const failed = new Promise<string>((resolve) =>
-      files?.watch({
-        onChange() {},
-        onError: (err) => resolve(err.message),
+      files?.watch(() => {}, {
+        ...createNoopLoggers()("tls"),
+        warn: resolve,
       })
     );
     rmSync(keyFile);
