Config store: a watch that the store cancels ends, with its reason

What an operator would see, on the product's own interface: after the key-value service has compacted its history, a daemon's watch stays open without any event, and later edits do not reach it.

Evidence: http_store_test, three cases, fail before ('open' in place of 'compacted' and 'lost', undefined in place of 'lost') and pass now.

--- a/packages/config_store/src/http_store.ts
+++ b/packages/config_store/src/http_store.ts
@@ -11,6 +11,7 @@
   StoreItem,
   Txn,
   TxnResult,
+  WatchEndReason,
   WatchHandlers,
 } from "./store.ts";
 import {
@@ -112,8 +113,8 @@
   ): Subscription {
     const abortController = new AbortController();
     this.#runWatch(prefix, opts, abortController.signal)
-      .catch(() => {})
-      .finally(() => opts.handlers.onEnd());
+      .catch((): WatchEndReason => "lost")
+      .then((reason) => opts.handlers.onEnd(reason));
     return { cancel: () => abortController.abort() };
   }
 
@@ -126,7 +127,7 @@
     prefix: string,
     opts: { fromRevision: number; handlers: WatchHandlers },
     signal: AbortSignal,
-  ): Promise<void> {
+  ): Promise<WatchEndReason> {
     const client = new Client(this.#opts.url, { bodyTimeout: 0 });
     try {
       const res = await client.request({
@@ -142,7 +143,7 @@
         }),
         signal,
       });
-      await this.#readWatch(res, opts.handlers);
+      return await this.#readWatch(res, opts.handlers);
     } finally {
       await client.destroy();
     }
@@ -151,15 +152,19 @@
   async #readWatch(
     res: Dispatcher.ResponseData,
     handlers: WatchHandlers,
-  ): Promise<void> {
-    if (res.statusCode !== 200) return;
+  ): Promise<WatchEndReason> {
+    if (res.statusCode !== 200) return "lost";
     let partialLine = "";
     for await (const chunk of res.body.setEncoding("utf8")) {
-      if (this.#opts.isCut?.()) return;
+      if (this.#opts.isCut?.()) return "lost";
       const lines = (partialLine + chunk).split("\n");
       partialLine = lines.pop() ?? "";
-      for (const line of lines) handleWatchLine(line, handlers);
+      for (const line of lines) {
+        const reason = handleWatchLine(line, handlers);
+        if (reason) return reason;
+      }
     }
+    return "lost";
   }
 
   async #call<T>(path: string, body: unknown): Promise<T> {
@@ -193,13 +198,21 @@
   }
 }
 
-function handleWatchLine(line: string, handlers: WatchHandlers): void {
-  if (line.trim() === "") return;
+/** Handles one line of a watch; returns why the watch has ended, if it has. */
+function handleWatchLine(
+  line: string,
+  handlers: WatchHandlers,
+): WatchEndReason | undefined {
+  if (line.trim() === "") return undefined;
   const parsed = JSON.parse(line) as WireWatch;
+  if (parsed.result?.canceled) {
+    return parsed.result.compact_revision === undefined ? "lost" : "compacted";
+  }
   const events = toStoreEvents(parsed);
-  if (events.length === 0) return;
+  if (events.length === 0) return undefined;
   const revision = Number(parsed.result?.header?.revision ?? 0);
   handlers.onEvents(events, revision);
+  return undefined;
 }
 
 /** With status 429 (rate limit) or 503 (unavailable), the call did not run. */
--- a/packages/config_store/src/wire.ts
+++ b/packages/config_store/src/wire.ts
@@ -36,6 +36,8 @@
     header?: WireHeader;
     created?: boolean;
     canceled?: boolean;
+    /** Oldest revision that is left; set if the watch began before it. */
+    compact_revision?: string;
     events?: { type?: "PUT" | "DELETE"; kv: WireKv }[];
   };
 }
--- /dev/null
+++ b/packages/config_store/test/http_store_test.ts
@@ -0,0 +1,76 @@
+import { expect } from "earl";
+import { createServer, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { HttpStore, type StoreEvent, type WatchEndReason } from "../src/mod.ts";
+
+const WAIT_MS = 2_000;
+let server: Server | undefined;
+let store: HttpStore | undefined;
+
+afterEach(async () => {
+  await store?.close();
+  server?.closeAllConnections();
+  server?.close();
+});
+
+/** Starts a store that answers a watch as given, and watches a prefix. */
+async function watch(onWatch: (res: ServerResponse) => void): Promise<{
+  events: StoreEvent[];
+  reason: WatchEndReason | "open" | undefined;
+}> {
+  server = createServer((req, res) => {
+    req.resume();
+    onWatch(res);
+  });
+  await new Promise<void>((resolve) => server?.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = new HttpStore({
+    url: `http://127.0.0.1:${port}`,
+    timeoutMs: WAIT_MS,
+  });
+  store = client;
+  const events: StoreEvent[] = [];
+  const reason = await new Promise<WatchEndReason | "open" | undefined>(
+    (resolve) => {
+      const timeout = setTimeout(() => resolve("open"), WAIT_MS);
+      client.watch("p/", {
+        fromRevision: 3,
+        handlers: {
+          onEvents: (it) => events.push(...it),
+          onEnd: (it) => {
+            clearTimeout(timeout);
+            resolve(it);
+          },
+        },
+      });
+    },
+  );
+  return { events, reason };
+}
+
+function writeLine(res: ServerResponse, result: unknown): void {
+  res.write(`${JSON.stringify({ result })}\n`);
+}
+
+describe("a watch of HttpStore", () => {
+  it("ends as compacted when the store cancels it for that reason", async () => {
+    const { reason } = await watch((res) => {
+      writeLine(res, { header: { revision: "9" }, created: true });
+      writeLine(res, { canceled: true, compact_revision: "8" });
+    });
+    expect(reason).toEqual("compacted");
+  });
+
+  it("ends as lost when the store cancels it otherwise", async () => {
+    const { reason } = await watch((res) => writeLine(res, { canceled: true }));
+    expect(reason).toEqual("lost");
+  });
+
+  it("ends as lost when its connection ends inside a line", async () => {
+    const { reason, events } = await watch((res) => {
+      res.socket?.end('HTTP/1.1 200 OK\r\n\r\n{"result":{"ev');
+    });
+    expect([reason, events]).toEqual(["lost", []]);
+  });
+});
