--- a/packages/config_store/src/list_and_watch.ts
+++ b/packages/config_store/src/list_and_watch.ts
@@ -17,6 +17,8 @@
   onEvents: (events: StoreEvent[], revision: number) => void;
   /** Called when the service becomes reachable or unreachable. */
   onReachable?: (isReachable: boolean) => void;
+  /** Called whenever the service has confirmed that the copy is current. */
+  onConfirmed?: () => void;
 }
 
 /** Delay before the first retry; doubles with each failure up to the limit. */
@@ -33,6 +35,12 @@
   let isReachable = false;
   let retryMs = MIN_RETRY_MS;
   let subscription: Subscription | undefined;
+  let confirmedAt = timer.monotonicNow();
+
+  function confirm(): void {
+    confirmedAt = timer.monotonicNow();
+    opts.onConfirmed?.();
+  }
 
   function setReachable(value: boolean): void {
     if (value) retryMs = MIN_RETRY_MS;
@@ -42,6 +50,7 @@
       value
         ? `watching ${prefix}`
         : `lost connection to the store while watching ${prefix}`,
+      { lastHeardMs: Math.round(timer.monotonicNow() - confirmedAt) },
     );
     opts.onReachable?.(value);
   }
@@ -59,6 +68,7 @@
       if (isCancelled) return;
       setReachable(true);
       opts.onSnapshot(items, revision);
+      confirm();
       watch(revision);
     } catch (err) {
       log.debug(`cannot list ${prefix}: ${String(err)}`);
@@ -78,6 +88,7 @@
           setReachable(true);
           revision = atRevision;
           if (events.length > 0) opts.onEvents(events, atRevision);
+          confirm();
         },
         onEnd(reason) {
           if (isCancelled) return;
--- a/packages/config_store/test/list_and_watch_test.ts
+++ b/packages/config_store/test/list_and_watch_test.ts
@@ -7,12 +7,14 @@
 let store: MemoryStore;
 let items: Map<string, string>;
 let reachability: boolean[];
+let confirmations: number;
 let subscription: { cancel(): void };
 
 beforeEach(() => {
   store = new MemoryStore();
   items = new Map();
   reachability = [];
+  confirmations = 0;
   subscription = listAndWatch({
     store,
     prefix: "p/",
@@ -28,6 +30,7 @@
       }
     },
     onReachable: (isReachable) => reachability.push(isReachable),
+    onConfirmed: () => confirmations += 1,
   });
 });
 
@@ -54,6 +57,15 @@
     expect([...items]).toEqual([["p/c", "3"]]);
   });
 
+  it("reports each confirmation by the service, and none in an outage", async () => {
+    await waitUntil(() => confirmations === 1);
+    store.put("p/a", 1);
+    await waitUntil(() => confirmations === 2);
+    store.startOutage();
+    await waitUntil(() => reachability.length === 2);
+    expect(confirmations).toEqual(2);
+  });
+
   it("resumes after an outage and reports each change of reachability", async () => {
     await waitUntil(() => reachability.length === 1);
     store.put("p/a", 1);
--- a/packages/front/src/config_watcher.ts
+++ b/packages/front/src/config_watcher.ts
@@ -14,6 +14,9 @@
   readonly #listeners: ((config: RoutingConfig) => void)[] = [];
   #config: RoutingConfig | undefined;
   #text = "";
+  #now: () => number = () => 0;
+  /** When the store last confirmed that no newer version exists. */
+  #confirmedAt: number | undefined;
 
   constructor(opts: { protocol: Protocol; log: Logger }) {
     this.#protocol = opts.protocol;
@@ -29,6 +32,15 @@
     return this.#text;
   }
 
+  /**
+   * Time since the store last confirmed that no newer version exists, in ms;
+   * infinite before the first time.
+   */
+  get ageMs(): number {
+    if (this.#confirmedAt === undefined) return Infinity;
+    return this.#now() - this.#confirmedAt;
+  }
+
   onConfig(fn: (config: RoutingConfig) => void): void {
     this.#listeners.push(fn);
   }
@@ -36,6 +48,7 @@
   /** Subscribes to the configuration in the platform's store. */
   start(opts: { store: ConfigStore; timer: Timer }): void {
     const { configKey } = this.#protocol;
+    this.#now = () => opts.timer.monotonicNow();
     listAndWatch({
       ...opts,
       prefix: configKey,
@@ -51,6 +64,7 @@
           this.apply(event.item.value, "store");
         }
       },
+      onConfirmed: () => this.#confirmedAt = this.#now(),
     });
   }
 
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -241,6 +241,7 @@
     const { metrics } = this.#opts;
     metrics.gauge("calls_open", this.#activeCalls.size);
     metrics.gauge("config_version", this.#configWatcher.config?.version ?? -1);
+    metrics.gauge("config_age_ms", this.#configWatcher.ageMs);
     metrics.gauge("upstreams_age_ms", this.#upstreamWatcher.ageMs);
     metrics.gauge("upstreams_known", this.#upstreamRegistry.all().length);
     metrics.gauge(
