--- a/packages/config_store/test/http_store_test.ts
+++ b/packages/config_store/test/http_store_test.ts
@@ -14,14 +14,21 @@
   server?.close();
 });
 
-/** Starts a store that answers a watch as given, and watches a prefix. */
-async function watch(onWatch: (res: ServerResponse) => void): Promise<{
+/**
+ * Starts a store that answers a watch as given, and watches a prefix. `onRange`
+ * answers reads; without it a read has no answer.
+ */
+async function watch(
+  onWatch: (res: ServerResponse) => void,
+  onRange: (res: ServerResponse) => void = () => {},
+): Promise<{
   events: StoreEvent[];
   reason: WatchEndReason | "open" | undefined;
 }> {
   server = createServer((req, res) => {
     req.resume();
-    onWatch(res);
+    if (req.url === "/v3/watch") onWatch(res);
+    else onRange(res);
   });
   await new Promise<void>((resolve) => server?.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
@@ -53,7 +60,44 @@
   res.write(`${JSON.stringify({ result })}\n`);
 }
 
+/** Answers a read with the keys that changed after the watch began. */
+function sendChangedKeys(res: ServerResponse, keys: string[]): void {
+  const kvs = keys.map((it) => ({
+    key: Buffer.from(it).toString("base64"),
+    mod_revision: "7",
+  }));
+  res.end(JSON.stringify({ header: { revision: "7" }, kvs }));
+}
+
+/** Begins a watch that reports nothing. */
+function startSilentWatch(res: ServerResponse): void {
+  writeLine(res, { header: { revision: "2" }, created: true });
+}
+
 describe("a watch of HttpStore", () => {
+  // Guards against an edit that is never in force on a daemon (CONFIG).
+  it("ends as lost when it is silent and the store has newer keys", async () => {
+    const { reason } = await watch(
+      startSilentWatch,
+      (res) => sendChangedKeys(res, ["p/a"]),
+    );
+    expect(reason).toEqual("lost");
+  });
+
+  // Guards against an edit that is never in force on a daemon (CONFIG).
+  it("ends as lost when the store's connections are silent", async () => {
+    const { reason } = await watch(startSilentWatch);
+    expect(reason).toEqual("lost");
+  });
+
+  it("stays open when it is silent because there is no change", async () => {
+    const { reason } = await watch(
+      startSilentWatch,
+      (res) => sendChangedKeys(res, []),
+    );
+    expect(reason).toEqual("open");
+  });
+
   it("ends as compacted when the store cancels it for that reason", async () => {
     const { reason } = await watch((res) => {
       writeLine(res, { header: { revision: "9" }, created: true });
--- a/stand_ins/src/mod.ts
+++ b/stand_ins/src/mod.ts
@@ -15,6 +15,8 @@
 } from "./engine/engine_model.ts";
 export { type CacheChange, PrefixCache } from "./engine/prefix_cache.ts";
 export { type ManagedProcess, startProcess } from "./harness/process.ts";
+export { findFreePorts } from "./harness/ports.ts";
+export { TcpProxy } from "./harness/tcp_proxy.ts";
 export {
   type DaemonProcess,
   type DaemonSpec,
