Config store: a silent watch is compared with the service and ends (CONFIG)

What operators would see, on the product's own interface: an edit that is accepted never comes into force on a daemon whose watch connection is silent, unless a sibling tells it.

The watch of HttpStore had no time-out at all.

Change: once a second a watch asks for one key newer than its position (a read with min_mod_revision, limit 1, keys only); if there is one and no event follows in 300 ms, or if there is no response in 700 ms, the watch ends as lost and its user lists again. A refusal (429, 503) does not end it. The stand-in serves these fields. Not found this way: a missed delete.

--- a/packages/config_store/src/http_store.ts
+++ b/packages/config_store/src/http_store.ts
@@ -1,5 +1,6 @@
 import type { Subscription } from "@toucantrestle/timer";
 import type { Verdict } from "@toucantrestle/verdict";
+import { setTimeout as sleep } from "node:timers/promises";
 import { Client, type Dispatcher, errors } from "undici";
 import { StoreError } from "./errors.ts";
 import type {
@@ -34,6 +35,11 @@
   isCut?: () => boolean;
 }
 
+/** Interval at which a watch is compared with the service. */
+const WATCH_CHECK_INTERVAL_MS = 1_000;
+const WATCH_CHECK_TIMEOUT_MS = 700;
+/** Time for an event that is on its way when the service has a newer key. */
+const EVENT_DELAY_MS = 300;
 const CONNECTION_COUNT = 4;
 const REQUESTS_PER_CONNECTION = 1;
 
@@ -111,11 +117,58 @@
     prefix: string,
     opts: { fromRevision: number; handlers: WatchHandlers },
   ): Subscription {
-    const abortController = new AbortController();
-    this.#runWatch(prefix, opts, abortController.signal)
+    const abort = new AbortController();
+    const position = { revision: opts.fromRevision - 1 };
+    const handlers: WatchHandlers = {
+      ...opts.handlers,
+      onEvents(events, revision) {
+        position.revision = Math.max(position.revision, revision);
+        opts.handlers.onEvents(events, revision);
+      },
+    };
+    this.#checkWatch(prefix, position, abort);
+    this.#runWatch(prefix, { ...opts, handlers }, abort.signal)
       .catch((): WatchEndReason => "lost")
-      .then((reason) => opts.handlers.onEnd(reason));
-    return { cancel: () => abortController.abort() };
+      .then((reason) => {
+        abort.abort();
+        opts.handlers.onEnd(reason);
+      });
+    return { cancel: () => abort.abort() };
+  }
+
+  /**
+   * Ends a watch that is silent although the service has newer keys or cannot
+   * be reached.
+   */
+  async #checkWatch(
+    prefix: string,
+    position: { revision: number },
+    watch: AbortController,
+  ): Promise<void> {
+    const { signal } = watch;
+    while (await sleepUnlessAborted(WATCH_CHECK_INTERVAL_MS, signal)) {
+      const { revision } = position;
+      try {
+        if (!await this.#hasKeyAfter(prefix, revision)) continue;
+        await sleepUnlessAborted(EVENT_DELAY_MS, signal);
+        if (position.revision === revision) watch.abort();
+      } catch (err) {
+        // A refusal shows that the service is reached.
+        if (verdictOf(err) !== "not_run") watch.abort();
+      }
+    }
+  }
+
+  /** Whether a key below a prefix was written after a revision. */
+  async #hasKeyAfter(prefix: string, revision: number): Promise<boolean> {
+    const range = await this.#call<WireRange>("/v3/kv/range", {
+      key: encode(prefix),
+      range_end: encode(prefixEnd(prefix)),
+      min_mod_revision: String(revision + 1),
+      keys_only: true,
+      limit: "1",
+    }, WATCH_CHECK_TIMEOUT_MS);
+    return (range.kvs ?? []).length > 0;
   }
 
   /** Closes all connections; pending calls fail. */
@@ -167,7 +220,11 @@
     return "lost";
   }
 
-  async #call<T>(path: string, body: unknown): Promise<T> {
+  async #call<T>(
+    path: string,
+    body: unknown,
+    timeoutMs = this.#opts.timeoutMs,
+  ): Promise<T> {
     if (this.#opts.isCut?.()) {
       throw new StoreError(
         "connection to the key-value service is cut by fault injection",
@@ -184,7 +241,7 @@
         method: "POST",
         headers: { "content-type": "application/json" },
         body: JSON.stringify(body),
-        signal: AbortSignal.timeout(this.#opts.timeoutMs),
+        signal: AbortSignal.timeout(timeoutMs),
       });
       const text = await res.body.text();
       if (res.statusCode === 200) return JSON.parse(text) as T;
@@ -198,6 +255,15 @@
   }
 }
 
+/** Waits; returns false if the signal is aborted by then. */
+async function sleepUnlessAborted(
+  ms: number,
+  signal: AbortSignal,
+): Promise<boolean> {
+  await sleep(ms, undefined, { signal, ref: false }).catch(() => {});
+  return !signal.aborted;
+}
+
 /** Handles one line of a watch; returns why the watch has ended, if it has. */
 function handleWatchLine(
   line: string,
@@ -220,6 +286,10 @@
   return status === 429 || status === 503 ? "not_run" : "may_have_run";
 }
 
+function verdictOf(err: unknown): Verdict | undefined {
+  return err instanceof StoreError ? err.verdict : undefined;
+}
+
 function toStoreError(err: unknown): StoreError {
   if (err instanceof StoreError) return err;
   const isRefused = err instanceof Error &&
--- a/stand_ins/src/config_store/main.ts
+++ b/stand_ins/src/config_store/main.ts
@@ -138,19 +138,27 @@
 const rangeSchema = z.object({
   key: z.string(),
   range_end: z.string().optional(),
+  min_mod_revision: z.string().optional(),
+  keys_only: z.boolean().optional(),
+  /** Maximum number of keys; 0 means no limit. */
+  limit: z.string().optional(),
 });
 
 function range(body: unknown) {
-  const { key, range_end } = rangeSchema.parse(body);
+  const { key, range_end, ...opts } = rangeSchema.parse(body);
   const entries = model.range(
     decodeBase64(key),
     range_end === undefined ? undefined : decodeBase64(range_end),
   );
+  const minRevision = Number(opts.min_mod_revision ?? 0);
+  const selected = entries
+    .filter(([, it]) => it.modRevision >= minRevision)
+    .slice(0, Number(opts.limit ?? 0) || undefined);
   return {
     header: responseHeader(),
-    kvs: entries.map(([name, it]) => ({
+    kvs: selected.map(([name, it]) => ({
       key: encodeBase64(name),
-      value: it.value,
+      value: opts.keys_only ? undefined : it.value,
       mod_revision: String(it.modRevision),
     })),
     count: String(entries.length),
