--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -353,6 +353,9 @@
     const { id } = upstream.entry;
     this.#call.recorder.record("routed", `call sent to ${id}`, {
       upstream: id,
+      softwareVersion: upstream.entry.softwareVersion,
+      resumeAfter: this.#call.head.lastEventId,
+      resumedRequest: this.#call.head.resumedRequest,
       service: this.#call.service,
       configVersion: this.#call.config.version,
       upstreamsAgeMs: Math.round(upstreamsAgeMs()),
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -31,6 +31,8 @@
   previousTurn: string | undefined;
   /** Id of the event after which to resume a stream. */
   lastEventId: string | undefined;
+  /** Id of the request that brought the first event of the resumed stream. */
+  resumedRequest: string | undefined;
   affinityKey: string | undefined;
 }
 
--- a/packages/front/test/load_sharing_test.ts
+++ b/packages/front/test/load_sharing_test.ts
@@ -183,6 +183,7 @@
     slots: 64,
     isDraining: false,
     coldLeftMs: 0,
+    softwareVersion: "v1",
     startedAt: 0,
   });
   return registry;
--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -58,9 +58,11 @@
   readonly directoryAddresses: string[] = [];
   readonly #servers: Server[] = [];
   readonly #upstreams = new Map<string, Server>();
-  readonly #turnStores: TurnStoreServer[] = [];
+  readonly #turnStores: { server: TurnStoreServer; host: string }[] = [];
   readonly #fleets: Fleet[] = [];
-  readonly #folders: string[] = [];
+  /** Data folders of the turn stores, by host. */
+  readonly #folders = new Map<string, string>();
+  readonly #linkAddresses = new Map<string, string>();
   readonly #loggers: LoggerFactory;
   #version = 0;
 
@@ -89,7 +91,21 @@
   }
 
   async addTurnStores(count: number): Promise<void> {
-    for (let i = 0; i < count; i++) await this.#addTurnStore(`store-${i}`);
+    for (let i = 0; i < count; i++) {
+      const host = `store-${i}`;
+      const folder = await mkdtemp(join(tmpdir(), "turns-"));
+      await writeState(folder, { id: host });
+      this.#folders.set(host, folder);
+      this.#linkAddresses.set(host, await freeAddress());
+      await this.#startTurnStore(host);
+    }
+  }
+
+  /** Stops all turn stores and starts them again with their disks. */
+  async restartTurnStores(): Promise<void> {
+    const stopped = this.#turnStores.splice(0);
+    for (const { server } of stopped) server.close();
+    for (const { host } of stopped) await this.#startTurnStore(host);
   }
 
   async addFront(): Promise<Front> {
@@ -138,6 +154,7 @@
   async addUpstream(
     id: string,
     handler: UpstreamHandler = respondWithText,
+    opts: Partial<UpstreamEntry> = {},
   ): Promise<UpstreamEntry> {
     const server = createServer(
       { maxHeaderSize: MAX_UPSTREAM_HEADER_BYTES },
@@ -169,7 +186,9 @@
       slots: 4,
       isDraining: false,
       coldLeftMs: 0,
+      softwareVersion: "v1",
       startedAt: 0,
+      ...opts,
     };
     this.store.put(testProtocol.upstreamPrefix + id, entry);
     return entry;
@@ -220,26 +239,23 @@
   async close(): Promise<void> {
     timer.end();
     for (const front of this.fronts) front.close();
-    for (const it of this.#turnStores) it.close();
+    for (const { server } of this.#turnStores) server.close();
     for (const fleet of this.#fleets) await fleet.deregister();
     for (const server of this.#servers) {
       server.closeAllConnections();
       server.close();
     }
-    for (const folder of this.#folders) {
+    for (const folder of this.#folders.values()) {
       await rm(folder, { recursive: true, force: true });
     }
   }
 
-  async #addTurnStore(host: string): Promise<void> {
-    const folder = await mkdtemp(join(tmpdir(), "turns-"));
-    this.#folders.push(folder);
-    await writeState(folder, { id: host });
+  async #startTurnStore(host: string): Promise<void> {
     const self: HostEntry = {
       id: host,
       host,
       role: "turn_store",
-      linkAddress: await freeAddress(),
+      linkAddress: this.#linkAddresses.get(host) ?? "",
       callerAddress: null,
       dataCentre: "a",
     };
@@ -247,7 +263,7 @@
     const server = new TurnStoreServer({
       self,
       fleet,
-      folder,
+      folder: this.#folders.get(host) ?? "",
       maxBytes: 50_000_000,
       isFirstStart: true,
       tolerate: 1,
@@ -259,7 +275,7 @@
     });
     await server.start();
     fleet.start();
-    this.#turnStores.push(server);
+    this.#turnStores.push({ server, host });
   }
 
   #createFleet(self: HostEntry): Fleet {
--- a/packages/front/test/test_protocol.ts
+++ b/packages/front/test/test_protocol.ts
@@ -23,7 +23,8 @@
       expectedOutputTokens: undefined,
       promptParts: [],
       previousTurn: text(headers, "x-previous"),
-      lastEventId: undefined,
+      lastEventId: text(headers, "last-event-id"),
+      resumedRequest: text(headers, "x-resumes"),
       affinityKey: undefined,
     };
   },
--- a/packages/front/test/upstream_watcher_test.ts
+++ b/packages/front/test/upstream_watcher_test.ts
@@ -24,6 +24,7 @@
     slots: 1,
     isDraining: false,
     coldLeftMs: 0,
+    softwareVersion: "v1",
     startedAt: 0,
   };
 }
--- a/packages/routing/src/upstream_entry.ts
+++ b/packages/routing/src/upstream_entry.ts
@@ -5,6 +5,8 @@
   /** IP address and port. */
   address: string;
   dataCentre: string;
+  /** Version of its software; undefined if it is missing or unreadable. */
+  softwareVersion: string | undefined;
   /** Number of requests that the upstream runs concurrently. */
   slots: number;
   isDraining: boolean;
--- a/packages/routing/test/fixtures.ts
+++ b/packages/routing/test/fixtures.ts
@@ -45,6 +45,7 @@
     slots: 4,
     isDraining: false,
     coldLeftMs: 0,
+    softwareVersion: "v1",
     startedAt: 0,
     ...opts,
   };
