Fronts: a stream goes on only at the software version that began it (ORDER)

Cause: no part of the product knew the version of an upstream's software, and nothing that another front can read said where a stream began, so a stream that its caller took up, or that a front resumed itself, was placed like a new one.

Change: the turn's reservation, which a quorum of turn stores has on disk before the request is sent, also says which software is asked to begin the stream: its service and version, or the upstream alone if the version is not known. It costs no further write: the likely upstream is chosen before the reservation. Where another one is chosen in the end, or the first declines, and its software differs, the record is written again with a higher ordinal before the request is sent; only the last one asked can have written events. A request that names an earlier one in the resumed-request header reads the record back with its own reservation, at a quorum that intersects the one written, and goes only to upstreams of that software, at the service that began it if its route still leads there. Not known, or no place there: refused at once, to come back; never guessed. Streams outside a program have a record of their own.

Ruled out: keeping it in the front (lost with it), asking the siblings (lost with a loss of power), a write of its own (a sync more for each turn).

--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -18,7 +18,7 @@
 import {
   type AttemptStart,
   DEFAULT_CALL_DURATION_MS,
-  UpstreamChoice,
+  type UpstreamChoice,
 } from "./upstream_choice.ts";
 
 /** The deadline of an upstream precedes that of the caller by this margin. */
@@ -48,11 +48,18 @@
   /** Id of the last event forwarded to the caller. */
   #lastEventId: string | undefined;
 
-  constructor(call: Call, turn: TurnState | undefined, opts: ServeOptions) {
+  constructor(
+    call: Call,
+    { turn, choice, opts }: {
+      turn: TurnState | undefined;
+      choice: UpstreamChoice;
+      opts: ServeOptions;
+    },
+  ) {
     this.#call = call;
     this.#turn = turn;
     this.#opts = opts;
-    this.#choice = new UpstreamChoice(call, turn, opts);
+    this.#choice = choice;
   }
 
   /** Attempts the call on one upstream after another until it is finished. */
@@ -61,12 +68,27 @@
       const upstream = await this.#choice.choose();
       if (this.#call.isAbandoned) return;
       if (!upstream) return this.#respondWithoutUpstream();
+      if (!await this.#recordOrigin(upstream)) return;
       const result = await this.#attempt(upstream);
       const isFinished = await this.#handleResult(upstream, result);
       if (isFinished) return;
     }
   }
 
+  /**
+   * Records which software begins the stream, before it can write an event.
+   * Returns false if the call is finished.
+   */
+  async #recordOrigin(upstream: TrackedUpstream): Promise<boolean> {
+    if (this.#choice.hasEvents || !this.#turn) return true;
+    if (await this.#turn.recordOrigin(upstream.entry)) {
+      return !this.#call.isAbandoned;
+    }
+    if (this.#runs > 0) this.#respondFailed("origin cannot be recorded");
+    else refuseCall(this.#call, "turns_unknown");
+    return false;
+  }
+
   async #attempt(upstream: TrackedUpstream): Promise<AttemptResult> {
     const { timer, prefixIndex, pools, protocol } = this.#opts;
     const call = this.#call;
@@ -86,6 +108,7 @@
       onEvent: (event) => {
         start.eventTimes.record(timer.monotonicNow());
         this.#lastEventId = event.id;
+        this.#choice.hasEvents = true;
         this.#turn?.recordEvent(event);
       },
       onFirstByte: () => start.load.endPrefill(),
--- a/packages/front/src/serve_call.ts
+++ b/packages/front/src/serve_call.ts
@@ -2,7 +2,9 @@
 import type { Call } from "./call.ts";
 import { CallRunner } from "./call_runner.ts";
 import type { ServeOptions } from "./serve_options.ts";
+import { isResumption } from "./stream_origin.ts";
 import { type TurnStartFailure, TurnState } from "./turn_state.ts";
+import { UpstreamChoice } from "./upstream_choice.ts";
 
 /** Responses to a call whose turn cannot start. */
 const START_FAILURE_RESPONDERS: Record<TurnStartFailure, (call: Call) => void> =
@@ -19,6 +21,7 @@
         verdict: "not_run",
         reason: "previous turn does not exist",
       }),
+    origin_unknown: (call) => refuseCall(call, "origin_unknown"),
     unknown: (call) => refuseCall(call, "turns_unknown"),
   };
 
@@ -27,9 +30,10 @@
   const turn = call.route.kind === "streaming"
     ? new TurnState({ store: opts.turnStore, call })
     : undefined;
+  const choice = new UpstreamChoice(call, turn, opts);
   try {
-    if (await admitCall(call, turn, opts)) {
-      await new CallRunner(call, turn, opts).run();
+    if (await admitCall(call, { turn, choice, opts })) {
+      await new CallRunner(call, { turn, choice, opts }).run();
     }
   } finally {
     turn?.settle();
@@ -39,8 +43,11 @@
 /** Returns whether the call may run; if not, answers it. */
 async function admitCall(
   call: Call,
-  turn: TurnState | undefined,
-  opts: ServeOptions,
+  { turn, choice, opts }: {
+    turn: TurnState | undefined;
+    choice: UpstreamChoice;
+    opts: ServeOptions;
+  },
 ): Promise<boolean> {
   if (
     opts.crashTracker.isQuarantined(call.fingerprint, opts.timer.monotonicNow())
@@ -48,14 +55,19 @@
     refuseCall(call, "convicted");
     return false;
   }
-  const startFailure = await turn?.prepare();
+  const startFailure = await turn?.prepare(
+    call.route.isResumable ? choice.likely() : undefined,
+  );
   if (!opts.disabled.has("prompt_hints")) {
     for (const { parts, upstream } of turn?.hints ?? []) {
       opts.prefixIndex.recordPrefill(upstream, parts);
     }
   }
   if (call.isAbandoned) return false;
-  if (!startFailure) return true;
+  if (!startFailure) {
+    if (isResumption(call)) continueAtOrigin(call, turn);
+    return true;
+  }
   call.recorder.record(
     "not_started",
     `the turn does not start: ${startFailure}`,
@@ -69,3 +81,10 @@
   START_FAILURE_RESPONDERS[startFailure](call);
   return false;
 }
+
+/** Sends a resumed stream to the service that began it, if its route may. */
+function continueAtOrigin(call: Call, turn: TurnState | undefined): void {
+  const service = turn?.origin?.service;
+  const isAllowed = call.route.services.some((it) => it.service === service);
+  if (service !== undefined && isAllowed) call.service = service;
+}
--- a/packages/front/src/turn_state.ts
+++ b/packages/front/src/turn_state.ts
@@ -1,13 +1,28 @@
 import type { SpeedEstimate } from "@toucantrestle/policy";
-import type { LookupVerdict, PromptHint } from "@toucantrestle/turn_log";
+import type { UpstreamEntry } from "@toucantrestle/routing";
+import type {
+  LookupVerdict,
+  PromptHint,
+  StreamOrigin,
+} from "@toucantrestle/turn_log";
 import type { Reservation, TurnStoreClient } from "@toucantrestle/turn_store";
 import type { Call } from "./call.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import type { EventTimes } from "./event_times.ts";
+import {
+  createOrigin,
+  isResumption,
+  runsSameSoftware,
+} from "./stream_origin.ts";
 
 /** Why a turn cannot start. */
-export type TurnStartFailure = "budget_spent" | "no_such_turn" | "unknown";
+export type TurnStartFailure =
+  | "budget_spent"
+  | "no_such_turn"
+  | "origin_unknown"
+  | "unknown";
 
+const FIRST_ORDINAL = 1;
 const LINE_FEED = Buffer.from("\n");
 
 /** State of the turn that a call runs: prompt, output and token reservation. */
@@ -22,6 +37,7 @@
   #isSettled = false;
   /** Which upstreams have prefilled prompts of this program. */
   hints: PromptHint[] = [];
+  #origin: StreamOrigin | undefined;
   /** Id of the upstream that prefilled the prompt of this turn. */
   #prefilledBy: string | undefined;
 
@@ -45,16 +61,34 @@
     return this.#events;
   }
 
-  /** Reserves tokens and looks up the previous turn concurrently. */
-  async prepare(): Promise<TurnStartFailure | undefined> {
+  /** Where the turn's stream began; undefined if it cannot be resumed. */
+  get origin(): StreamOrigin | undefined {
+    return this.#origin;
+  }
+
+  /**
+   * Reserves tokens and looks up the previous turn concurrently. The record of
+   * the reservation also says that `likely` begins the stream.
+   */
+  async prepare(
+    likely: UpstreamEntry | undefined,
+  ): Promise<TurnStartFailure | undefined> {
+    const isResumed = isResumption(this.#call);
+    if (this.#mustRecordOrigin && likely) {
+      this.#origin = createOrigin(likely, FIRST_ORDINAL);
+    }
     const [reservation, previous] = await Promise.all([
-      this.#reserve(),
+      this.#reserve(this.#origin),
       this.#findPrevious(),
     ]);
     if (previous?.kind === "absent") return "no_such_turn";
     if (previous?.kind === "unknown") return "unknown";
     if (reservation.verdict === "spent") return "budget_spent";
     if (reservation.verdict === "unknown") return "unknown";
+    if (isResumed) {
+      this.#origin = reservation.resumedOrigin;
+      if (!this.#origin) return "origin_unknown";
+    }
     this.hints = reservation.hints;
     if (previous?.kind === "found") {
       this.#prompt = Buffer.concat([previous.turn.prompt, this.#call.body]);
@@ -62,6 +96,22 @@
     return undefined;
   }
 
+  /**
+   * Makes sure that the record of the turn names the software of the upstream
+   * that is asked to begin the stream. Returns false if this is not confirmed.
+   */
+  async recordOrigin(entry: UpstreamEntry): Promise<boolean> {
+    if (!this.#mustRecordOrigin) return true;
+    const current = this.#origin;
+    if (current && runsSameSoftware(entry, current)) return true;
+    const ordinal = (current?.ordinal ?? 0) + FIRST_ORDINAL;
+    const origin = createOrigin(entry, ordinal);
+    const { verdict } = await this.#reserve(origin);
+    if (verdict !== "granted") return false;
+    this.#origin = origin;
+    return true;
+  }
+
   /** Number of output tokens forwarded to the caller. */
   get outputTokens(): number {
     return this.#events * this.#tokensPerEvent;
@@ -112,11 +162,12 @@
     this.#isSettled = true;
     const { head, route } = this.#call;
     this.#store.settle({
-      program: head.program ?? "",
+      program: this.#recordKey,
       turn: head.id,
       reserved: head.maxOutputTokens ?? 0,
       settled: this.outputTokens,
       hint: this.#createHint(),
+      origin: this.#mustRecordOrigin ? this.#origin : undefined,
       keepMs: route.keepMs,
     });
   }
@@ -130,19 +181,33 @@
     return { parts, upstream: this.#prefilledBy };
   }
 
-  async #reserve(): Promise<Reservation> {
+  /** Whether a later request may resume the stream that this call begins. */
+  get #mustRecordOrigin(): boolean {
+    return this.#call.route.isResumable && !isResumption(this.#call);
+  }
+
+  /** Key of the turn's record; a stream outside a program has its own. */
+  get #recordKey(): string {
+    const { head } = this.#call;
+    return head.program ?? `stream/${head.resumedRequest ?? head.id}`;
+  }
+
+  async #reserve(origin: StreamOrigin | undefined): Promise<Reservation> {
     const { head, route, deadlineAt } = this.#call;
-    if (head.tokenBudget === undefined || !head.program) {
-      return { verdict: "granted", hints: [] };
+    const hasBudget = head.tokenBudget !== undefined && Boolean(head.program);
+    if (!hasBudget && !route.isResumable) {
+      return { verdict: "granted", hints: [], resumedOrigin: undefined };
     }
     this.#isReserved = true;
     return await this.#store.reserve(
       {
-        program: head.program,
+        program: this.#recordKey,
         turn: head.id,
         tokens: head.maxOutputTokens ?? 0,
+        origin,
+        resumedTurn: isResumption(this.#call) ? head.resumedRequest : undefined,
         keepMs: route.keepMs,
-        budget: head.tokenBudget,
+        budget: hasBudget ? head.tokenBudget ?? 0 : Infinity,
       },
       deadlineAt,
     );
--- a/packages/front/src/upstream_choice.ts
+++ b/packages/front/src/upstream_choice.ts
@@ -4,12 +4,14 @@
   CHOOSERS,
   closestCandidates,
   type TrackedUpstream,
+  type UpstreamEntry,
   urgencyOf,
 } from "@toucantrestle/routing";
 import type { Call } from "./call.ts";
 import type { EventTimes } from "./event_times.ts";
 import { LoadShare } from "./load_share.ts";
 import type { ServeOptions } from "./serve_options.ts";
+import { isResumption, runsSameSoftware } from "./stream_origin.ts";
 import type { TurnState } from "./turn_state.ts";
 
 /** Expected output of a turn whose caller gives no estimate, in tokens. */
@@ -38,6 +40,8 @@
   readonly #opts: ServeOptions;
   /** Upstreams that declined or failed the call. */
   readonly excluded = new Set<string>();
+  /** Whether the caller has received events, so that the software is fixed. */
+  hasEvents = false;
 
   constructor(call: Call, turn: TurnState | undefined, opts: ServeOptions) {
     this.#call = call;
@@ -65,6 +69,13 @@
     return input.candidates.length > 0 ? CHOOSERS[chooser](input) : undefined;
   }
 
+  /** Returns the upstream that would be chosen on what is known locally. */
+  likely(): UpstreamEntry | undefined {
+    const input = this.#createInput();
+    if (input.candidates.length === 0) return undefined;
+    return CHOOSERS[this.#opts.chooser](input)?.entry;
+  }
+
   /** Returns the prompt tokens that an upstream has probably not cached. */
   uncachedTokens(id: string): number {
     const { promptParts } = this.#call.head;
@@ -137,7 +148,8 @@
     const now = timer.monotonicNow();
     return {
       candidates: upstreamRegistry.candidates(this.#call.service, now)
-        .filter((it) => !this.excluded.has(it.entry.id)),
+        .filter((it) => !this.excluded.has(it.entry.id))
+        .filter((it) => this.#mayWrite(it.entry)),
       upstreamRegistry,
       prefixIndex,
       parts: this.#call.head.promptParts,
@@ -155,6 +167,13 @@
     };
   }
 
+  /** Whether an upstream may write the next events of the call's stream. */
+  #mayWrite(entry: UpstreamEntry): boolean {
+    const isBegun = this.hasEvents || isResumption(this.#call);
+    const origin = this.#turn?.origin;
+    return !isBegun || origin === undefined || runsSameSoftware(entry, origin);
+  }
+
   get #kind(): WorkKind {
     return this.#turn ? "engine" : "service";
   }
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -4,6 +4,7 @@
   | "no_upstream"
   | "upstreams_full"
   | "turns_unknown"
+  | "origin_unknown"
   | "convicted"
   | "stopping";
 
@@ -12,6 +13,7 @@
   no_upstream: 400,
   upstreams_full: 120,
   turns_unknown: 250,
+  origin_unknown: 250,
   convicted: 5_000,
   stopping: 50,
 };
--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -77,6 +77,11 @@
     if (entry.startedAt < before.startedAt) return undefined;
     known.entry = entry;
     known.missingSince = undefined;
+    if (entry.startedAt === before.startedAt) {
+      // The software of a process does not change while it runs.
+      const softwareVersion = entry.softwareVersion ?? before.softwareVersion;
+      known.entry = { ...entry, softwareVersion };
+    }
     if (entry.startedAt > before.startedAt) {
       this.#onInstanceGone(entry.id);
       known.backoffUntil = 0;
--- a/packages/routing/test/upstream_registry_test.ts
+++ b/packages/routing/test/upstream_registry_test.ts
@@ -35,6 +35,16 @@
     expect(gone).toEqual(["u1"]);
   });
 
+  it("keeps the software version while a later entry lacks it", () => {
+    const { registry } = createRegistry();
+    const unreadable = { startedAt: 5, softwareVersion: undefined };
+    registry.put(createEntry("u1", { startedAt: 5, softwareVersion: "v1" }));
+    registry.put(createEntry("u1", unreadable));
+    expect(registry.get("u1")?.entry.softwareVersion).toEqual("v1");
+    registry.put(createEntry("u1", { ...unreadable, startedAt: 9 }));
+    expect(registry.get("u1")?.entry.softwareVersion).toEqual(undefined);
+  });
+
   it("ignores a stale entry from before a restart", () => {
     const { registry } = createRegistry();
     registry.put(createEntry("u1", { startedAt: 9 }));
--- a/packages/turn_log/src/mod.ts
+++ b/packages/turn_log/src/mod.ts
@@ -25,9 +25,11 @@
   keyOfProgram,
   keyOfRecord,
   keyOfTurn,
+  laterOrigin,
   type PromptHint,
   type Spending,
   type SpendRecord,
+  type StreamOrigin,
   type TurnLogRecord,
   type TurnRecord,
 } from "./record.ts";
--- a/packages/turn_log/src/record.ts
+++ b/packages/turn_log/src/record.ts
@@ -24,9 +24,36 @@
   settled: number | undefined;
   /** Upstream with the cached prompt, for routing the program's next turn. */
   hint: PromptHint | undefined;
+  /** Where the turn's stream began; undefined if it cannot be resumed. */
+  origin?: StreamOrigin | undefined;
   expiresAt: number;
 }
 
+/**
+ * Upstream whose software writes the events of a stream. Streams of different
+ * software do not fit together.
+ */
+export interface StreamOrigin {
+  service: string;
+  /** Version of the software; undefined if it is not known. */
+  softwareVersion: string | undefined;
+  upstream: string;
+  /**
+   * Position among the upstreams that were asked to begin the stream. Only the
+   * last one can have written events.
+   */
+  ordinal: number;
+}
+
+/** Returns the later of two origins of the same stream. */
+export function laterOrigin(
+  a: StreamOrigin | undefined,
+  b: StreamOrigin | undefined,
+): StreamOrigin | undefined {
+  if (!a || !b) return a ?? b;
+  return b.ordinal > a.ordinal ? b : a;
+}
+
 /** Records which upstream last prefilled the prompt of a conversation. */
 export interface PromptHint {
   /**
--- a/packages/turn_log/src/replica.ts
+++ b/packages/turn_log/src/replica.ts
@@ -2,9 +2,11 @@
   keyOfProgram,
   keyOfRecord,
   keyOfTurn,
+  laterOrigin,
   type PromptHint,
   type Spending,
   type SpendRecord,
+  type StreamOrigin,
   turnIdOfKey,
   type TurnLogRecord,
   type TurnRecord,
@@ -186,6 +188,12 @@
     return spending;
   }
 
+  /** Returns where the stream of a program's turn began, if it is stored. */
+  originOf(program: string, turn: string): StreamOrigin | undefined {
+    this.#loadKey(keyOfProgram(program));
+    return this.#programs.get(program)?.spends.get(turn)?.origin;
+  }
+
   /** Returns the latest prompt hint of each conversation of a program. */
   hintsOf(program: string): PromptHint[] {
     this.#loadKey(keyOfProgram(program));
@@ -273,8 +281,12 @@
     }
     program.expiresAt = Math.max(program.expiresAt, record.expiresAt);
     const known = program.spends.get(record.turn);
-    if (known?.settled !== undefined) return;
-    program.spends.set(record.turn, record);
+    const origin = laterOrigin(known?.origin, record.origin);
+    if (known?.settled !== undefined) {
+      program.spends.set(record.turn, { ...known, origin });
+      return;
+    }
+    program.spends.set(record.turn, { ...record, origin });
     const lastPart = record.hint?.parts.at(-1);
     if (record.hint && lastPart) program.hints.set(lastPart.id, record.hint);
   }
--- a/packages/turn_log/test/replica_test.ts
+++ b/packages/turn_log/test/replica_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "earl";
+import fc from "fast-check";
 import { describe, it } from "node:test";
 import {
   type DeferredRecord,
@@ -8,6 +9,33 @@
 } from "../src/mod.ts";
 import { createHost, createSpend, createTurn, createView } from "./fixtures.ts";
 
+describe("the origin of a stream", () => {
+  const origin = (ordinal: number) => ({
+    service: "s",
+    softwareVersion: `v${ordinal}`,
+    upstream: `u${ordinal}`,
+    ordinal,
+  });
+
+  // Guards against a stream whose beginning depends on what arrives last (ORDER).
+  it("is the last one recorded, in whatever order the records arrive", () => {
+    const records = [
+      createSpend("t", { origin: origin(1) }),
+      createSpend("t", { origin: origin(2) }),
+      createSpend("t", { origin: origin(2), settled: 4 }),
+      createSpend("t", { origin: undefined }),
+    ];
+    const order = fc.shuffledSubarray(records, { minLength: records.length });
+    fc.assert(fc.property(order, (shuffled) => {
+      const replica = new Replica({ id: "a" });
+      for (const it of shuffled) replica.apply(it);
+      const { program, turn } = records[0]!;
+      expect(replica.originOf(program, turn)).toEqual(origin(2));
+      expect(replica.spendingOf(program)[turn]?.settled).toEqual(4);
+    }));
+  });
+});
+
 describe("Replica", () => {
   it("serves reads in the first view at once", () => {
     const replica = new Replica({ id: "a" });
--- a/packages/turn_store/src/client.ts
+++ b/packages/turn_store/src/client.ts
@@ -4,9 +4,11 @@
   decideBudget,
   decideLookup,
   intersectsAllQuorums,
+  laterOrigin,
   type LookupVerdict,
   type PromptHint,
   quorumSize,
+  type StreamOrigin,
   type View,
 } from "@toucantrestle/turn_log";
 import type { NewTurn, ReserveArgs, SettleNotice } from "./messages.ts";
@@ -30,6 +32,16 @@
   verdict: BudgetVerdict;
   /** Where earlier prompts of the program were processed. */
   hints: PromptHint[];
+  /** Where the resumed stream began; undefined if it is not known. */
+  resumedOrigin: StreamOrigin | undefined;
+}
+
+/** Arguments of a reservation. */
+export interface ReservationArgs extends Omit<ReserveArgs, "viewNumber"> {
+  /** Tokens that all turns of the program may spend. */
+  budget: number;
+  /** Turn whose stream this turn resumes. */
+  resumedTurn: string | undefined;
 }
 
 /** Delay before a refused or unanswered request is retried. */
@@ -100,14 +112,17 @@
    * further waiting is pointless.
    */
   async reserve(
-    args: Omit<ReserveArgs, "viewNumber"> & { budget: number },
+    args: ReservationArgs,
     deadlineMs: number,
   ): Promise<Reservation> {
-    const { budget, ...rest } = args;
     return await this.#retryUntilKnown<Reservation>({
       deadlineMs,
-      unknownResult: { verdict: "unknown", hints: [] },
-      attempt: (view) => this.#reserveOnce(view, rest, budget),
+      unknownResult: {
+        verdict: "unknown",
+        hints: [],
+        resumedOrigin: undefined,
+      },
+      attempt: (view) => this.#reserveOnce(view, args),
       outcomeOf: (it) => it.verdict,
     });
   }
@@ -118,8 +133,7 @@
    */
   async #reserveOnce(
     view: View,
-    args: Omit<ReserveArgs, "viewNumber">,
-    budget: number,
+    { budget, resumedTurn, ...args }: ReservationArgs,
   ): Promise<Reservation> {
     const { program, turn, tokens } = args;
     const viewNumber = view.number;
@@ -137,7 +151,7 @@
       view,
       key: program,
       name: "spending",
-      args: { viewNumber, program },
+      args: { viewNumber, program, resumedTurn },
       concurrency: required,
       isEnough: (it) =>
         it.length >= required && intersectsAllQuorums(view, program, it),
@@ -150,7 +164,14 @@
       budget,
       replies,
     });
-    return { verdict, hints: replies.flatMap((it) => it.hints) };
+    return {
+      verdict,
+      hints: replies.flatMap((it) => it.hints),
+      resumedOrigin: replies.map((it) => it.origin).reduce(
+        laterOrigin,
+        undefined,
+      ),
+    };
   }
 
   /**
--- a/packages/turn_store/src/copy_records.ts
+++ b/packages/turn_store/src/copy_records.ts
@@ -1,11 +1,12 @@
 import type { LinkClient } from "@toucantrestle/link";
 import type { Logger } from "@toucantrestle/log";
-import type {
-  Inventory,
-  Replica,
-  TurnLogRecord,
-  TurnRecord,
-  View,
+import {
+  type Inventory,
+  laterOrigin,
+  type Replica,
+  type TurnLogRecord,
+  type TurnRecord,
+  type View,
 } from "@toucantrestle/turn_log";
 import type { StoreMethods, StoreNotices } from "./messages.ts";
 
@@ -86,6 +87,8 @@
   const missing = inventory.spends.filter((it) => {
     const known = opts.replica.spendingOf(it.program)[it.turn];
     if (!known) return true;
+    const origin = opts.replica.originOf(it.program, it.turn);
+    if (laterOrigin(origin, it.origin) !== origin) return true;
     return known.settled === undefined && it.settled !== undefined;
   });
   await opts.persist(missing);
--- a/packages/turn_store/src/messages.ts
+++ b/packages/turn_store/src/messages.ts
@@ -3,6 +3,7 @@
   Inventory,
   PromptHint,
   Spending,
+  StreamOrigin,
   TurnRecord,
   View,
 } from "@toucantrestle/turn_log";
@@ -38,6 +39,8 @@
   turn: string;
   /** Maximum number of tokens that the turn may spend. */
   tokens: number;
+  /** Where the turn's stream begins; undefined if it cannot be resumed. */
+  origin: StreamOrigin | undefined;
   /** Retention period of the reservation, in ms. */
   keepMs: number;
 }
@@ -50,6 +53,7 @@
   settled: number;
   /** Where the prompt was processed; undefined if it was not. */
   hint: PromptHint | undefined;
+  origin: StreamOrigin | undefined;
   keepMs: number;
 }
 
@@ -57,10 +61,21 @@
 export type StoreMethods = {
   /** Persists a reservation. */
   reserve: { args: ReserveArgs; result: Reply<object> };
-  /** Returns the known spending and prompt hints of a program. */
+  /**
+   * Returns the known spending and prompt hints of a program, and where the
+   * stream of `resumedTurn` began.
+   */
   spending: {
-    args: { viewNumber: number; program: string };
-    result: Reply<{ spending: Spending; hints: PromptHint[] }>;
+    args: {
+      viewNumber: number;
+      program: string;
+      resumedTurn: string | undefined;
+    };
+    result: Reply<{
+      spending: Spending;
+      hints: PromptHint[];
+      origin: StreamOrigin | undefined;
+    }>;
   };
   /** Looks up a turn by its id. */
   find: {
--- a/packages/turn_store/src/mod.ts
+++ b/packages/turn_store/src/mod.ts
@@ -5,6 +5,7 @@
  */
 export {
   type Reservation,
+  type ReservationArgs,
   TurnStoreClient,
   type TurnStoreClientOptions,
 } from "./client.ts";
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -163,10 +163,13 @@
       log: this.#log,
       methods: {
         reserve: (args) => this.#reserve(args),
-        spending: ({ viewNumber, program }) =>
+        spending: ({ viewNumber, program, resumedTurn }) =>
           this.#serveRead(viewNumber, program, () => ({
             spending: this.#replica.spendingOf(program),
             hints: this.#replica.hintsOf(program),
+            origin: resumedTurn === undefined
+              ? undefined
+              : this.#replica.originOf(program, resumedTurn),
           })),
         find: (args) =>
           this.#serveRead(args.viewNumber, args.id, () => ({
@@ -225,6 +228,7 @@
       reserved: args.tokens,
       settled: undefined,
       hint: undefined,
+      origin: args.origin,
       expiresAt: this.#expiryFor(args.keepMs),
     };
     await this.#persistTimed(record);
