Turn stores: an unnamed beginning is known if the program has one software (ORDER)

Cause: a beginning without a name counted as unknown, although it must be one of the streams that the program has on record.

Change: a turn that resumes a stream without naming it asks for all origins of its program; if they have the same software, that is the beginning. Otherwise it is refused, not guessed. not_started logs the last event and the named request.

Evidence: two more cases of stream_software_test (goes on at one version, refused at two).

--- a/packages/front/src/serve_call.ts
+++ b/packages/front/src/serve_call.ts
@@ -73,6 +73,8 @@
     `the turn does not start: ${startFailure}`,
     {
       previousTurn: call.head.previousTurn,
+      resumeAfter: call.head.lastEventId,
+      resumedRequest: call.head.resumedRequest,
       view: opts.turnStore.view?.number,
       reachesTurnStores: opts.turnStore.isQuorumReachable,
       budget: call.head.tokenBudget,
--- a/packages/front/src/turn_state.ts
+++ b/packages/front/src/turn_state.ts
@@ -205,7 +205,9 @@
         turn: head.id,
         tokens: head.maxOutputTokens ?? 0,
         origin,
-        resumedTurn: isResumption(this.#call) ? head.resumedRequest : undefined,
+        resumed: isResumption(this.#call)
+          ? { turn: head.resumedRequest }
+          : undefined,
         keepMs: route.keepMs,
         budget: hasBudget ? head.tokenBudget ?? 0 : Infinity,
       },
--- a/packages/front/test/stream_software_test.ts
+++ b/packages/front/test/stream_software_test.ts
@@ -125,6 +125,16 @@
   return cluster.call(pathOf(path, begun), { headers, front: 1 });
 }
 
+/** Takes a stream up without naming the attempt that began it. */
+function resumeUnnamed(begun: Record<string, string>): Promise<CallResult> {
+  const headers = {
+    ...begun,
+    "x-id": `${begun["x-id"]}-again`,
+    "last-event-id": "2",
+  };
+  return cluster.call(pathOf("/once/", begun), { headers, front: 1 });
+}
+
 /** A path for each stream: many that break off alike would be quarantined. */
 function pathOf(prefix: string, begun: Record<string, string>): string {
   return prefix + begun["x-id"];
@@ -196,6 +206,29 @@
     expect(cluster.received).toEqual([]);
   });
 
+  // Guards against a refusal of what could go on (LOST).
+  it("goes on unnamed if its program has begun all streams at one version", async () => {
+    for (let i = 0; i < STREAMS; i++) {
+      const headers = headersOf(`q${nextId++}`);
+      const upstream = await beginStream("/once/", headers);
+      const result = await resumeUnnamed(headers);
+      const versions = upstreamsIn(result).map((it) => versionOf(it));
+      expect(versions).toEqual([versionOf(upstream), versionOf(upstream)]);
+    }
+  });
+
+  // Guards against a beginning that is guessed (ORDER).
+  it("is refused unnamed if its program has begun streams at two versions", async () => {
+    const first = headersOf(`q${nextId++}`);
+    for (const declined of [["a1", "a2"], ["b1", "b2"]]) {
+      declining = new Set(declined);
+      await beginStream("/once/", { ...first, "x-id": `q${nextId++}` });
+    }
+    declining = new Set();
+    const result = await resumeUnnamed(first);
+    expect(result.status).toEqual(503);
+  });
+
   // Guards against equal version names of different services (ORDER).
   it("does not go on at another service with the same version name", async () => {
     const headers = headersOf(`q${nextId++}`);
--- a/packages/turn_log/src/mod.ts
+++ b/packages/turn_log/src/mod.ts
@@ -22,6 +22,7 @@
   type ReserveReply,
 } from "./replica.ts";
 export {
+  commonOrigin,
   keyOfProgram,
   keyOfRecord,
   keyOfTurn,
--- a/packages/turn_log/src/record.ts
+++ b/packages/turn_log/src/record.ts
@@ -54,6 +54,25 @@
   return b.ordinal > a.ordinal ? b : a;
 }
 
+/**
+ * Returns the origin of a stream that is one of several, if all of them have
+ * the same software; undefined otherwise.
+ */
+export function commonOrigin(
+  origins: readonly StreamOrigin[],
+): StreamOrigin | undefined {
+  const [first] = origins;
+  const isCommon = origins.every((it) => softwareOf(it) === softwareOf(first));
+  return isCommon ? first : undefined;
+}
+
+/** Identifies the software of an origin. */
+function softwareOf(origin: StreamOrigin | undefined): string {
+  const { service, softwareVersion, upstream } = origin ?? {};
+  const isKnown = softwareVersion !== undefined;
+  return JSON.stringify([service, isKnown, softwareVersion ?? upstream]);
+}
+
 /** Records which upstream last prefilled the prompt of a conversation. */
 export interface PromptHint {
   /**
--- a/packages/turn_log/src/replica.ts
+++ b/packages/turn_log/src/replica.ts
@@ -194,6 +194,13 @@
     return this.#programs.get(program)?.spends.get(turn)?.origin;
   }
 
+  /** Returns where the streams of a program began that may be resumed. */
+  originsOf(program: string): StreamOrigin[] {
+    this.#loadKey(keyOfProgram(program));
+    const spends = this.#programs.get(program)?.spends.values() ?? [];
+    return [...spends].flatMap((it) => it.origin ?? []);
+  }
+
   /** Returns the latest prompt hint of each conversation of a program. */
   hintsOf(program: string): PromptHint[] {
     this.#loadKey(keyOfProgram(program));
--- a/packages/turn_store/src/client.ts
+++ b/packages/turn_store/src/client.ts
@@ -1,6 +1,7 @@
 import { sleep, type Timer } from "@toucantrestle/timer";
 import {
   type BudgetVerdict,
+  commonOrigin,
   decideBudget,
   decideLookup,
   intersectsAllQuorums,
@@ -11,7 +12,12 @@
   type StreamOrigin,
   type View,
 } from "@toucantrestle/turn_log";
-import type { NewTurn, ReserveArgs, SettleNotice } from "./messages.ts";
+import type {
+  NewTurn,
+  ReserveArgs,
+  ResumedStream,
+  SettleNotice,
+} from "./messages.ts";
 import { shouldKeepWaiting } from "./wait_policy.ts";
 import {
   ReplicaLinks,
@@ -40,8 +46,8 @@
 export interface ReservationArgs extends Omit<ReserveArgs, "viewNumber"> {
   /** Tokens that all turns of the program may spend. */
   budget: number;
-  /** Turn whose stream this turn resumes. */
-  resumedTurn: string | undefined;
+  /** Stream that this turn resumes. */
+  resumed: ResumedStream | undefined;
 }
 
 /** Delay before a refused or unanswered request is retried. */
@@ -133,7 +139,7 @@
    */
   async #reserveOnce(
     view: View,
-    { budget, resumedTurn, ...args }: ReservationArgs,
+    { budget, resumed, ...args }: ReservationArgs,
   ): Promise<Reservation> {
     const { program, turn, tokens } = args;
     const viewNumber = view.number;
@@ -151,7 +157,7 @@
       view,
       key: program,
       name: "spending",
-      args: { viewNumber, program, resumedTurn },
+      args: { viewNumber, program, resumed },
       concurrency: required,
       isEnough: (it) =>
         it.length >= required && intersectsAllQuorums(view, program, it),
@@ -167,9 +173,9 @@
     return {
       verdict,
       hints: replies.flatMap((it) => it.hints),
-      resumedOrigin: replies.map((it) => it.origin).reduce(
-        laterOrigin,
-        undefined,
+      resumedOrigin: decideOrigin(
+        replies.flatMap((it) => it.origins),
+        resumed,
       ),
     };
   }
@@ -268,3 +274,15 @@
     else this.#unreachableSince ??= this.#opts.timer.monotonicNow();
   }
 }
+
+/**
+ * Decides where a resumed stream began. One that is not named is one of the
+ * program's, so it is known if all of these have the same software.
+ */
+function decideOrigin(
+  origins: StreamOrigin[],
+  resumed: ResumedStream | undefined,
+): StreamOrigin | undefined {
+  if (resumed?.turn === undefined) return commonOrigin(origins);
+  return origins.reduce<StreamOrigin | undefined>(laterOrigin, undefined);
+}
--- a/packages/turn_store/src/messages.ts
+++ b/packages/turn_store/src/messages.ts
@@ -45,6 +45,12 @@
   keepMs: number;
 }
 
+/** Stream of a program that a turn resumes. */
+export interface ResumedStream {
+  /** Turn that began it; undefined if its caller does not name it. */
+  turn: string | undefined;
+}
+
 /** Notice of the number of tokens that a turn spent in the end. */
 export interface SettleNotice {
   program: string;
@@ -63,18 +69,18 @@
   reserve: { args: ReserveArgs; result: Reply<object> };
   /**
    * Returns the known spending and prompt hints of a program, and where the
-   * stream of `resumedTurn` began.
+   * resumed stream may have begun.
    */
   spending: {
     args: {
       viewNumber: number;
       program: string;
-      resumedTurn: string | undefined;
+      resumed: ResumedStream | undefined;
     };
     result: Reply<{
       spending: Spending;
       hints: PromptHint[];
-      origin: StreamOrigin | undefined;
+      origins: StreamOrigin[];
     }>;
   };
   /** Looks up a turn by its id. */
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -12,6 +12,7 @@
   keyOfRecord,
   Replica,
   type SpendRecord,
+  type StreamOrigin,
   type TurnLogRecord,
   type TurnRecord,
   type View,
@@ -20,6 +21,7 @@
   Refusal,
   Reply,
   ReserveArgs,
+  ResumedStream,
   SettleNotice,
   StoreMethods,
   StoreNotices,
@@ -163,13 +165,11 @@
       log: this.#log,
       methods: {
         reserve: (args) => this.#reserve(args),
-        spending: ({ viewNumber, program, resumedTurn }) =>
+        spending: ({ viewNumber, program, resumed }) =>
           this.#serveRead(viewNumber, program, () => ({
             spending: this.#replica.spendingOf(program),
             hints: this.#replica.hintsOf(program),
-            origin: resumedTurn === undefined
-              ? undefined
-              : this.#replica.originOf(program, resumedTurn),
+            origins: resumed ? this.#originsOf(program, resumed) : [],
           })),
         find: (args) =>
           this.#serveRead(args.viewNumber, args.id, () => ({
@@ -192,6 +192,13 @@
     });
   }
 
+  /** Returns where a resumed stream may have begun. */
+  #originsOf(program: string, { turn }: ResumedStream): StreamOrigin[] {
+    if (turn === undefined) return this.#replica.originsOf(program);
+    const origin = this.#replica.originOf(program, turn);
+    return origin ? [origin] : [];
+  }
+
   /** Serves a read if the view is current and this replica may answer it. */
   #serveRead<T>(viewNumber: number, key: string, read: () => T): Reply<T> {
     const refusal = this.#checkView(viewNumber);
