--- a/packages/daemon/src/load_reader.ts
+++ b/packages/daemon/src/load_reader.ts
@@ -1,6 +1,7 @@
 import { rankByRendezvous } from "@toucantrestle/membership";
 import type { LoadDigest, SiblingNet } from "@toucantrestle/sibling";
 import type { Timer } from "@toucantrestle/timer";
+import type { EngineSoftware } from "./output_origin.ts";
 import type { PlacementQueue } from "./placement_queue.ts";
 import type { Upstreams } from "./upstreams.ts";
 
@@ -27,7 +28,7 @@
   readonly #net: () => SiblingNet;
   readonly #selfHost: string;
   readonly #liveHosts: () => string[];
-  readonly #canResume = new Map<string, boolean>();
+  readonly #software = new Map<string, EngineSoftware>();
   readonly #lastDigestAt = new Map<string, number>();
   /** Names of the engines that are being read. */
   readonly #reading = new Set<string>();
@@ -52,9 +53,10 @@
     this.#timer.every(LOAD_POLL_INTERVAL_MS, () => this.#poll());
   }
 
-  /** Whether an engine can resume a stream that was started on another engine. */
-  canResume(engine: string): boolean {
-    return this.#canResume.get(engine) ?? false;
+  /** Returns what an engine's last load report says of its software. */
+  softwareOf(engine: string): EngineSoftware {
+    return this.#software.get(engine) ??
+      { name: engine, canResume: false, softwareVersion: undefined };
   }
 
   /** Applies digests that were broadcast by a sibling. */
@@ -102,6 +104,7 @@
     return {
       engine: name,
       canResume: report.can_resume,
+      softwareVersion: report.software_version,
       report: {
         at: report.at,
         running: report.running,
@@ -119,11 +122,12 @@
     };
   }
 
-  #applyDigest({ engine, canResume, report, events }: LoadDigest): void {
+  #applyDigest(digest: LoadDigest): void {
+    const { engine, canResume, softwareVersion, report, events } = digest;
     const now = this.#timer.now();
     const { dispatcher } = this.#placementQueue;
     this.#lastDigestAt.set(engine, now);
-    this.#canResume.set(engine, canResume);
+    this.#software.set(engine, { name: engine, canResume, softwareVersion });
     dispatcher.updateLoad(engine, report);
     dispatcher.caches.applyEvents(engine, events, now);
   }
--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -23,6 +23,7 @@
 import type { Placement } from "./placement_queue.ts";
 import type { OwnedShard } from "./owned_shard.ts";
 import { UNPROCESSABLE_STATUS } from "./isolation.ts";
+import { listUnableToContinue, type OutputOrigin } from "./output_origin.ts";
 import { startStallWatchdog } from "./stall_watchdog.ts";
 import { hasNotRunVerdict, tryUpstreams } from "./try_upstreams.ts";
 
@@ -57,6 +58,8 @@
   /** Output of all attempts so far. */
   #outputText = "";
   #outputTokens = 0;
+  /** Software that wrote the output; undefined while there is none. */
+  #origin: OutputOrigin | undefined;
 
   constructor(
     opts: {
@@ -215,11 +218,14 @@
   #discardOutput(): void {
     this.#outputText = "";
     this.#outputTokens = 0;
+    this.#origin = undefined;
   }
 
   async #placeRetry(step: number): Promise<Placement> {
     const plan = this.#plan as CallPlan;
-    const work = this.#runner.createWorkItem(plan, this.#listUnusableEngines());
+    const unusable = this.#listUnusableEngines();
+    this.#requireUsableEngine(unusable);
+    const work = this.#runner.createWorkItem(plan, unusable);
     const placement = await this.#ctx.placementQueue.waitForPlacement(work);
     this.#ctx.journal.append(this.#shard, {
       kind: "call_retried",
@@ -230,16 +236,29 @@
     return placement;
   }
 
+  /**
+   * Fails at once if no engine is left that may continue the output.
+   *
+   * @throws {RequestError} if all engines are unusable
+   */
+  #requireUsableEngine(unusable: string[]): void {
+    const names = this.#ctx.upstreams.engines().map((it) => it.name);
+    if (!this.#origin || names.some((it) => !unusable.includes(it))) return;
+    throw createUpstreamUnavailableError(this.#request.model);
+  }
+
   /**
    * Returns the engines that failed the call and, if output exists, those that
-   * cannot resume it.
+   * must not continue it.
    */
   #listUnusableEngines(): string[] {
-    if (this.#outputTokens === 0) return [...this.#excludedUpstreams];
-    const cannotResume = this.#ctx.upstreams.engines()
-      .map((it) => it.name)
-      .filter((name) => !this.#ctx.loadReader.canResume(name));
-    return [...this.#excludedUpstreams, ...cannotResume];
+    if (!this.#origin) return [...this.#excludedUpstreams];
+    const { upstreams, loadReader } = this.#ctx;
+    const engines = upstreams.engines().map((it) =>
+      loadReader.softwareOf(it.name)
+    );
+    const unable = listUnableToContinue(engines, this.#origin);
+    return [...this.#excludedUpstreams, ...unable];
   }
 
   async #runOnce(
@@ -261,6 +280,7 @@
         onDelta: (delta) => {
           watchdog.recordOutput();
           attempt.firstTokenAt ??= timer.now();
+          this.#origin ??= this.#ctx.loadReader.softwareOf(placement.upstream);
           this.#onDelta(delta);
         },
       });
--- a/packages/engine/src/engine_client.ts
+++ b/packages/engine/src/engine_client.ts
@@ -26,6 +26,8 @@
   cache_limit_tokens: z.number(),
   models: z.array(z.string()),
   can_resume: z.boolean(),
+  /** Version of the engine's software; an unreadable one counts as missing. */
+  software_version: z.string().min(1).optional().catch(undefined),
   highest_fence: z.number(),
 });
 
--- a/packages/sibling/src/messages.ts
+++ b/packages/sibling/src/messages.ts
@@ -79,6 +79,8 @@
 export interface LoadDigest {
   engine: string;
   canResume: boolean;
+  /** Version of the engine's software; undefined if it is not known. */
+  softwareVersion: string | undefined;
   report: LoadReport;
   events: CacheEvent[];
 }
--- a/stand_ins/src/engine/control_server.ts
+++ b/stand_ins/src/engine/control_server.ts
@@ -107,6 +107,7 @@
       cache_limit_tokens: this.#model.cache.limitTokens,
       models: [...this.#models],
       can_resume: this.#settings.canResume,
+      software_version: this.#settings.softwareVersion || undefined,
       highest_fence: this.#highestFence,
     };
   }
--- a/stand_ins/src/engine/settings.ts
+++ b/stand_ins/src/engine/settings.ts
@@ -17,6 +17,7 @@
     .default(DEFAULT_ENGINE_PARAMS.cacheTokens),
   checksOrders: z.boolean().default(true),
   canResume: z.boolean().default(true),
+  softwareVersion: z.string().default("1"),
   eventLagMs: z.number().min(0).default(200),
   eventGapEvery: z.number().int().min(0).default(0),
   loadLagMs: z.number().min(0).default(200),
@@ -83,6 +84,12 @@
           "Whether the engine can resume a stream that another engine started",
         defaultText: "true",
       },
+      softwareVersion: {
+        flag: "software-version",
+        type: "string",
+        help: "Version of its software in load reports; empty reports none",
+        defaultText: "1",
+      },
       eventLagMs: {
         flag: "event-lag-ms",
         type: "number",
