Upstream channel: bytes without a body are bounded

Cause: only the parser's limit of one head bounded what is read besides the body.

Change: a connection that brings more than 128 KiB in a row without a byte of the awaited body is closed as a bad answer (may have run). One counter covers every part, so none can be forgotten.

--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -34,6 +34,8 @@
 
 /** An idle connection is not reused this shortly before its idle timeout. */
 const IDLE_MARGIN_MS = 500;
+/** Bytes that may arrive in a row without a byte of the awaited body. */
+const MAX_BYTES_WITHOUT_BODY = 131_072;
 /** Tells the parser that a response has no body in spite of its headers. */
 const SKIP_BODY = 1;
 /** Idle timeout if the upstream announces none. */
@@ -53,6 +55,7 @@
   #canKeepAlive = true;
   #idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS;
   #idleSince = 0;
+  #bytesWithoutBody = 0;
 
   constructor(opts: ChannelOptions) {
     this.#opts = opts;
@@ -88,6 +91,7 @@
   /** Sends a request. The connection must be idle or new. */
   send(req: OutgoingRequest, handlers: ResponseHandlers): void {
     this.#exchange = { req, handlers, hasDeliveredHead: false, isSent: false };
+    this.#bytesWithoutBody = 0;
     if (this.#isConnected) this.#write();
   }
 
@@ -125,8 +129,10 @@
   #onData(chunk: Buffer): void {
     if (this.#isClosed) return;
     if (!this.#exchange) return this.#close("bad_answer");
+    this.#bytesWithoutBody += chunk.length;
     const parsed = this.#parser.execute(chunk);
-    if (parsed instanceof Error && !this.#isClosed) this.#close("bad_answer");
+    const isEndless = this.#bytesWithoutBody > MAX_BYTES_WITHOUT_BODY;
+    if (parsed instanceof Error || isEndless) this.#close("bad_answer");
   }
 
   #onEnd(): void {
@@ -149,6 +155,7 @@
     };
     parser[HTTPParser.kOnBody] = (buffer, offset, length) => {
       if (this.#isSkipping || !this.#exchange) return;
+      this.#bytesWithoutBody = 0;
       this.#exchange.handlers.onData(buffer.subarray(offset, offset + length));
     };
     parser[HTTPParser.kOnMessageComplete] = () => this.#onComplete();
