Front: an event is bounded, and work for each of its bytes constant

Change: the parts of an event are joined once, when it ends; delimiters are searched in new bytes only. An event of more than 256 KiB fails the attempt as a bad answer.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -56,6 +56,8 @@
 
 /** Response bodies up to this size, in bytes, are buffered until complete. */
 const MAX_BUFFERED_BYTES = 262_144;
+/** A longer event than this, in bytes, is not one. */
+const MAX_EVENT_BYTES = 262_144;
 /** A caller with more unsent response bytes than this is disconnected. */
 const MAX_UNSENT_BYTES = 4_000_000;
 
@@ -124,6 +126,7 @@
       opts.onEvent(event);
       write(event.bytes);
     }
+    if (splitter.partialEventBytes > MAX_EVENT_BYTES) fail(badResponse);
   }
 
   function onBodyData(chunk: Buffer): void {
--- a/packages/front/src/event_splitter.ts
+++ b/packages/front/src/event_splitter.ts
@@ -7,9 +7,14 @@
   data: string;
 }
 
+/** Bytes before the last one of the longest delimiter of events. */
+const MAX_DELIMITER_PREFIX_BYTES = 3;
+
 /** Splits a byte stream into complete events. */
 export class EventSplitter {
-  #pending = Buffer.alloc(0);
+  /** Parts of the incomplete event, which are joined only once. */
+  #parts: Buffer[] = [];
+  #pendingBytes = 0;
   #eventCount = 0;
 
   /** Number of complete events. */
@@ -19,35 +24,53 @@
 
   /** Size of the incomplete event in the buffer, in bytes. */
   get partialEventBytes(): number {
-    return this.#pending.length;
+    return this.#pendingBytes;
   }
 
   /** Appends a chunk and returns the events that it completes. */
   push(chunk: Buffer): StreamEvent[] {
-    const bytes = this.#pending.length > 0
-      ? Buffer.concat([this.#pending, chunk])
-      : chunk;
     const events: StreamEvent[] = [];
-    let start = 0;
-    for (
-      let end = eventEnd(bytes, start);
-      end > 0;
-      end = eventEnd(bytes, start)
-    ) {
-      events.push(parseEvent(bytes.subarray(start, end)));
-      start = end;
+    let rest = chunk;
+    for (let end = this.#endIn(rest); end > 0; end = this.#endIn(rest)) {
+      const parts = [...this.#parts, rest.subarray(0, end)];
+      events.push(parseEvent(Buffer.concat(parts)));
+      this.#parts = [];
+      this.#pendingBytes = 0;
+      rest = rest.subarray(end);
     }
     this.#eventCount += events.length;
-    this.#pending = Buffer.from(bytes.subarray(start));
+    if (rest.length > 0) this.#parts.push(Buffer.from(rest));
+    this.#pendingBytes += rest.length;
     return events;
   }
+
+  /** Returns the index in `rest` after the end of the current event, or 0. */
+  #endIn(rest: Buffer): number {
+    const before = this.#lastPendingBytes();
+    const end = eventEnd(
+      before.length > 0 ? Buffer.concat([before, rest]) : rest,
+    );
+    return Math.max(0, end - before.length);
+  }
+
+  /** Returns the pending bytes in which a delimiter may have begun. */
+  #lastPendingBytes(): Buffer {
+    let last: Buffer = Buffer.alloc(0);
+    for (let i = this.#parts.length - 1; i >= 0; i--) {
+      last = Buffer.concat([this.#parts[i] as Buffer, last]);
+      if (last.length >= MAX_DELIMITER_PREFIX_BYTES) break;
+    }
+    return last.subarray(-MAX_DELIMITER_PREFIX_BYTES);
+  }
 }
 
 /** Returns the index after the empty line that ends an event; 0 if none. */
-function eventEnd(bytes: Buffer, start: number): number {
-  const lf = bytes.indexOf("\n\n", start, "latin1");
-  const crlf = bytes.indexOf("\r\n\r\n", start, "latin1");
-  if (crlf >= 0 && (lf < 0 || crlf < lf)) return crlf + 4;
+function eventEnd(bytes: Buffer): number {
+  const lf = bytes.indexOf("\n\n", 0, "latin1");
+  // A delimiter of CRLFs that begins before may overlap this one by a byte.
+  const beforeLf = lf >= 0 ? bytes.subarray(0, lf + 3) : bytes;
+  const crlf = beforeLf.indexOf("\r\n\r\n", 0, "latin1");
+  if (crlf >= 0) return crlf + 4;
   return lf >= 0 ? lf + 2 : 0;
 }
 
