Front: the body of a declined response is bounded

What callers saw: a call that an upstream declined is not tried elsewhere while the body of that response does not end.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -129,6 +129,13 @@
     if (splitter.partialEventBytes > MAX_EVENT_BYTES) fail(badResponse);
   }
 
+  /** Ignores the body; one that is too long is not awaited. */
+  function onDeclinedData({ status }: ResponseHead): void {
+    if (bodyBytes <= MAX_BUFFERED_BYTES) return;
+    resolveResult({ kind: "declined", status });
+    exchange.cancel();
+  }
+
   function onBodyData(chunk: Buffer): void {
     if (isForwarding) return write(chunk);
     buffered.push(Buffer.from(chunk));
@@ -166,9 +173,10 @@
         else fail(badResponse);
       },
       onData(chunk) {
-        if (!head || protocol.isDeclined(head)) return;
+        if (!head) return;
         bodyBytes += chunk.length;
-        if (isEventStream(head)) onStreamData(chunk);
+        if (protocol.isDeclined(head)) onDeclinedData(head);
+        else if (isEventStream(head)) onStreamData(chunk);
         else onBodyData(chunk);
       },
       onEnd() {
