--- /dev/null
+++ b/packages/front/test/begun_response_test.ts
@@ -0,0 +1,144 @@
+import { expect } from "earl";
+import { request } from "node:http";
+import type { ServerResponse } from "node:http";
+import { after, before, beforeEach, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import type { BodyDelimiter } from "@toucantrestle/upstream_channel";
+import { TestCluster } from "./test_cluster.ts";
+
+const cluster = new TestCluster();
+const BODY_BYTES = 30_000_000;
+const PIECE = Buffer.alloc(65_536, "x");
+/** What a slow caller may hold up between its upstream and itself. */
+const MAX_HELD_BYTES = 12_000_000;
+const DELIMITERS: BodyDelimiter[] = ["length", "chunked", "close"];
+const DELIMITER_HEADERS: Record<BodyDelimiter, string> = {
+  length: `content-length: ${BODY_BYTES}\r\n`,
+  chunked: "transfer-encoding: chunked\r\n",
+  close: "",
+};
+
+let delimiter: BodyDelimiter;
+let sentBytes: number;
+
+before(async () => {
+  cluster.configure([
+    { prefix: "/long/", kind: "non_idempotent", maxRuns: 1, timeoutMs: 20_000 },
+    { prefix: "/warm/" },
+    { prefix: "/short/", kind: "non_idempotent", maxRuns: 1, timeoutMs: 700 },
+  ]);
+  await cluster.addTurnStores(3);
+  await cluster.addUpstream("u", (received, res) => sendBody(received.id, res));
+  await cluster.addFront();
+  await cluster.waitUntilReady("/warm/x");
+});
+
+after(() => cluster.close());
+
+beforeEach(() => {
+  sentBytes = 0;
+});
+
+/** Sends a long body, as fast as it is read. */
+async function sendBody(id: string, res: ServerResponse): Promise<void> {
+  if (res.req.url?.startsWith("/warm/")) return void res.end("warm");
+  const { socket } = res.req;
+  const marks = `x-id: ${id}\r\nx-mark: u\r\n`;
+  socket.write(
+    `HTTP/1.1 200 OK\r\n${marks}${DELIMITER_HEADERS[delimiter]}\r\n`,
+  );
+  while (sentBytes < BODY_BYTES && !socket.destroyed) {
+    const piece = PIECE.subarray(0, BODY_BYTES - sentBytes);
+    sentBytes += piece.length;
+    if (delimiter === "chunked") {
+      socket.write(`${piece.length.toString(16)}\r\n`);
+    }
+    let isFlushed = socket.write(piece);
+    if (delimiter === "chunked") isFlushed = socket.write("\r\n");
+    if (!isFlushed) await once(socket);
+  }
+  if (delimiter === "chunked") socket.write("0\r\n\r\n");
+  if (delimiter === "close") socket.end();
+}
+
+function once(socket: ServerResponse["req"]["socket"]): Promise<void> {
+  return new Promise((resolve) => {
+    socket.once("drain", resolve);
+    socket.once("close", resolve);
+  });
+}
+
+/** A response that a caller reads in its own time. */
+interface SlowResult {
+  bytes: number;
+  /** False if the response looks cut. */
+  looksComplete: boolean;
+  /** Most bytes that were sent by the upstream and not yet read. */
+  mostHeldBytes: number;
+}
+
+/** Reads a response with a pause after each chunk. */
+function readSlowly(path: string, pauseMs: number): Promise<SlowResult> {
+  const [host = "", port = ""] = (cluster.callerAddresses[0] ?? "").split(":");
+  const headers = { host: "x.example", "x-id": `slow-${path}-${delimiter}` };
+  return new Promise((resolve) => {
+    const result = { bytes: 0, looksComplete: true, mostHeldBytes: 0 };
+    const req = request({ host, port, path, headers, agent: false }, (res) => {
+      res.on("data", async (chunk: Buffer) => {
+        result.bytes += chunk.length;
+        const held = sentBytes - result.bytes;
+        result.mostHeldBytes = Math.max(result.mostHeldBytes, held);
+        res.pause();
+        await delay(pauseMs);
+        res.resume();
+      });
+      res.on("error", () => result.looksComplete = false);
+      res.on("close", () => {
+        result.looksComplete &&= res.complete;
+        resolve(result);
+      });
+    });
+    req.on("error", () => result.looksComplete = false);
+    req.end();
+  });
+}
+
+describe("a response that its caller reads slowly", () => {
+  for (const it_ of DELIMITERS) {
+    // Guards against an answer that is cut by us and looks complete.
+    it(`arrives whole and is not stored by the front: ${it_}`, async () => {
+      delimiter = it_;
+      const result = await readSlowly("/long/a", 5);
+      expect([result.bytes, result.looksComplete]).toEqual([BODY_BYTES, true]);
+      expect(result.mostHeldBytes).toBeLessThan(MAX_HELD_BYTES);
+    });
+
+    // Guards against an answer that is cut by us and looks complete.
+    it(`looks cut when its deadline passes: ${it_}`, async () => {
+      delimiter = it_;
+      const result = await readSlowly("/short/a", 20);
+      expect(result.bytes).toBeLessThan(BODY_BYTES);
+      expect(result.looksComplete).toEqual(false);
+    });
+  }
+
+  for (const it_ of DELIMITERS) {
+    // Guards against an answer that is cut by us and looks complete.
+    it(`looks cut when the front's grace period ends: ${it_}`, async () => {
+      const front = await cluster.addFront();
+      const address = cluster.callerAddresses.pop() ?? "";
+      cluster.callerAddresses.unshift(address);
+      await cluster.waitUntilReady("/warm/x");
+      delimiter = it_;
+      sentBytes = 0;
+      const reading = readSlowly("/long/b", 200);
+      await delay(100);
+      front.applySettings({ graceMs: 1_200, seeds: [] });
+      await front.stop();
+      const result = await reading;
+      cluster.callerAddresses.shift();
+      expect(result.bytes).toBeLessThan(BODY_BYTES);
+      expect(result.looksComplete).toEqual(false);
+    });
+  }
+});
