Front: a slow caller slows its own response, and is not cut for it

What callers saw: 200, about 4 of 30 MB, and a connection that closes in order, the end mark of a body without a length or chunks.

Cause: nothing told the upstream's connection to pause, so the front stored what its caller had not read, and cut it at 4 MB.

The limit is gone.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -58,8 +58,6 @@
 const MAX_BUFFERED_BYTES = 262_144;
 /** A longer event than this, in bytes, is not one. */
 const MAX_EVENT_BYTES = 262_144;
-/** A caller with more unsent response bytes than this is disconnected. */
-const MAX_UNSENT_BYTES = 4_000_000;
 
 /** An attempt in progress. */
 export interface Attempt {
@@ -79,6 +77,7 @@
   let bufferedBytes = 0;
   let bodyBytes = 0;
   let isForwarding = opts.resumeAfter !== undefined;
+  let isPaused = false;
   let stopReason: StopReason | undefined;
   let resolveResult: (result: AttemptResult) => void;
   const result = new Promise<AttemptResult>((resolve) => {
@@ -116,8 +115,18 @@
 
   function write(bytes: Buffer): void {
     forwardHead();
-    res.write(bytes);
-    if (res.writableLength > MAX_UNSENT_BYTES) res.destroy();
+    if (!res.write(bytes)) pauseUntilSent();
+  }
+
+  /** Lets a caller that reads slowly slow down its own response. */
+  function pauseUntilSent(): void {
+    if (isPaused) return;
+    isPaused = true;
+    exchange.pause();
+    res.once("drain", () => {
+      isPaused = false;
+      exchange.resume();
+    });
   }
 
   function onStreamData(chunk: Buffer): void {
--- a/packages/front/test/begun_response_test.ts
+++ b/packages/front/test/begun_response_test.ts
@@ -11,6 +11,8 @@
 const PIECE = Buffer.alloc(65_536, "x");
 /** What a slow caller may hold up between its upstream and itself. */
 const MAX_HELD_BYTES = 12_000_000;
+/** The process may exit as soon as the front has stopped. */
+const EXIT_MS = 500;
 const DELIMITERS: BodyDelimiter[] = ["length", "chunked", "close"];
 const DELIMITER_HEADERS: Record<BodyDelimiter, string> = {
   length: `content-length: ${BODY_BYTES}\r\n`,
@@ -135,7 +137,9 @@
       await delay(100);
       front.applySettings({ graceMs: 1_200, seeds: [] });
       await front.stop();
+      const stoppedAt = performance.now();
       const result = await reading;
+      expect(performance.now() - stoppedAt).toBeLessThan(EXIT_MS);
       cluster.callerAddresses.shift();
       expect(result.bytes).toBeLessThan(BODY_BYTES);
       expect(result.looksComplete).toEqual(false);
--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -100,6 +100,16 @@
     if (this.#exchange?.req.id === id) this.#close("cancelled");
   }
 
+  /** Stops reading the response to the request with this id. */
+  pause(id: string): void {
+    if (this.#exchange?.req.id === id) this.#socket.pause();
+  }
+
+  /** Reads the response to the request with this id again. */
+  resume(id: string): void {
+    if (this.#exchange?.req.id === id) this.#socket.resume();
+  }
+
   /** Closes the connection, which cancels the request in flight. */
   close(): void {
     this.#close("cancelled");
@@ -196,6 +206,7 @@
     const exchange = this.#exchange;
     if (!exchange) return;
     this.#exchange = undefined;
+    this.#socket.resume();
     this.#idleSince = this.#opts.timer.monotonicNow();
     const { offset, end } = this.#parser as unknown as ParserPosition;
     const hasExtraBytes = offset < end;
--- a/packages/upstream_channel/src/channel_pool.ts
+++ b/packages/upstream_channel/src/channel_pool.ts
@@ -2,6 +2,7 @@
 import type { Timer } from "@toucantrestle/timer";
 import { Channel } from "./channel.ts";
 import type {
+  ExchangeControl,
   OutgoingRequest,
   ResponseHandlers,
   ResponseHead,
@@ -46,10 +47,14 @@
   }
 
   /** Sends a request on an idle connection, or on a new one if none is idle. */
-  send(req: OutgoingRequest, handlers: ResponseHandlers): { cancel(): void } {
+  send(req: OutgoingRequest, handlers: ResponseHandlers): ExchangeControl {
     const channel = this.#popIdle() ?? this.#open();
     channel.send(req, handlers);
-    return { cancel: () => channel.cancel(req.id) };
+    return {
+      cancel: () => channel.cancel(req.id),
+      pause: () => channel.pause(req.id),
+      resume: () => channel.resume(req.id),
+    };
   }
 
   /** Closes all connections, which cancels the requests in flight. */
--- a/packages/upstream_channel/src/exchange.ts
+++ b/packages/upstream_channel/src/exchange.ts
@@ -51,3 +51,12 @@
   onEnd(): void;
   onFailure(failure: ChannelFailure): void;
 }
+
+/** Controls an exchange in flight; has no effect after its end. */
+export interface ExchangeControl {
+  /** Closes the connection. */
+  cancel(): void;
+  /** Stops reading, so that the upstream stops sending. */
+  pause(): void;
+  resume(): void;
+}
--- a/packages/upstream_channel/src/mod.ts
+++ b/packages/upstream_channel/src/mod.ts
@@ -7,6 +7,7 @@
 export type {
   BodyDelimiter,
   ChannelFailure,
+  ExchangeControl,
   OutgoingRequest,
   ResponseHandlers,
   ResponseHead,
