Links: the test's port is not one that an outgoing connection may claim

The test leaves a port of the kernel's ephemeral range closed for 0.3 to 2.4 s, and another process's connection took it. The harness already avoids that range; this test does now. The checks are the same.

--- a/packages/link/test/link_test.ts
+++ b/packages/link/test/link_test.ts
@@ -5,7 +5,8 @@
   type TimerScope,
 } from "@toucantrestle/timer";
 import { expect } from "earl";
-import { type AddressInfo, createServer } from "node:net";
+import { randomInt } from "node:crypto";
+import { createServer } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { LinkClient, LinkServer } from "../src/mod.ts";
 
@@ -13,6 +14,12 @@
 type Notices = { news: string };
 
 const log = createNoopLoggers()("link");
+/**
+ * Below the ephemeral ports of the kernel: an outgoing connection could claim a
+ * port while nothing listens on it.
+ */
+const LOWEST_PORT = 12_000;
+const HIGHEST_PORT = 31_000;
 const POLL_INTERVAL_MS = 5;
 const WAIT_TIMEOUT_MS = 4_000;
 const REQUEST_TIMEOUT_MS = 500;
@@ -104,14 +111,18 @@
 }
 
 /** Returns a loopback address on which no server listens. */
-function freeAddress(): Promise<string> {
-  return new Promise((resolve, reject) => {
+async function freeAddress(): Promise<string> {
+  while (true) {
+    const port = randomInt(LOWEST_PORT, HIGHEST_PORT);
+    if (await canListen(port)) return `127.0.0.1:${port}`;
+  }
+}
+
+function canListen(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once("error", reject);
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(`127.0.0.1:${port}`));
-    });
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
   });
 }
 
