Services: a response of a service is bounded

What callers would see, on the product's own interface: a daemon that stores what a service sends without end until the call's deadline (201 MB in 2 s in the test).

Change: after 16 MB the call fails as malformed, may have run, and its connection is closed.

Evidence: one case of service_client_test failed before and passes now. Suspected only.

--- a/packages/service/src/service_client.ts
+++ b/packages/service/src/service_client.ts
@@ -12,6 +12,9 @@
   UpstreamError,
 } from "@toucantrestle/verdict";
 
+/** A larger response is treated as malformed. */
+const MAX_RESPONSE_BYTES = 16_000_000;
+
 /** A call to a service route. */
 export interface ServiceCall {
   requestId: string;
@@ -82,6 +85,8 @@
 
   #exchange(call: ServiceCall): Promise<ServiceResponse> {
     const chunks: Buffer[] = [];
+    let bodyBytes = 0;
+    let isTooLarge = false;
     let head: ResponseHead | undefined;
     let hasTimedOut = false;
     return new Promise((resolve, reject) => {
@@ -89,14 +94,20 @@
         onHead: (received) => {
           head = received;
         },
-        onData: (chunk) => chunks.push(Buffer.from(chunk)),
+        onData: (chunk) => {
+          chunks.push(Buffer.from(chunk));
+          bodyBytes += chunk.length;
+          isTooLarge = bodyBytes > MAX_RESPONSE_BYTES;
+          if (isTooLarge) exchange.cancel();
+        },
         onEnd: () => {
           timeout.cancel();
           resolve(toResponse(head as ResponseHead, chunks));
         },
         onFailure: (failure) => {
           timeout.cancel();
-          reject(this.#toError(failure, hasTimedOut));
+          const reason = isTooLarge ? "bad_answer" : failure.reason;
+          reject(this.#toError({ ...failure, reason }, hasTimedOut));
         },
       });
       const timeout = this.#timer.after(call.deadlineMs, () => {
--- a/packages/service/test/service_client_test.ts
+++ b/packages/service/test/service_client_test.ts
@@ -6,6 +6,8 @@
 import { ServiceClient, type ServiceResponse } from "../src/mod.ts";
 
 const RESET_DELAY_MS = 20;
+/** Above the largest response, for kernel buffers as well. */
+const MAX_SENT_BYTES = 32_000_000;
 const closers: (() => void)[] = [];
 
 afterEach(() => {
@@ -143,4 +145,23 @@
     );
     expect(await verdictOf(client)).toEqual("not_run");
   });
+
+  // Guards against a service whose response never ends.
+  it("fails after bounded bytes if a response does not end", async () => {
+    let sentBytes = 0;
+    const piece = Buffer.alloc(262_144, "x");
+    const client = await startService((socket) => {
+      socket.write(`${HEAD}\r\n`);
+      const writeOn = () => {
+        while (!socket.destroyed) {
+          sentBytes += piece.length;
+          if (!socket.write(piece)) return void socket.once("drain", writeOn);
+        }
+      };
+      writeOn();
+    });
+    const result = await call(client).catch((err) => err.verdict as string);
+    expect(result).toEqual("may_have_run");
+    expect(sentBytes).toBeLessThan(MAX_SENT_BYTES);
+  });
 });
