--- a/packages/front/test/begun_response_test.ts
+++ b/packages/front/test/begun_response_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
-import { request } from "node:http";
-import type { ServerResponse } from "node:http";
+import { request, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { after, before, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import type { BodyDelimiter } from "@toucantrestle/upstream_channel";
@@ -60,16 +60,22 @@
     }
     let isFlushed = socket.write(piece);
     if (delimiter === "chunked") isFlushed = socket.write("\r\n");
-    if (!isFlushed) await once(socket);
+    if (!isFlushed) await waitUntilWritable(socket);
   }
   if (delimiter === "chunked") socket.write("0\r\n\r\n");
   if (delimiter === "close") socket.end();
 }
 
-function once(socket: ServerResponse["req"]["socket"]): Promise<void> {
+/** Resolves when the socket takes more, or is closed. */
+function waitUntilWritable(socket: Socket): Promise<void> {
   return new Promise((resolve) => {
-    socket.once("drain", resolve);
-    socket.once("close", resolve);
+    const finish = () => {
+      socket.off("drain", finish);
+      socket.off("close", finish);
+      resolve();
+    };
+    socket.once("drain", finish);
+    socket.once("close", finish);
   });
 }
 
