--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -165,7 +165,8 @@
         },
       });
       this.#notify();
-    } catch {
+    } catch (err) {
+      this.#log.debug(`cannot load the key-value service: ${String(err)}`);
       this.#scheduleReload();
     }
   }
--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -11,7 +11,6 @@
 import {
   createServer,
   type IncomingMessage,
-  request,
   type Server,
   type ServerResponse,
 } from "node:http";
@@ -19,8 +18,11 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Front } from "../src/mod.ts";
+import { type CallResult, sendRequest } from "./send_request.ts";
 import { testProtocol } from "./test_protocol.ts";
 
+export { type CallResult, sendRequest } from "./send_request.ts";
+
 const timer = createTimerScope(createSystemTimer());
 const READY_TIMEOUT_MS = 8_000;
 /** Header limit of upstreams, above the limit for callers, in bytes. */
@@ -40,15 +42,6 @@
   res: ServerResponse,
 ) => void;
 
-/** Response as a caller received it. */
-export interface CallResult {
-  status: number;
-  body: string;
-  /** False if the connection closed before the response was complete. */
-  isComplete: boolean;
-  headers: IncomingMessage["headers"];
-}
-
 /** In-process fronts, turn stores, upstreams and the store of one test. */
 export class TestCluster {
   readonly store = new MemoryStore();
@@ -350,46 +343,6 @@
   } else if (isCut || delimiter === "close") socket.end();
 }
 
-/** Sends a request to an address and reads the response. */
-export function sendRequest(
-  address: string,
-  path: string,
-  opts: { headers?: Record<string, string>; body?: string } = {},
-): Promise<CallResult> {
-  const url = new URL(`http://${address}`);
-  return new Promise((resolve, reject) => {
-    let hasResponse = false;
-    let isReset = false;
-    const req = request({
-      host: url.hostname,
-      port: url.port,
-      path,
-      method: opts.body === undefined ? "GET" : "POST",
-      headers: { host: "x.example", ...opts.headers },
-      agent: false,
-    }, (res) => {
-      hasResponse = true;
-      let body = "";
-      res.on("data", (chunk) => body += chunk);
-      res.on("error", () => {});
-      res.on("close", () =>
-        resolve({
-          status: res.statusCode ?? 0,
-          body,
-          isComplete: res.complete && !isReset,
-          headers: res.headers,
-        }));
-    });
-    // Node.js reports a response without a length as complete even if its
-    // connection is reset.
-    req.on("error", (err) => {
-      isReset = true;
-      if (!hasResponse) reject(err);
-    });
-    req.end(opts.body);
-  });
-}
-
 async function freeAddress(): Promise<string> {
   const server = createTcpServer();
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
--- a/packages/host_list/src/mod.ts
+++ b/packages/host_list/src/mod.ts
@@ -44,8 +44,8 @@
           signal: AbortSignal.timeout(opts.timeoutMs),
         });
         return listSchema.parse(await res.body.json()).hosts;
-      } catch {
-        throw new UnavailableError("cannot read the host list");
+      } catch (err) {
+        throw new UnavailableError("cannot read the host list", { cause: err });
       }
     },
   };
