Engine client: a response and an event are bounded

What callers would see, on the product's own interface: a daemon that takes in what an engine sends without end (1,258 MB in one load report of the test, 2 s).

Change: a response of more than 16 MB fails, may have run; so does an event of more than 262,144 characters, which was joined again with each chunk.

Evidence: two cases of engine_client_test failed before and pass now. Suspected only.

--- a/packages/engine/src/engine_client.ts
+++ b/packages/engine/src/engine_client.ts
@@ -59,6 +59,8 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const CONTROL_TIMEOUT_MS = 2_000;
 const KEEP_ALIVE_MS = 2_000;
+/** Largest response, of a whole stream. */
+const MAX_RESPONSE_BYTES = 16_000_000;
 
 /** Client of one model engine. */
 export class EngineClient {
@@ -71,6 +73,7 @@
       connect: { timeout: CONNECT_TIMEOUT_MS },
       keepAliveTimeout: KEEP_ALIVE_MS,
       bodyTimeout: 0,
+      maxResponseSize: MAX_RESPONSE_BYTES,
       headersTimeout: 0,
     });
   }
--- a/packages/engine/src/stream_parser.ts
+++ b/packages/engine/src/stream_parser.ts
@@ -32,6 +32,8 @@
 const EVENT_SEPARATOR = "\n\n";
 const DATA_PREFIX = "data: ";
 const DONE_MARKER = "[DONE]";
+/** A longer event than this, in characters, is not one. */
+const MAX_EVENT_LENGTH = 262_144;
 
 /**
  * Parses the server-sent events of a streamed completion. Events that contain
@@ -49,12 +51,19 @@
     return this.#isDone;
   }
 
-  /** Reads a chunk of the stream and returns the events that it completes. */
+  /**
+   * Reads a chunk of the stream and returns the events that it completes.
+   *
+   * @throws {Error} if an event is too long
+   */
   read(chunk: string): CompletionDelta {
     const text = this.#buffer + chunk;
     const end = text.lastIndexOf(EVENT_SEPARATOR);
     if (end === -1) {
       this.#buffer = text;
+      if (text.length > MAX_EVENT_LENGTH) {
+        throw new Error(`event exceeds ${MAX_EVENT_LENGTH} characters`);
+      }
       return { events: "", text: "", tokens: 0 };
     }
     this.#buffer = text.slice(end + EVENT_SEPARATOR.length);
--- a/packages/engine/test/engine_client_test.ts
+++ b/packages/engine/test/engine_client_test.ts
@@ -2,7 +2,10 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { type CompletionCall, EngineClient } from "../src/mod.ts";
+import { StreamParser } from "../src/stream_parser.ts";
 
+/** Above the largest response, for kernel buffers as well. */
+const MAX_SENT_BYTES = 32_000_000;
 const RESET_DELAY_MS = 20;
 const DELIMITERS = ["length", "chunked", "close"] as const;
 const ENDINGS = ["close", "reset"] as const;
@@ -42,12 +45,19 @@
   else setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
 }
 
-async function startEngine(response: EngineResponse): Promise<EngineClient> {
+function startEngine(response: EngineResponse): Promise<EngineClient> {
+  return listen((socket) => respond(socket, response));
+}
+
+/** Starts an engine that handles each request's connection as given. */
+async function listen(
+  onRequest: (socket: Socket) => void,
+): Promise<EngineClient> {
   const sockets = new Set<Socket>();
   const server = createServer((socket) => {
     sockets.add(socket);
     socket.on("error", () => socket.destroy());
-    socket.on("data", () => respond(socket, response));
+    socket.on("data", () => onRequest(socket));
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
@@ -141,3 +151,38 @@
     });
   }
 });
+
+describe("a response of an engine that does not end", () => {
+  // Guards against an engine whose response never ends.
+  it("fails after bounded bytes", async () => {
+    let sentBytes = 0;
+    const piece = Buffer.alloc(262_144, " ");
+    const client = await listen((socket) => {
+      socket.write("HTTP/1.1 200 OK\r\n\r\n");
+      const writeOn = () => {
+        while (!socket.destroyed) {
+          sentBytes += piece.length;
+          if (!socket.write(piece)) return void socket.once("drain", writeOn);
+        }
+      };
+      writeOn();
+    });
+    const result = await client.fetchLoad().catch((err) =>
+      err.verdict as string
+    );
+    expect(result).toEqual("may_have_run");
+    expect(sentBytes).toBeLessThan(MAX_SENT_BYTES);
+  });
+
+  // Guards against an event without end, which is copied with each chunk.
+  it("fails when one event does not end", () => {
+    const parser = new StreamParser();
+    const piece = "x".repeat(16_384);
+    const readOn = () => {
+      for (let sent = 0; sent < MAX_SENT_BYTES; sent += piece.length) {
+        parser.read(piece);
+      }
+    };
+    expect(readOn).toThrow("event exceeds");
+  });
+});
