Config store: a response and a line of a watch are bounded

What operators would see, on the product's own interface: a daemon that takes in what the key-value service sends without end (1,053 MB in one read of the test).

Change: a response of more than 32 MB fails; a watch with a line of more than 8 million characters ends as lost. New text alone is searched for line ends.

Evidence: two cases of http_store_test failed before and pass now. Suspected only.

--- a/packages/config_store/src/http_store.ts
+++ b/packages/config_store/src/http_store.ts
@@ -40,6 +40,9 @@
 const WATCH_CHECK_TIMEOUT_MS = 700;
 /** Time for an event that is on its way when the service has a newer key. */
 const EVENT_DELAY_MS = 300;
+const MAX_RESPONSE_BYTES = 32_000_000;
+/** Longest line of a watch, in characters. */
+const MAX_WATCH_LINE_LENGTH = 8_000_000;
 const CONNECTION_COUNT = 4;
 const REQUESTS_PER_CONNECTION = 1;
 
@@ -53,7 +56,11 @@
     this.#opts = opts;
     this.#clients = Array.from(
       { length: CONNECTION_COUNT },
-      () => new Client(opts.url, { pipelining: REQUESTS_PER_CONNECTION }),
+      () =>
+        new Client(opts.url, {
+          pipelining: REQUESTS_PER_CONNECTION,
+          maxResponseSize: MAX_RESPONSE_BYTES,
+        }),
     );
   }
 
@@ -210,8 +217,11 @@
     let partialLine = "";
     for await (const chunk of res.body.setEncoding("utf8")) {
       if (this.#opts.isCut?.()) return "lost";
-      const lines = (partialLine + chunk).split("\n");
+      const text = String(chunk);
+      const lines = text.split("\n");
+      lines[0] = partialLine + lines[0];
       partialLine = lines.pop() ?? "";
+      if (partialLine.length > MAX_WATCH_LINE_LENGTH) return "lost";
       for (const line of lines) {
         const reason = handleWatchLine(line, handlers);
         if (reason) return reason;
--- a/packages/config_store/test/http_store_test.ts
+++ b/packages/config_store/test/http_store_test.ts
@@ -2,9 +2,12 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { HttpStore, type StoreEvent, type WatchEndReason } from "../src/mod.ts";
 
 const WAIT_MS = 2_000;
+/** Above the largest response of two reads, for kernel buffers as well. */
+const MAX_SENT_BYTES = 150_000_000;
 let server: Server | undefined;
 let store: HttpStore | undefined;
 
@@ -117,4 +120,42 @@
     });
     expect([reason, events]).toEqual(["lost", []]);
   });
+
+  // Guards against a service whose response never ends.
+  it("ends as lost when a line does not end", async () => {
+    const { reason } = await watch(
+      (res) => pour(res, () => {}),
+      (res) => sendChangedKeys(res, []),
+    );
+    expect(reason).toEqual("lost");
+  });
 });
+
+describe("a read of HttpStore", () => {
+  // Guards against a service whose response never ends.
+  it("fails after bounded bytes if its response does not end", async () => {
+    let sentBytes = 0;
+    const previous = store;
+    const watching = watch(
+      startSilentWatch,
+      (res) => pour(res, (bytes) => sentBytes += bytes),
+    );
+    while (store === previous) await delay(1);
+    const result = await store?.list("p/").catch((err) => err.verdict);
+    expect(result).toEqual("may_have_run");
+    expect(sentBytes).toBeLessThan(MAX_SENT_BYTES);
+    await watching;
+  });
+});
+
+/** Writes a line that never ends, as fast as it is read. */
+function pour(res: ServerResponse, onSent: (bytes: number) => void): void {
+  const piece = Buffer.alloc(262_144, " ");
+  const writeOn = () => {
+    while (!res.destroyed) {
+      onSent(piece.length);
+      if (!res.write(piece)) return void res.once("drain", writeOn);
+    }
+  };
+  writeOn();
+}
