Fronts: log what an upstream says about itself in its responses (LIMIT)

Missing signals of the incident: a log line did not tell whether a response named a limit. The adapter reads the limit and whether the upstream is leaving; the newest notice of each upstream is kept and each change logged (limited, unlimited, leaving); routed has the limit that the front knows.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -51,7 +51,8 @@
   timeLeftMs: number;
   /** Called with each event before it is forwarded. */
   onEvent: (event: StreamEvent) => void;
-  onFirstByte: () => void;
+  /** Called with the head of each response of the upstream. */
+  onHead: (head: ResponseHead) => void;
 }
 
 /** Response bodies up to this size, in bytes, are buffered until complete. */
@@ -175,7 +176,7 @@
     },
     {
       onHead(received) {
-        opts.onFirstByte();
+        opts.onHead(received);
         const hasExpectedStatus = opts.resumeAfter === undefined ||
           received.status === 200 || protocol.isDeclined(received);
         if (hasExpectedStatus && isTrusted(received, protocol)) head = received;
--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -111,7 +111,10 @@
         this.#choice.hasEvents = true;
         this.#turn?.recordEvent(event);
       },
-      onFirstByte: () => start.load.endPrefill(),
+      onHead: (head) => {
+        start.load.endPrefill();
+        this.#opts.noticeReader.read(upstream.entry, head);
+      },
     });
     const result = await this.#awaitResult(attempt, timeLeftMs);
     start.load.end();
@@ -383,6 +386,7 @@
       configVersion: this.#call.config.version,
       upstreamsAgeMs: Math.round(upstreamsAgeMs()),
       running: load.running,
+      maxRequestsPerS: upstreamRegistry.notices.maxRequestsPerS(id),
       waitingTokens: this.#turn ? load.prefillTokens : undefined,
       unreadTokens: this.#turn ? opts.uncachedTokens : undefined,
       timeLeftMs: Math.round(opts.timeLeftMs),
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -20,6 +20,7 @@
 import type { Digest, FrontState } from "./protocol.ts";
 import { listen, MAX_HEADER_BYTES } from "./listen.ts";
 import type { FrontOptions } from "./front_options.ts";
+import { NoticeReader } from "./notice_reader.ts";
 import { LoadSharing } from "./load_sharing.ts";
 import { readCall } from "./read_call.ts";
 import { serveCall } from "./serve_call.ts";
@@ -79,6 +80,12 @@
         pools.remove(id);
       },
     });
+    const noticeReader = new NoticeReader({
+      protocol,
+      notices: this.#upstreamRegistry.notices,
+      timer,
+      log: loggers("upstream"),
+    });
     this.#configWatcher = new ConfigWatcher({
       protocol,
       log: loggers("config"),
@@ -106,6 +113,7 @@
       upstreamRegistry: this.#upstreamRegistry,
       prefixIndex,
       crashTracker: new CrashTracker(),
+      noticeReader,
       pools,
       turnStore: this.#turnStore,
       chooser: opts.chooser,
@@ -163,10 +171,7 @@
     await listen(this.#callerServer, this.#opts.callerAddress);
     await this.#listenAuxiliary(this.#opts.readyAddress);
     await this.#listenAuxiliary(this.#opts.directoryAddress);
-    timer.every(
-      SWEEP_INTERVAL_MS,
-      () => this.#serveOptions.crashTracker.sweep(timer.monotonicNow()),
-    );
+    timer.every(SWEEP_INTERVAL_MS, () => this.#sweep());
   }
 
   /** Applies settings that may change at runtime. */
@@ -254,6 +259,12 @@
       this.#configWatcher.config !== undefined;
   }
 
+  #sweep(): void {
+    const now = this.#opts.timer.monotonicNow();
+    this.#serveOptions.crashTracker.sweep(now);
+    this.#upstreamRegistry.notices.sweep(now);
+  }
+
   /** Returns the speed of a service's engines, learned from its answers. */
   #speedOf(service: string): SpeedEstimate {
     let speed = this.#speeds.get(service);
--- /dev/null
+++ b/packages/front/src/notice_reader.ts
@@ -0,0 +1,60 @@
+import type { Logger } from "@toucantrestle/log";
+import type {
+  NoticeChange,
+  ReceivedNotice,
+  UpstreamEntry,
+  UpstreamNotices,
+} from "@toucantrestle/routing";
+import type { Timer } from "@toucantrestle/timer";
+import type { ResponseHead } from "@toucantrestle/upstream_channel";
+import type { Protocol } from "./protocol.ts";
+
+/** Options of `NoticeReader`. */
+export interface NoticeReaderOptions {
+  protocol: Protocol;
+  notices: UpstreamNotices;
+  timer: Timer;
+  log: Logger;
+}
+
+const CHANGE_TEXTS: Record<NoticeChange, string> = {
+  limited: "limits its requests",
+  unlimited: "limits its requests no longer",
+  leaving: "says that it is leaving",
+};
+
+/** Reads what upstreams say about themselves in the heads of responses. */
+export class NoticeReader {
+  readonly #opts: NoticeReaderOptions;
+
+  constructor(opts: NoticeReaderOptions) {
+    this.#opts = opts;
+  }
+
+  /** Records the notice in a response; one without an upstream's mark has none. */
+  read(entry: UpstreamEntry, head: ResponseHead): void {
+    const { protocol, timer } = this.#opts;
+    const isFromUpstream = protocol.hasUpstreamMark(head) ||
+      protocol.isDeclined(head);
+    if (!isFromUpstream) return;
+    this.#record({
+      ...protocol.parseNotice(head),
+      upstream: entry.id,
+      startedAt: entry.startedAt,
+      at: timer.monotonicNow(),
+    });
+  }
+
+  #record(notice: ReceivedNotice): void {
+    for (const change of this.#opts.notices.record(notice)) {
+      this.#opts.log.info(
+        `upstream ${notice.upstream} ${CHANGE_TEXTS[change]}`,
+        {
+          event: change,
+          upstream: notice.upstream,
+          maxRequestsPerS: notice.maxRequestsPerS,
+        },
+      );
+    }
+  }
+}
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -4,6 +4,7 @@
   RoutingConfig,
   UpstreamEntry,
   UpstreamLoad,
+  UpstreamNotice,
 } from "@toucantrestle/routing";
 import type { RecordMethod, SettleNotice } from "@toucantrestle/turn_store";
 import type { ResponseHead } from "@toucantrestle/upstream_channel";
@@ -66,6 +67,8 @@
   isDeclined(head: ResponseHead): boolean;
   /** Whether a response carries the mark of an upstream. */
   hasUpstreamMark(head: ResponseHead): boolean;
+  /** Parses what an upstream says about itself in the head of a response. */
+  parseNotice(head: ResponseHead): UpstreamNotice;
   /** Serialises the body of a directory response. */
   formatDirectoryResponse(
     response: { addresses: string[]; ttlMs: number },
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -9,6 +9,7 @@
 } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
 import type { TurnStoreClient } from "@toucantrestle/turn_store";
+import type { NoticeReader } from "./notice_reader.ts";
 import type { Protocol } from "./protocol.ts";
 import type { UpstreamPools } from "./upstream_pools.ts";
 
@@ -18,6 +19,7 @@
   upstreamRegistry: UpstreamRegistry;
   prefixIndex: PrefixIndex;
   crashTracker: CrashTracker;
+  noticeReader: NoticeReader;
   pools: UpstreamPools;
   turnStore: TurnStoreClient;
   chooser: ChooserName;
--- a/packages/front/test/test_protocol.ts
+++ b/packages/front/test/test_protocol.ts
@@ -38,6 +38,10 @@
   echoedRequestId: (head) => head.headers.get("x-id"),
   isDeclined: (head) => head.headers.has("x-not-run"),
   hasUpstreamMark: (head) => head.headers.has("x-mark"),
+  parseNotice: ({ headers }) => ({
+    maxRequestsPerS: parseNumber(headers.get("x-limit")),
+    isLeaving: headers.has("x-leaving"),
+  }),
   formatDirectoryResponse: (response) => JSON.stringify(response),
   parseConfig: (value) => JSON.parse(value) as RoutingConfig,
   parseUpstream: (_key, value) => JSON.parse(value) as UpstreamEntry,
@@ -48,6 +52,9 @@
 }
 
 function number(headers: IncomingHttpHeaders, name: string) {
-  const value = text(headers, name);
+  return parseNumber(text(headers, name));
+}
+
+function parseNumber(value: string | undefined) {
   return value === undefined ? undefined : Number(value);
 }
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -19,6 +19,12 @@
   type UpstreamLoad,
   UpstreamRegistry,
 } from "./upstream_registry.ts";
+export {
+  type NoticeChange,
+  type ReceivedNotice,
+  type UpstreamNotice,
+  UpstreamNotices,
+} from "./upstream_notices.ts";
 export { PrefixIndex, type PromptPart } from "./prefix_index.ts";
 export {
   type ChooserInput,
--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -1,4 +1,5 @@
 import type { UpstreamEntry } from "./upstream_entry.ts";
+import { UpstreamNotices } from "./upstream_notices.ts";
 
 /** Running requests of an upstream and prompt tokens waiting for prefill. */
 export interface UpstreamLoad {
@@ -47,6 +48,8 @@
 
 /** Tracks all upstreams by id. Times are in ms on the monotonic clock. */
 export class UpstreamRegistry {
+  /** What the upstreams have said about themselves in responses. */
+  readonly notices = new UpstreamNotices();
   readonly #upstreams = new Map<string, TrackedUpstream>();
   readonly #meanMs = new Map<string, number>();
   readonly #onInstanceGone: (id: string) => void;
