Fronts: the assignment of upstreams to collectors is a part of its own

LoadSharing chose the collector of an upstream itself; a limit for all fronts together needs the same choice. No change of behaviour; load_sharing_test passes with its fixture giving the new part.

--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -15,6 +15,7 @@
 } from "node:http";
 import { abortResponse, sendText } from "./responses.ts";
 import type { Call } from "./call.ts";
+import { Collectors } from "./collectors.ts";
 import { ConfigWatcher } from "./config_watcher.ts";
 import { buildDirectoryResponse } from "./directory.ts";
 import type { Digest, FrontState } from "./protocol.ts";
@@ -146,11 +147,17 @@
       timer,
       log: loggers("sibling"),
     });
+    const collectors = new Collectors({
+      self: host,
+      timer,
+      siblings: this.#siblings,
+    });
     this.#loadSharing = new LoadSharing({
       self: host,
       timer,
       upstreamRegistry: this.#upstreamRegistry,
       siblings: this.#siblings,
+      collectors,
       isEnabled: !opts.disabled.has("shared_loads"),
       log: loggers("sibling"),
     });
--- a/packages/front/src/load_sharing.ts
+++ b/packages/front/src/load_sharing.ts
@@ -1,5 +1,4 @@
 import type { Logger } from "@toucantrestle/log";
-import { rankByRendezvous } from "@toucantrestle/membership";
 import type {
   TrackedUpstream,
   UpstreamLoad,
@@ -7,11 +6,11 @@
 } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
 import type { WorkKind } from "@toucantrestle/policy";
+import type { Collectors } from "./collectors.ts";
 import type { FrontMethods, LoadReport } from "./protocol.ts";
 
 /** Links to the siblings that `LoadSharing` needs. */
 export interface LoadLinks {
-  readonly connectedHosts: string[];
   sendLoads(host: string, report: LoadReport): void;
   queryLoads(
     host: string,
@@ -26,6 +25,7 @@
   timer: Timer;
   upstreamRegistry: UpstreamRegistry;
   siblings: LoadLinks;
+  collectors: Collectors;
   /** False to share nothing. */
   isEnabled: boolean;
   log: Logger;
@@ -38,8 +38,6 @@
 const COLLECTOR_DELAY_MS = 20;
 /** A load without changes is reported again after this time. */
 const REFRESH_INTERVAL_MS = 600;
-/** Fronts that join or leave change the collectors after this time. */
-const COLLECTORS_TTL_MS = 250;
 /** A collector that does not answer within this time is not waited for. */
 const QUERY_TIMEOUT_MS = 25;
 
@@ -55,9 +53,6 @@
   readonly #changed = new Set<string>();
   /** Upstreams whose load was reported at least once. */
   readonly #reported = new Set<string>();
-  readonly #collectors = new Map<string, string>();
-  #collectorsAt = -Infinity;
-  #siblings: string[] = [];
   #isScheduled = false;
 
   constructor(opts: LoadSharingOptions) {
@@ -110,7 +105,7 @@
     if (!this.#opts.isEnabled || this.#isBroadcasting) return;
     const idsByCollector = new Map<string, string[]>();
     for (const known of upstreams) {
-      const collector = this.#collectorOf(known.entry.id);
+      const collector = this.#opts.collectors.of(known.entry.id);
       if (collector === this.#opts.self) known.queriedLoad = undefined;
       else append(idsByCollector, collector, known.entry.id);
     }
@@ -133,28 +128,7 @@
   }
 
   get #isBroadcasting(): boolean {
-    this.#updateSiblings();
-    return this.#siblings.length <= MAX_BROADCAST_SIBLINGS;
-  }
-
-  #updateSiblings(): void {
-    const now = this.#opts.timer.monotonicNow();
-    if (now - this.#collectorsAt < COLLECTORS_TTL_MS) return;
-    this.#collectorsAt = now;
-    this.#siblings = this.#opts.siblings.connectedHosts;
-    this.#collectors.clear();
-  }
-
-  /** Returns the front that collects the loads of an upstream. */
-  #collectorOf(id: string): string {
-    this.#updateSiblings();
-    const known = this.#collectors.get(id);
-    if (known !== undefined) return known;
-    const { self } = this.#opts;
-    const collector = rankByRendezvous(id, [self, ...this.#siblings])[0] ??
-      self;
-    this.#collectors.set(id, collector);
-    return collector;
+    return this.#opts.collectors.siblings.length <= MAX_BROADCAST_SIBLINGS;
   }
 
   /** Repeats the loads that are not zero, before they expire at siblings. */
@@ -171,11 +145,15 @@
     const ids = [...this.#changed];
     this.#changed.clear();
     if (this.#isBroadcasting) {
-      for (const host of this.#siblings) this.#sendReport(host, ids);
+      for (const host of this.#opts.collectors.siblings) {
+        this.#sendReport(host, ids);
+      }
       return;
     }
     const idsByCollector = new Map<string, string[]>();
-    for (const id of ids) append(idsByCollector, this.#collectorOf(id), id);
+    for (const id of ids) {
+      append(idsByCollector, this.#opts.collectors.of(id), id);
+    }
     for (const [host, collected] of idsByCollector) {
       if (host !== this.#opts.self) this.#sendReport(host, collected);
     }
--- a/packages/front/test/load_sharing_test.ts
+++ b/packages/front/test/load_sharing_test.ts
@@ -4,6 +4,7 @@
 import { createManualTimer, type ManualTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { Collectors } from "../src/collectors.ts";
 import { LoadSharing } from "../src/load_sharing.ts";
 
 describe("load sharing among few fronts", () => {
@@ -132,6 +133,7 @@
         timer,
         upstreamRegistry,
         siblings,
+        collectors: new Collectors({ self, timer, siblings }),
         isEnabled: true,
         log,
       }),
