Fronts: a limit that an upstream names is kept by all fronts together (LIMIT)

Cause: nothing read what an upstream says about itself, and fronts share loads in progress but no rates, so that no front could keep a limit for all.

Change: for each limited upstream one front, its collector, grants permits from a token bucket; a front asks it before it sends (one message there and back, only for limited upstreams). The bucket's rate is the limit times the part of the fleet that the collector is connected to, so that fronts cut off from each other use no more together than all may; an isolated front is its own collector with its own part. A collector that does not answer in 25 ms is passed over with 0.4 of the asker's share. A denied call goes to another upstream; if all are limited it is refused at once with the time until the next permit. Streams that go on, which few upstreams can finish, may use two tokens in advance. Notices of limits, also of their end, go to siblings with the digests.

--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -57,6 +57,11 @@
     return [...this.#hosts.values()];
   }
 
+  /** Names of the registered fronts, including this one. */
+  get fronts(): string[] {
+    return this.hosts.filter((it) => it.role === "front").map((it) => it.host);
+  }
+
   get view(): View | undefined {
     return this.#view;
   }
--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -355,7 +355,9 @@
     } else if (this.#runs > 0) {
       this.#respondFailed("no upstream left to retry the call");
     } else if (this.#declines > 0) refuseCall(this.#call, "upstreams_full");
-    else refuseCall(this.#call, "no_upstream");
+    else if (this.#choice.permitWaitMs > 0) {
+      refuseCall(this.#call, "upstreams_limited", this.#choice.permitWaitMs);
+    } else refuseCall(this.#call, "no_upstream");
   }
 
   #respondFailed(reason: string): void {
@@ -386,7 +388,9 @@
       configVersion: this.#call.config.version,
       upstreamsAgeMs: Math.round(upstreamsAgeMs()),
       running: load.running,
-      maxRequestsPerS: upstreamRegistry.notices.maxRequestsPerS(id),
+      maxRequestsPerS: upstreamRegistry.notices.maxRequestsPerS(
+        upstream.entry,
+      ),
       waitingTokens: this.#turn ? load.prefillTokens : undefined,
       unreadTokens: this.#turn ? opts.uncachedTokens : undefined,
       timeLeftMs: Math.round(opts.timeLeftMs),
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -22,8 +22,10 @@
 import { listen, MAX_HEADER_BYTES } from "./listen.ts";
 import type { FrontOptions } from "./front_options.ts";
 import { NoticeReader } from "./notice_reader.ts";
+import { FleetShare } from "./fleet_share.ts";
 import { LoadSharing } from "./load_sharing.ts";
 import { readCall } from "./read_call.ts";
+import { RequestPermits } from "./request_permits.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServeOptions } from "./serve_options.ts";
 import { Siblings } from "./siblings.ts";
@@ -55,6 +57,7 @@
   readonly #upstreamWatcher: UpstreamWatcher;
   readonly #siblings: Siblings;
   readonly #loadSharing: LoadSharing;
+  readonly #permits: RequestPermits;
   readonly #turnStore: TurnStoreClient;
   readonly #upstreamRegistry: UpstreamRegistry;
   readonly #serveOptions: ServeOptions;
@@ -109,24 +112,6 @@
       relaySettle: (memberId, notice) =>
         this.#siblings.relaySettle({ memberId, notice }),
     });
-    this.#serveOptions = {
-      protocol,
-      upstreamRegistry: this.#upstreamRegistry,
-      prefixIndex,
-      crashTracker: new CrashTracker(),
-      noticeReader,
-      pools,
-      turnStore: this.#turnStore,
-      chooser: opts.chooser,
-      disabled: opts.disabled,
-      speedOf: (service) => this.#speedOf(service),
-      host,
-      dataCentre,
-      onLoadChange: (id, kind) => this.#loadSharing.reportChange(id, kind),
-      queryLoads: (upstreams) => this.#loadSharing.query(upstreams),
-      upstreamsAgeMs: () => this.#upstreamWatcher.ageMs,
-      timer,
-    };
     this.#siblings = new Siblings({
       self: host,
       linkAddress: opts.linkAddress,
@@ -137,6 +122,7 @@
       onDigest: (digest) => this.#applyDigest(digest),
       onLoads: (report) => this.#loadSharing.applyReport(report),
       answerLoads: (query) => this.#loadSharing.answerQuery(query),
+      answerPermit: (query) => this.#permits.answer(query),
       forward: ({ memberId, name, args }) =>
         this.#turnStore.links.forward(memberId, name, args as never),
       forwardSettle: ({ memberId, notice }) => {
@@ -161,6 +147,39 @@
       isEnabled: !opts.disabled.has("shared_loads"),
       log: loggers("sibling"),
     });
+    this.#permits = new RequestPermits({
+      self: host,
+      timer,
+      notices: this.#upstreamRegistry.notices,
+      collectors,
+      share: new FleetShare({
+        self: host,
+        timer,
+        connectedSiblings: () => collectors.siblings,
+        registeredFronts: () => fleet.fronts,
+      }),
+      links: this.#siblings,
+      log: loggers("sibling"),
+    });
+    this.#serveOptions = {
+      protocol,
+      upstreamRegistry: this.#upstreamRegistry,
+      prefixIndex,
+      crashTracker: new CrashTracker(),
+      noticeReader,
+      permits: this.#permits,
+      pools,
+      turnStore: this.#turnStore,
+      chooser: opts.chooser,
+      disabled: opts.disabled,
+      speedOf: (service) => this.#speedOf(service),
+      host,
+      dataCentre,
+      onLoadChange: (id, kind) => this.#loadSharing.reportChange(id, kind),
+      queryLoads: (upstreams) => this.#loadSharing.query(upstreams),
+      upstreamsAgeMs: () => this.#upstreamWatcher.ageMs,
+      timer,
+    };
     this.#callerServer = this.#createServer((req, res) =>
       this.#onCall(req, res)
     );
@@ -270,6 +289,7 @@
     const now = this.#opts.timer.monotonicNow();
     this.#serveOptions.crashTracker.sweep(now);
     this.#upstreamRegistry.notices.sweep(now);
+    this.#permits.retain((id) => this.#upstreamRegistry.get(id) !== undefined);
   }
 
   /** Returns the speed of a service's engines, learned from its answers. */
@@ -381,11 +401,14 @@
       crashes: this.#serveOptions.crashTracker.crashesSince(
         timer.monotonicNow() - CRASH_REPORT_WINDOW_MS,
       ),
+      notices: this.#serveOptions.noticeReader.recentNews(),
     };
   }
 
   #applyDigest(digest: Digest): void {
     const now = this.#opts.timer.monotonicNow();
+    const { noticeReader } = this.#serveOptions;
+    for (const notice of digest.notices) noticeReader.merge(notice);
     for (const { fingerprint, upstreams } of digest.crashes) {
       for (const id of upstreams) {
         this.#serveOptions.crashTracker.recordCrash(fingerprint, id, now);
--- a/packages/front/src/notice_reader.ts
+++ b/packages/front/src/notice_reader.ts
@@ -8,6 +8,11 @@
 import type { Timer } from "@toucantrestle/timer";
 import type { ResponseHead } from "@toucantrestle/upstream_channel";
 import type { Protocol } from "./protocol.ts";
+import {
+  fromSharedNotice,
+  type SharedNotice,
+  toSharedNotice,
+} from "./shared_notice.ts";
 
 /** Options of `NoticeReader`. */
 export interface NoticeReaderOptions {
@@ -17,6 +22,9 @@
   log: Logger;
 }
 
+/** Siblings are told what was heard this recently. */
+const NEWS_WINDOW_MS = 10_000;
+
 const CHANGE_TEXTS: Record<NoticeChange, string> = {
   limited: "limits its requests",
   unlimited: "limits its requests no longer",
@@ -45,6 +53,18 @@
     });
   }
 
+  /** Records a sibling's notice. */
+  merge(shared: SharedNotice): void {
+    this.#record(fromSharedNotice(shared, this.#opts.timer.monotonicNow()));
+  }
+
+  /** Returns the recent news for the siblings. */
+  recentNews(): SharedNotice[] {
+    const now = this.#opts.timer.monotonicNow();
+    return this.#opts.notices.newsSince(now - NEWS_WINDOW_MS)
+      .map((it) => toSharedNotice(it, now));
+  }
+
   #record(notice: ReceivedNotice): void {
     for (const change of this.#opts.notices.record(notice)) {
       this.#opts.log.info(
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -1,5 +1,6 @@
 import type { FleetSnapshot } from "@toucantrestle/fleet";
 import type {
+  PermitKind,
   PromptPart,
   RoutingConfig,
   UpstreamEntry,
@@ -9,6 +10,7 @@
 import type { RecordMethod, SettleNotice } from "@toucantrestle/turn_store";
 import type { ResponseHead } from "@toucantrestle/upstream_channel";
 import type { IncomingHttpHeaders } from "node:http";
+import type { SharedNotice } from "./shared_notice.ts";
 
 /** Parsed headers of a caller's request. Times in ms. */
 export interface CallHead {
@@ -95,6 +97,8 @@
   configVersion: number;
   /** Requests that recently crashed upstreams, and these upstreams. */
   crashes: { fingerprint: string; upstreams: string[] }[];
+  /** Recent notices of upstreams that are or were limited or leaving. */
+  notices: SharedNotice[];
 }
 
 /** Load that a front puts on upstreams, by upstream id; zero if it ended. */
@@ -110,6 +114,12 @@
     args: { host: string; upstreams: string[] };
     result: { loads: Record<string, UpstreamLoad> };
   };
+  /** Asks the collector of an upstream for a permit to send one request. */
+  permit: {
+    args: { upstream: UpstreamEntry; kind: PermitKind; notice: SharedNotice };
+    /** `waitMs` is 0 if the permit is granted. */
+    result: { waitMs: number; notice: SharedNotice | undefined };
+  };
   /** Forwards a request to a turn store that the sender does not reach. */
   relay: {
     args: { memberId: string; name: RecordMethod; args: unknown };
--- /dev/null
+++ b/packages/front/src/request_permits.ts
@@ -0,0 +1,158 @@
+import type { Logger } from "@toucantrestle/log";
+import {
+  type PermitKind,
+  RateLimiter,
+  type UpstreamEntry,
+  type UpstreamNotices,
+} from "@toucantrestle/routing";
+import type { Timer } from "@toucantrestle/timer";
+import type { Collectors } from "./collectors.ts";
+import type { FleetShare } from "./fleet_share.ts";
+import { fromSharedNotice, toSharedNotice } from "./shared_notice.ts";
+import type { FrontMethods } from "./protocol.ts";
+
+type PermitQuery = FrontMethods["permit"]["args"];
+type PermitReply = FrontMethods["permit"]["result"];
+
+/** Links to the siblings that `RequestPermits` needs. */
+export interface PermitLinks {
+  queryPermit(
+    host: string,
+    query: PermitQuery,
+    timeoutMs: number,
+  ): Promise<PermitReply>;
+}
+
+/** Options of `RequestPermits`. */
+export interface RequestPermitsOptions {
+  self: string;
+  timer: Timer;
+  notices: UpstreamNotices;
+  collectors: Collectors;
+  share: Pick<FleetShare, "connected" | "own">;
+  links: PermitLinks;
+  log: Logger;
+}
+
+/** A collector that does not answer within this time is not waited for. */
+const QUERY_TIMEOUT_MS = 25;
+/** A limit of less than this is exceeded: only responses tell of its end. */
+const MIN_RATE_PER_S = 0.1;
+/**
+ * Part of its own share that a front uses while the collector does not answer.
+ * The collector may still grant the whole limit, and its answers come too late.
+ */
+const UNANSWERED_FRACTION = 0.4;
+/** A denied permit is asked for again after this time at the latest. */
+const MAX_DENIAL_MS = 1_000;
+
+/**
+ * Permits for requests to upstreams that limit the requests per second of all
+ * fronts together. The collector of an upstream grants them, for the part of
+ * the fleet that it is connected to. A front that gets no answer from the
+ * collector uses a part of its own share.
+ */
+export class RequestPermits {
+  readonly #opts: RequestPermitsOptions;
+  /** Limiters of the upstreams that this front collects, for all its askers. */
+  readonly #collected = new Map<string, RateLimiter>();
+  /** Limiters of upstreams whose collector does not answer. */
+  readonly #unanswered = new Map<string, RateLimiter>();
+  /** Times until which no further permits are available. */
+  readonly #deniedUntil = new Map<string, number>();
+
+  constructor(opts: RequestPermitsOptions) {
+    this.#opts = opts;
+  }
+
+  /** Asks for a permit to send one request; true if it may be sent. */
+  async ask(upstream: UpstreamEntry, kind: PermitKind): Promise<boolean> {
+    const { collectors, notices, self } = this.#opts;
+    if (notices.maxRequestsPerS(upstream) === undefined) return true;
+    const collector = collectors.of(upstream.id);
+    const waitMs = collector === self
+      ? this.#take(this.#collected, { upstream, kind })
+      : await this.#askCollector(collector, { upstream, kind });
+    if (waitMs === 0) return true;
+    const now = this.#opts.timer.monotonicNow();
+    const denialMs = Math.min(MAX_DENIAL_MS, waitMs);
+    this.#deniedUntil.set(upstream.id, now + denialMs);
+    return false;
+  }
+
+  /** Answers a sibling that takes this front for the collector. */
+  answer({ upstream, kind, notice }: PermitQuery): PermitReply {
+    const { notices, timer } = this.#opts;
+    notices.record(fromSharedNotice(notice, timer.monotonicNow()));
+    const waitMs = this.#take(this.#collected, { upstream, kind });
+    return { waitMs, notice: this.#sharedNotice(upstream) };
+  }
+
+  /** Time until another permit may be available, in ms; 0 if one may be now. */
+  waitMs(upstream: UpstreamEntry): number {
+    const isLimited =
+      this.#opts.notices.maxRequestsPerS(upstream) !== undefined;
+    const deniedUntil = this.#deniedUntil.get(upstream.id);
+    if (!isLimited || deniedUntil === undefined) return 0;
+    return Math.max(0, deniedUntil - this.#opts.timer.monotonicNow());
+  }
+
+  /** Drops the state of upstreams that are not registered any more. */
+  retain(isRegistered: (id: string) => boolean): void {
+    for (
+      const state of [
+        this.#collected,
+        this.#unanswered,
+        this.#deniedUntil,
+      ]
+    ) {
+      for (const id of state.keys()) {
+        if (!isRegistered(id)) state.delete(id);
+      }
+    }
+  }
+
+  async #askCollector(
+    collector: string,
+    { upstream, kind }: { upstream: UpstreamEntry; kind: PermitKind },
+  ): Promise<number> {
+    const { links, notices, timer, log } = this.#opts;
+    const notice = this.#sharedNotice(upstream);
+    if (!notice) return 0;
+    try {
+      const query = { upstream, kind, notice };
+      const reply = await links.queryPermit(collector, query, QUERY_TIMEOUT_MS);
+      if (reply.notice) {
+        notices.record(fromSharedNotice(reply.notice, timer.monotonicNow()));
+      }
+      this.#unanswered.delete(upstream.id);
+      return reply.waitMs;
+    } catch (err) {
+      log.debug(`permit query to front ${collector} failed: ${String(err)}`);
+      return this.#take(this.#unanswered, { upstream, kind });
+    }
+  }
+
+  /** Takes a token from the limiter of an upstream; returns the wait in ms. */
+  #take(
+    limiters: Map<string, RateLimiter>,
+    { upstream, kind }: { upstream: UpstreamEntry; kind: PermitKind },
+  ): number {
+    const { notices, share, timer } = this.#opts;
+    const limitPerS = notices.maxRequestsPerS(upstream);
+    if (limitPerS === undefined) return 0;
+    const now = timer.monotonicNow();
+    const limiter = limiters.get(upstream.id) ?? new RateLimiter(now);
+    limiters.set(upstream.id, limiter);
+    const fraction = limiters === this.#unanswered
+      ? UNANSWERED_FRACTION * share.own
+      : share.connected;
+    const ratePerS = Math.max(MIN_RATE_PER_S, limitPerS) * fraction;
+    return limiter.take({ ratePerS, kind, now });
+  }
+
+  #sharedNotice(upstream: UpstreamEntry) {
+    const notice = this.#opts.notices.get(upstream);
+    return notice && toSharedNotice(notice, this.#opts.timer.monotonicNow());
+  }
+}
--- a/packages/front/src/responses.ts
+++ b/packages/front/src/responses.ts
@@ -3,22 +3,33 @@
 import type { ServerResponse } from "node:http";
 import type { Call } from "./call.ts";
 
-/** Sends a 503 with `retry-after` for a request that has not run. */
-export function refuse(res: ServerResponse, reason: RefusalReason): void {
-  const ms = retryAfterMs(reason, Math.random());
+/**
+ * Sends a 503 with `retry-after` for a request that has not run. `waitMs` is the
+ * time until it may be served, if that is known.
+ */
+export function refuse(
+  res: ServerResponse,
+  reason: RefusalReason,
+  waitMs = 0,
+): void {
+  const ms = waitMs + retryAfterMs(reason, Math.random());
   sendText(res, 503, `request not run: ${reason}`, {
     "retry-after": (ms / 1_000).toFixed(3),
   });
 }
 
 /** Refuses a call and records the reason. */
-export function refuseCall(call: Call, reason: RefusalReason): void {
+export function refuseCall(
+  call: Call,
+  reason: RefusalReason,
+  waitMs = 0,
+): void {
   call.recorder.recordOutcome("refused", {
     status: 503,
     verdict: "not_run",
     reason,
   });
-  refuse(call.res, reason);
+  refuse(call.res, reason, waitMs);
 }
 
 /** Answers a call with a status chosen by this front and records the reason. */
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -11,6 +11,7 @@
 import type { TurnStoreClient } from "@toucantrestle/turn_store";
 import type { NoticeReader } from "./notice_reader.ts";
 import type { Protocol } from "./protocol.ts";
+import type { RequestPermits } from "./request_permits.ts";
 import type { UpstreamPools } from "./upstream_pools.ts";
 
 /** Dependencies of serving a call. */
@@ -20,6 +21,7 @@
   prefixIndex: PrefixIndex;
   crashTracker: CrashTracker;
   noticeReader: NoticeReader;
+  permits: RequestPermits;
   pools: UpstreamPools;
   turnStore: TurnStoreClient;
   chooser: ChooserName;
--- a/packages/front/src/siblings.ts
+++ b/packages/front/src/siblings.ts
@@ -27,6 +27,10 @@
   answerLoads: (
     query: FrontMethods["loads"]["args"],
   ) => FrontMethods["loads"]["result"]["loads"];
+  /** Answers a sibling's query for a permit. */
+  answerPermit: (
+    query: FrontMethods["permit"]["args"],
+  ) => FrontMethods["permit"]["result"];
   /** Forwards a sibling's request to a turn store. */
   forward: RelayHandlers["relay"];
   forwardSettle: (it: FrontNotices["settle"]) => void;
@@ -81,6 +85,7 @@
         fleet: () => opts.fleet.snapshot(),
         upstreams: () => ({ entries: opts.upstreams() }),
         loads: (query) => ({ loads: opts.answerLoads(query) }),
+        permit: (query) => opts.answerPermit(query),
         relay: (it) => opts.forward(it),
       },
       notices: {
@@ -190,6 +195,21 @@
     return (await link.request("loads", args, timeoutMs)).loads;
   }
 
+  /**
+   * Asks the collector of an upstream for a permit.
+   *
+   * @throws {Error} when the sibling does not answer in time
+   */
+  async queryPermit(
+    host: string,
+    query: FrontMethods["permit"]["args"],
+    timeoutMs: number,
+  ): Promise<FrontMethods["permit"]["result"]> {
+    const link = this.#links.get(host);
+    if (!link) throw new Error(`no link to front ${host}`);
+    return await link.request("permit", query, timeoutMs);
+  }
+
   get #digestIntervalMs(): number {
     return Math.max(
       MIN_DIGEST_INTERVAL_MS,
--- a/packages/front/src/upstream_choice.ts
+++ b/packages/front/src/upstream_choice.ts
@@ -59,14 +59,36 @@
    * Returns undefined if none is left or the caller has disconnected.
    */
   async choose(): Promise<TrackedUpstream | undefined> {
-    const { chooser, queryLoads } = this.#opts;
+    const { queryLoads } = this.#opts;
     if (this.#kind === "engine") {
       const likely = closestCandidates(this.#createInput(), MAX_QUERIED);
       if (likely.length > 0) await queryLoads(likely);
       if (this.#call.isAbandoned) return undefined;
     }
-    const input = this.#createInput();
-    return input.candidates.length > 0 ? CHOOSERS[chooser](input) : undefined;
+    return await this.#choosePermitted();
+  }
+
+  /** Time until an upstream that is limited may take the call, in ms. */
+  get permitWaitMs(): number {
+    const waits = this.#candidates()
+      .map((it) => this.#opts.permits.waitMs(it.entry))
+      .filter((ms) => ms > 0);
+    return waits.length > 0 ? Math.min(...waits) : 0;
+  }
+
+  /** Chooses among the upstreams until one is not limited or grants a permit. */
+  async #choosePermitted(): Promise<TrackedUpstream | undefined> {
+    const { chooser, permits } = this.#opts;
+    const kind = this.#isBegun ? "continued" : "new";
+    const denied = new Set<string>();
+    while (!this.#call.isAbandoned) {
+      const input = this.#createInput(denied);
+      if (input.candidates.length === 0) return undefined;
+      const upstream = CHOOSERS[chooser](input);
+      if (!upstream || await permits.ask(upstream.entry, kind)) return upstream;
+      denied.add(upstream.entry.id);
+    }
+    return undefined;
   }
 
   /** Returns the upstream that would be chosen on what is known locally. */
@@ -142,14 +164,28 @@
     upstreamRegistry.recordDuration(id, service, ms / (idleMs + 1), now);
   }
 
-  #createInput(): ChooserInput {
+  /** Upstreams that may take the call, apart from limits. */
+  #candidates(): TrackedUpstream[] {
+    const { upstreamRegistry, timer } = this.#opts;
+    return upstreamRegistry
+      .candidates(this.#call.service, timer.monotonicNow())
+      .filter((it) => !this.excluded.has(it.entry.id))
+      .filter((it) => this.#mayWrite(it.entry));
+  }
+
+  /** Whether a permit for an upstream may be available now. */
+  #mayBePermitted({ entry }: TrackedUpstream): boolean {
+    return this.#isBegun || this.#opts.permits.waitMs(entry) === 0;
+  }
+
+  #createInput(denied: ReadonlySet<string> = new Set()): ChooserInput {
     const { upstreamRegistry, prefixIndex, timer, dataCentre, pools } =
       this.#opts;
     const now = timer.monotonicNow();
     return {
-      candidates: upstreamRegistry.candidates(this.#call.service, now)
-        .filter((it) => !this.excluded.has(it.entry.id))
-        .filter((it) => this.#mayWrite(it.entry)),
+      candidates: this.#candidates()
+        .filter((it) => !denied.has(it.entry.id))
+        .filter((it) => this.#mayBePermitted(it)),
       upstreamRegistry,
       prefixIndex,
       parts: this.#call.head.promptParts,
@@ -167,11 +203,16 @@
     };
   }
 
+  /** Whether the caller has a part of the stream. */
+  get #isBegun(): boolean {
+    return this.hasEvents || isResumption(this.#call);
+  }
+
   /** Whether an upstream may write the next events of the call's stream. */
   #mayWrite(entry: UpstreamEntry): boolean {
-    const isBegun = this.hasEvents || isResumption(this.#call);
     const origin = this.#turn?.origin;
-    return !isBegun || origin === undefined || runsSameSoftware(entry, origin);
+    return !this.#isBegun || origin === undefined ||
+      runsSameSoftware(entry, origin);
   }
 
   get #kind(): WorkKind {
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -19,6 +19,7 @@
   type UpstreamLoad,
   UpstreamRegistry,
 } from "./upstream_registry.ts";
+export { type PermitKind, RateLimiter } from "./rate_limiter.ts";
 export {
   type NoticeChange,
   type ReceivedNotice,
--- /dev/null
+++ b/packages/routing/src/rate_limiter.ts
@@ -0,0 +1,44 @@
+/**
+ * What a permit is for. A request that continues one has begun work that only a
+ * few upstreams can finish, so it may use tokens in advance.
+ */
+export type PermitKind = "new" | "continued";
+
+/** Tokens that may be used in advance, by kind of permit. */
+const ADVANCE_TOKENS: Record<PermitKind, number> = { new: 0, continued: 2 };
+/** Unused tokens are kept for bursts up to this time's worth, in s. */
+const BURST_S = 0.5;
+const MS_PER_S = 1_000;
+/** Absorbs rounding errors of the refill. */
+const TOLERANCE_TOKENS = 1e-6;
+
+/** Token bucket for one upstream. Starts empty. Times are monotonic, in ms. */
+export class RateLimiter {
+  #tokens = 0;
+  #refilledAt: number;
+
+  constructor(now: number) {
+    this.#refilledAt = now;
+  }
+
+  /**
+   * Takes a token for one request. Returns 0 if there is one, and otherwise the
+   * time until there will be, in ms.
+   */
+  take(opts: { ratePerS: number; kind: PermitKind; now: number }): number {
+    this.#refill(opts.ratePerS, opts.now);
+    const missing = 1 - ADVANCE_TOKENS[opts.kind] - this.#tokens;
+    if (missing > TOLERANCE_TOKENS) {
+      return Math.ceil(missing / opts.ratePerS * MS_PER_S);
+    }
+    this.#tokens -= 1;
+    return 0;
+  }
+
+  #refill(ratePerS: number, now: number): void {
+    const elapsedS = Math.max(0, now - this.#refilledAt) / MS_PER_S;
+    const maxTokens = 1 + BURST_S * ratePerS;
+    this.#tokens = Math.min(maxTokens, this.#tokens + elapsedS * ratePerS);
+    this.#refilledAt = now;
+  }
+}
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -3,6 +3,7 @@
   | "no_config"
   | "no_upstream"
   | "upstreams_full"
+  | "upstreams_limited"
   | "turns_unknown"
   | "origin_unknown"
   | "convicted"
@@ -12,6 +13,7 @@
   no_config: 400,
   no_upstream: 400,
   upstreams_full: 120,
+  upstreams_limited: 120,
   turns_unknown: 250,
   origin_unknown: 250,
   convicted: 5_000,
--- a/packages/routing/src/upstream_notices.ts
+++ b/packages/routing/src/upstream_notices.ts
@@ -26,6 +26,8 @@
 /** Keeps the newest notice of each upstream. Times are monotonic, in ms. */
 export class UpstreamNotices {
   readonly #received = new Map<string, ReceivedNotice>();
+  /** Upstreams that were limited or leaving at some time. */
+  readonly #notable = new Set<string>();
 
   /**
    * Records a notice and returns what is new in it. A notice older than the
@@ -40,29 +42,43 @@
     const newest = isLate ? before : notice;
     const isLeaving = notice.isLeaving || before?.isLeaving === true;
     this.#received.set(notice.upstream, { ...newest, isLeaving });
-    return changesBetween(before, { ...newest, isLeaving });
+    const changes = changesBetween(before, { ...newest, isLeaving });
+    if (changes.length > 0) this.#notable.add(notice.upstream);
+    return changes;
   }
 
-  /** Whether the process of an entry has said that it is leaving. */
-  isLeaving({ id, startedAt }: UpstreamEntry): boolean {
+  /** Returns the newest notice of an upstream since its process started. */
+  get({ id, startedAt }: UpstreamEntry): ReceivedNotice | undefined {
     const known = this.#received.get(id);
-    return known?.isLeaving === true && known.startedAt >= startedAt;
+    return known && known.startedAt >= startedAt ? known : undefined;
+  }
+
+  /** Whether an upstream has said that it is leaving. */
+  isLeaving(upstream: UpstreamEntry): boolean {
+    return this.get(upstream)?.isLeaving === true;
   }
 
   /** Returns the limit of an upstream, in requests per second, if it has one. */
-  maxRequestsPerS(id: string): number | undefined {
-    return this.#received.get(id)?.maxRequestsPerS;
+  maxRequestsPerS(upstream: UpstreamEntry): number | undefined {
+    return this.get(upstream)?.maxRequestsPerS;
   }
 
-  /** Returns the notices that were received at or after a time. */
-  receivedSince(since: number): ReceivedNotice[] {
-    return [...this.#received.values()].filter((it) => it.at >= since);
+  /**
+   * Returns the notices received at or after a time, of upstreams that were
+   * limited or leaving at some time.
+   */
+  newsSince(since: number): ReceivedNotice[] {
+    return [...this.#received.values()].filter((it) =>
+      it.at >= since && this.#notable.has(it.upstream)
+    );
   }
 
   /** Drops notices of upstreams that were not heard for a long time. */
   sweep(now: number): void {
     for (const [id, { at }] of this.#received) {
-      if (now - at > RETENTION_MS) this.#received.delete(id);
+      if (now - at <= RETENTION_MS) continue;
+      this.#received.delete(id);
+      this.#notable.delete(id);
     }
   }
 }
