--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -51,6 +51,7 @@
   readonly directoryAddresses: string[] = [];
   readonly #servers: Server[] = [];
   readonly #upstreams = new Map<string, Server>();
+  readonly #entries = new Map<string, UpstreamEntry>();
   readonly #turnStores: { server: TurnStoreServer; host: string }[] = [];
   readonly #fleets: Fleet[] = [];
   /** Data folders of the turn stores, by host. */
@@ -183,10 +184,18 @@
       startedAt: 0,
       ...opts,
     };
+    this.#entries.set(id, entry);
     this.store.put(testProtocol.upstreamPrefix + id, entry);
     return entry;
   }
 
+  /** Returns the entry with which an upstream was added. */
+  entryOf(id: string): UpstreamEntry {
+    const entry = this.#entries.get(id);
+    if (!entry) throw new Error(`no upstream ${id}`);
+    return entry;
+  }
+
   /** Simulates a crash: closes all connections and accepts no new ones. */
   crashUpstream(id: string): void {
     const server = this.#upstreams.get(id);
