Fronts: an upstream that says that it is leaving gets no further calls (DRAIN)

What callers would see: a call that is cut off when the upstream ends, as a front that cannot reach the store keeps sending to it.

--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -141,6 +141,7 @@
     const available: TrackedUpstream[] = [];
     for (const known of this.#upstreams.values()) {
       if (known.entry.service !== service || known.entry.isDraining) continue;
+      if (this.notices.isLeaving(known.entry)) continue;
       if (now < known.backoffUntil) continue;
       available.push(known);
     }
