--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -299,7 +299,8 @@
     if (!mayHaveCrashed(failure) || !isRetrySafe(route)) return;
     if (this.#runs < route.maxRuns) return;
     if (this.#discountedRuns >= MAX_DISCOUNTED_RUNS) return;
-    const hasCrashed = !await isListening(upstream.entry.address);
+    const { address } = upstream.entry;
+    const hasCrashed = !await isListening(address, this.#opts.dial);
     if (!hasCrashed) return;
     this.#discountedRuns += 1;
     this.#runs -= 1;
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -7,6 +7,7 @@
 } from "@toucantrestle/routing";
 import { sleep } from "@toucantrestle/timer";
 import { type Relay, TurnStoreClient } from "@toucantrestle/turn_store";
+import { dialTcp } from "@toucantrestle/upstream_channel";
 import {
   createServer,
   type IncomingMessage,
@@ -29,6 +30,7 @@
 import { serveCall } from "./serve_call.ts";
 import type { ServeOptions } from "./serve_options.ts";
 import { Siblings } from "./siblings.ts";
+import { UpstreamContact } from "./upstream_contact.ts";
 import { UpstreamPools } from "./upstream_pools.ts";
 import { UpstreamWatcher } from "./upstream_watcher.ts";
 
@@ -57,6 +59,7 @@
   readonly #upstreamWatcher: UpstreamWatcher;
   readonly #siblings: Siblings;
   readonly #loadSharing: LoadSharing;
+  readonly #contact: UpstreamContact;
   readonly #permits: RequestPermits;
   readonly #turnStore: TurnStoreClient;
   readonly #upstreamRegistry: UpstreamRegistry;
@@ -73,9 +76,13 @@
     this.#graceMs = opts.graceMs;
     const { protocol, timer, loggers, host, dataCentre, fleet } = opts;
     const prefixIndex = new PrefixIndex();
+    const dial = opts.dial ?? dialTcp;
+    this.#contact = new UpstreamContact({ timer, metrics: opts.metrics });
     const pools = new UpstreamPools({
       timer,
       log: loggers("upstream"),
+      dial,
+      contact: this.#contact,
       echoedRequestId: (head) => protocol.echoedRequestId(head),
     });
     this.#upstreamRegistry = new UpstreamRegistry({
@@ -169,6 +176,7 @@
       noticeReader,
       permits: this.#permits,
       pools,
+      dial,
       turnStore: this.#turnStore,
       chooser: opts.chooser,
       disabled: opts.disabled,
@@ -250,6 +258,11 @@
     metrics.gauge("config_version", this.#configWatcher.config?.version ?? -1);
     metrics.gauge("config_age_ms", this.#configWatcher.ageMs);
     metrics.gauge("upstreams_age_ms", this.#upstreamWatcher.ageMs);
+    metrics.gauge(
+      "upstreams_heard_age_ms",
+      this.#opts.timer.monotonicNow() - this.#contact.receivedAt,
+    );
+    metrics.gauge("upstreams_not_connected", this.#contact.failedCount);
     metrics.gauge("upstreams_known", this.#upstreamRegistry.all().length);
     metrics.gauge(
       "upstream_connections_opened",
--- a/packages/front/src/front_options.ts
+++ b/packages/front/src/front_options.ts
@@ -4,6 +4,7 @@
 import type { Metrics } from "@toucantrestle/metrics";
 import type { ChooserName, Mechanism } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
+import type { Dial } from "@toucantrestle/upstream_channel";
 import type { Protocol } from "./protocol.ts";
 
 /** Options of `Front`. */
@@ -31,4 +32,6 @@
   timer: Timer;
   loggers: LoggerFactory;
   metrics: Metrics;
+  /** Opens connections to upstreams; TCP by default. */
+  dial?: Dial;
 }
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -10,6 +10,7 @@
 import type { Timer } from "@toucantrestle/timer";
 import type { TurnStoreClient } from "@toucantrestle/turn_store";
 import type { NoticeReader } from "./notice_reader.ts";
+import type { Dial } from "@toucantrestle/upstream_channel";
 import type { Protocol } from "./protocol.ts";
 import type { RequestPermits } from "./request_permits.ts";
 import type { UpstreamPools } from "./upstream_pools.ts";
@@ -23,6 +24,7 @@
   noticeReader: NoticeReader;
   permits: RequestPermits;
   pools: UpstreamPools;
+  dial: Dial;
   turnStore: TurnStoreClient;
   chooser: ChooserName;
   /** Mechanisms that are switched off. */
--- /dev/null
+++ b/packages/front/src/upstream_contact.ts
@@ -0,0 +1,48 @@
+import type { Metrics } from "@toucantrestle/metrics";
+import type { Timer } from "@toucantrestle/timer";
+import type { ContactListener } from "@toucantrestle/upstream_channel";
+
+/** Tracks when this front last had contact with any upstream. */
+export class UpstreamContact {
+  readonly #timer: Timer;
+  readonly #metrics: Metrics;
+  /** Upstreams that were not connected since the last connection to any. */
+  readonly #failedSinceConnect = new Set<string>();
+  #receivedAt = 0;
+
+  constructor(opts: { timer: Timer; metrics: Metrics }) {
+    this.#timer = opts.timer;
+    this.#metrics = opts.metrics;
+  }
+
+  /** Monotonic time at which bytes last arrived from an upstream, in ms. */
+  get receivedAt(): number {
+    return this.#receivedAt;
+  }
+
+  /** Upstreams that could not be connected since the last connection to any. */
+  get failedCount(): number {
+    return this.#failedSinceConnect.size;
+  }
+
+  /** Returns the listener for the connections to one upstream. */
+  listenerOf(id: string): ContactListener {
+    return {
+      onConnected: () => {
+        this.#failedSinceConnect.clear();
+        this.#count("connected");
+      },
+      onConnectFailed: () => {
+        this.#failedSinceConnect.add(id);
+        this.#count("failed");
+      },
+      onReceived: () => {
+        this.#receivedAt = this.#timer.monotonicNow();
+      },
+    };
+  }
+
+  #count(result: "connected" | "failed"): void {
+    this.#metrics.count("upstream_connects", 1, { result });
+  }
+}
--- a/packages/front/src/upstream_pools.ts
+++ b/packages/front/src/upstream_pools.ts
@@ -3,26 +3,27 @@
 import type { Timer } from "@toucantrestle/timer";
 import {
   ChannelPool,
+  type Dial,
   type ResponseHead,
 } from "@toucantrestle/upstream_channel";
+import type { UpstreamContact } from "./upstream_contact.ts";
+
+/** Options of `UpstreamPools`. */
+export interface UpstreamPoolsOptions {
+  timer: Timer;
+  log: Logger;
+  dial: Dial;
+  contact: UpstreamContact;
+  echoedRequestId: (head: ResponseHead) => string | undefined;
+}
 
 /** Connection pools of all upstreams, by upstream id. */
 export class UpstreamPools {
   readonly #pools = new Map<string, { address: string; pool: ChannelPool }>();
-  readonly #opts: {
-    timer: Timer;
-    log: Logger;
-    echoedRequestId: (head: ResponseHead) => string | undefined;
-  };
+  readonly #opts: UpstreamPoolsOptions;
   #openedByRemovedPools = 0;
 
-  constructor(
-    opts: {
-      timer: Timer;
-      log: Logger;
-      echoedRequestId: (head: ResponseHead) => string | undefined;
-    },
-  ) {
+  constructor(opts: UpstreamPoolsOptions) {
     this.#opts = opts;
   }
 
@@ -43,7 +44,12 @@
     const { id, address } = upstream.entry;
     const known = this.#pools.get(id);
     if (known?.address === address) return known.pool;
-    const pool = new ChannelPool({ address, ...this.#opts });
+    const { contact, ...opts } = this.#opts;
+    const pool = new ChannelPool({
+      address,
+      ...opts,
+      contact: contact.listenerOf(id),
+    });
     this.#pools.set(id, { address, pool });
     return pool;
   }
--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -6,7 +6,7 @@
 import { createSystemTimer, createTimerScope } from "@toucantrestle/timer";
 import { writeState } from "@toucantrestle/turn_journal";
 import { TurnStoreServer } from "@toucantrestle/turn_store";
-import type { BodyDelimiter } from "@toucantrestle/upstream_channel";
+import type { BodyDelimiter, Dial } from "@toucantrestle/upstream_channel";
 import { mkdtemp, rm } from "node:fs/promises";
 import {
   createServer,
@@ -23,7 +23,6 @@
 
 export { type CallResult, sendRequest } from "./send_request.ts";
 
-const timer = createTimerScope(createSystemTimer());
 const READY_TIMEOUT_MS = 8_000;
 /** Header limit of upstreams, above the limit for callers, in bytes. */
 const MAX_UPSTREAM_HEADER_BYTES = 65_536;
@@ -44,6 +43,7 @@
 
 /** In-process fronts, turn stores, upstreams and the store of one test. */
 export class TestCluster {
+  readonly #timer = createTimerScope(createSystemTimer());
   readonly store = new MemoryStore();
   readonly fronts: Front[] = [];
   readonly received: ReceivedRequest[] = [];
@@ -102,7 +102,7 @@
     for (const { host } of stopped) await this.#startTurnStore(host);
   }
 
-  async addFront(): Promise<Front> {
+  async addFront(opts: { dial?: Dial } = {}): Promise<Front> {
     const [callerAddress, readyAddress, directoryAddress, linkAddress] =
       await Promise.all([0, 1, 2, 3].map(freeAddress)) as [
         string,
@@ -133,9 +133,10 @@
       protocol: testProtocol,
       store: this.store,
       fleet,
-      timer,
+      timer: this.#timer,
       loggers: this.#loggers,
       metrics: createNoopMetrics(),
+      ...opts,
     });
     await front.start();
     fleet.start();
@@ -218,10 +219,10 @@
 
   /** Waits until all fronts serve calls to a path, by probing it. */
   async waitUntilReady(path: string, headers: Record<string, string> = {}) {
-    const deadline = timer.monotonicNow() + READY_TIMEOUT_MS;
-    while (timer.monotonicNow() < deadline) {
+    const deadline = this.#timer.monotonicNow() + READY_TIMEOUT_MS;
+    while (this.#timer.monotonicNow() < deadline) {
       const ids = {
-        "x-id": `probe${this.received.length}${timer.monotonicNow()}`,
+        "x-id": `probe${this.received.length}${this.#timer.monotonicNow()}`,
       };
       const statuses = await Promise.all(
         this.callerAddresses.map((_, front) =>
@@ -239,7 +240,7 @@
   }
 
   async close(): Promise<void> {
-    timer.end();
+    this.#timer.end();
     for (const front of this.fronts) front.close();
     for (const { server } of this.#turnStores) server.close();
     for (const fleet of this.#fleets) await fleet.deregister();
@@ -271,7 +272,7 @@
       tolerate: 1,
       listRetiringHosts: () => [],
       onHostRetired: () => {},
-      timer,
+      timer: this.#timer,
       loggers: this.#loggers,
       metrics: createNoopMetrics(),
     });
@@ -282,7 +283,12 @@
 
   #createFleet(self: HostEntry): Fleet {
     const log = this.#loggers("fleet");
-    const fleet = new Fleet({ self, store: this.store, timer, log });
+    const fleet = new Fleet({
+      self,
+      store: this.store,
+      timer: this.#timer,
+      log,
+    });
     this.#fleets.push(fleet);
     return fleet;
   }
--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -1,7 +1,9 @@
 import type { Logger } from "@toucantrestle/log";
 import type { Subscription, Timer } from "@toucantrestle/timer";
 import { HTTPParser, type HTTPParserJS } from "http-parser-js";
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
+import type { ContactListener } from "./contact.ts";
+import type { Dial } from "./dial.ts";
 import type {
   BodyDelimiter,
   ChannelFailure,
@@ -16,6 +18,8 @@
   timer: Timer;
   log: Logger;
   connectTimeoutMs: number;
+  dial: Dial;
+  contact: ContactListener;
   /** Returns the request id that a response echoes; undefined if none. */
   echoedRequestId: (head: ResponseHead) => string | undefined;
   /** Called once the connection is closed, before a failure is reported. */
@@ -60,12 +64,7 @@
   constructor(opts: ChannelOptions) {
     this.#opts = opts;
     this.#parser = this.#createParser();
-    const url = new URL(`tcp://${opts.address}`);
-    this.#socket = connect({
-      host: url.hostname,
-      port: Number(url.port),
-      noDelay: true,
-    });
+    this.#socket = opts.dial(opts.address);
     this.#connectTimeout = opts.timer.after(
       opts.connectTimeoutMs,
       () => this.#close("connect_timeout"),
@@ -118,6 +117,7 @@
   #onConnect(): void {
     this.#connectTimeout.cancel();
     this.#isConnected = true;
+    this.#opts.contact.onConnected();
     this.#idleSince = this.#opts.timer.monotonicNow();
     if (this.#exchange) this.#write();
   }
@@ -138,6 +138,7 @@
 
   #onData(chunk: Buffer): void {
     if (this.#isClosed) return;
+    this.#opts.contact.onReceived();
     if (!this.#exchange) return this.#close("bad_answer");
     this.#bytesWithoutBody += chunk.length;
     const parsed = this.#parser.execute(chunk);
@@ -220,6 +221,9 @@
     this.#isClosed = true;
     this.#connectTimeout.cancel();
     this.#socket.destroy();
+    if (!this.#isConnected && reason !== "cancelled") {
+      this.#opts.contact.onConnectFailed();
+    }
     this.#opts.onClosed(this);
     const exchange = this.#exchange;
     this.#exchange = undefined;
--- a/packages/upstream_channel/src/channel_pool.ts
+++ b/packages/upstream_channel/src/channel_pool.ts
@@ -1,6 +1,8 @@
 import type { Logger } from "@toucantrestle/log";
 import type { Timer } from "@toucantrestle/timer";
 import { Channel } from "./channel.ts";
+import type { ContactListener } from "./contact.ts";
+import { type Dial, dialTcp } from "./dial.ts";
 import type {
   ExchangeControl,
   OutgoingRequest,
@@ -13,12 +15,21 @@
   address: string;
   timer: Timer;
   log: Logger;
+  /** Opens connections; TCP by default. */
+  dial?: Dial;
+  contact?: ContactListener;
   /** Returns the request id that a response echoes; undefined if none. */
   echoedRequestId: (head: ResponseHead) => string | undefined;
 }
 
 const CONNECT_TIMEOUT_MS = 700;
 
+const NO_LISTENER: ContactListener = {
+  onConnected() {},
+  onConnectFailed() {},
+  onReceived() {},
+};
+
 /** Keep-alive connections to one upstream, reused in LIFO order. */
 export class ChannelPool {
   readonly #opts: ChannelPoolOptions;
@@ -79,6 +90,8 @@
       timer: this.#opts.timer,
       log: this.#opts.log,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      dial: this.#opts.dial ?? dialTcp,
+      contact: this.#opts.contact ?? NO_LISTENER,
       echoedRequestId: this.#opts.echoedRequestId,
       onIdle: (it) => this.#idle.push(it),
       onClosed: (it) => this.#remove(it),
--- a/packages/upstream_channel/src/is_listening.ts
+++ b/packages/upstream_channel/src/is_listening.ts
@@ -1,4 +1,4 @@
-import { connect } from "node:net";
+import type { Dial } from "./dial.ts";
 
 /** Timeout of the probe; an upstream that does not accept by then is down. */
 const PROBE_TIMEOUT_MS = 300;
@@ -8,15 +8,15 @@
  * distinguishes an upstream that aborted a response from one that has crashed
  * or exited.
  */
-export function isListening(address: string): Promise<boolean> {
-  const url = new URL(`tcp://${address}`);
+export function isListening(address: string, dial: Dial): Promise<boolean> {
   return new Promise((resolve) => {
-    const socket = connect(Number(url.port), url.hostname);
+    const socket = dial(address);
     const settle = (isAccepting: boolean) => {
+      clearTimeout(timeout);
       socket.destroy();
       resolve(isAccepting);
     };
-    socket.setTimeout(PROBE_TIMEOUT_MS, () => settle(false));
+    const timeout = setTimeout(() => settle(false), PROBE_TIMEOUT_MS);
     socket.once("connect", () => settle(true));
     socket.once("error", () => settle(false));
   });
--- a/packages/upstream_channel/src/mod.ts
+++ b/packages/upstream_channel/src/mod.ts
@@ -13,4 +13,6 @@
   ResponseHead,
 } from "./exchange.ts";
 export { ChannelPool, type ChannelPoolOptions } from "./channel_pool.ts";
+export type { ContactListener } from "./contact.ts";
+export { type Dial, dialTcp } from "./dial.ts";
 export { isListening } from "./is_listening.ts";
