--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -1,16 +1,14 @@
 import type { TrackedUpstream } from "@toucantrestle/routing";
-import type {
-  ChannelFailure,
-  ChannelPool,
-  ResponseHead,
-} from "@toucantrestle/upstream_channel";
+import type { ResponseHead } from "@toucantrestle/upstream_channel";
 import type { Call } from "./call.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { upstreamHeaders } from "./headers.ts";
+import type { PathFailure } from "./path_failure.ts";
 import type { Protocol } from "./protocol.ts";
 import { isWholeStream, type ReceivedBody } from "./response_body.ts";
 import { writeResponseHead } from "./response_head.ts";
+import type { UpstreamPath } from "./upstream_paths.ts";
 
 /** Result of one attempt on an upstream. */
 export type AttemptResult =
@@ -29,7 +27,7 @@
   /** `received` is undefined if there was no response head. */
   | {
     kind: "failed";
-    failure: ChannelFailure;
+    failure: PathFailure;
     received: ReceivedBody | undefined;
   }
   /** This front stopped the attempt. */
@@ -42,7 +40,7 @@
 export interface AttemptOptions {
   call: Call;
   upstream: TrackedUpstream;
-  pool: ChannelPool;
+  path: UpstreamPath;
   protocol: Protocol;
   body: Uint8Array;
   urgency: number | undefined;
@@ -64,11 +62,13 @@
 export interface Attempt {
   result: Promise<AttemptResult>;
   stop(reason: StopReason): void;
+  /** Fails the attempt because the way to its upstream is cut. */
+  interrupt(): void;
 }
 
 /** Sends a request to an upstream and forwards the response as it arrives. */
 export function startAttempt(opts: AttemptOptions): Attempt {
-  const { call, protocol, pool } = opts;
+  const { call, protocol, path } = opts;
   const { res } = call;
   const isStream = call.route.kind === "streaming";
   const isEventStream = (from: ResponseHead) => isStream && from.status === 200;
@@ -79,6 +79,7 @@
   let bodyBytes = 0;
   let isForwarding = opts.resumeAfter !== undefined;
   let isPaused = false;
+  let isPathLost = false;
   let stopReason: StopReason | undefined;
   let resolveResult: (result: AttemptResult) => void;
   const result = new Promise<AttemptResult>((resolve) => {
@@ -94,7 +95,7 @@
     };
   }
 
-  function resolveFailed(failure: ChannelFailure): void {
+  function resolveFailed(failure: PathFailure): void {
     resolveResult({
       kind: "failed",
       failure: { ...failure, hasDeliveredHead: isForwarding },
@@ -102,7 +103,7 @@
     });
   }
 
-  function fail(failure: ChannelFailure): void {
+  function fail(failure: PathFailure): void {
     resolveFailed(failure);
     exchange.cancel();
   }
@@ -155,7 +156,7 @@
     buffered = [];
   }
 
-  const exchange = pool.send(
+  const exchange = path.send(
     {
       id: call.head.id,
       method: call.req.method ?? "GET",
@@ -216,7 +217,8 @@
           });
           return;
         }
-        resolveFailed(failure);
+        const reason = isPathLost ? "path_lost" : failure.reason;
+        resolveFailed({ ...failure, reason });
       },
     },
   );
@@ -226,10 +228,14 @@
       stopReason = reason;
       exchange.cancel();
     },
+    interrupt() {
+      isPathLost = true;
+      exchange.cancel();
+    },
   };
 }
 
-const badResponse: ChannelFailure = {
+const badResponse: PathFailure = {
   reason: "bad_answer",
   verdict: "may_have_run",
   hasDeliveredHead: false,
@@ -239,7 +245,7 @@
  * Returns the failure of a stream that is not whole. If only the end of the
  * connection marks the end of the body, the connection ended too early.
  */
-function interruptedStream({ delimiter }: ReceivedBody): ChannelFailure {
+function interruptedStream({ delimiter }: ReceivedBody): PathFailure {
   if (delimiter !== "close") return badResponse;
   return { ...badResponse, reason: "connection_lost" };
 }
--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -4,16 +4,15 @@
   isRetrySafe,
   type TrackedUpstream,
 } from "@toucantrestle/routing";
-import {
-  type ChannelFailure,
-  isListening,
-} from "@toucantrestle/upstream_channel";
+import { isListening } from "@toucantrestle/upstream_channel";
 import { abortResponse, refuseCall, respond } from "./responses.ts";
 import { type Attempt, type AttemptResult, startAttempt } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import { EventTimes } from "./event_times.ts";
 import { finishCall } from "./finish_call.ts";
+import type { PathFailure, PathFailureReason } from "./path_failure.ts";
 import type { ServeOptions } from "./serve_options.ts";
+import type { PathKind, UpstreamPath } from "./upstream_paths.ts";
 import type { TurnState } from "./turn_state.ts";
 import {
   type AttemptStart,
@@ -35,6 +34,13 @@
 const SLOW_FACTOR = 6;
 const MIN_SLOW_ATTEMPT_MS = 300;
 
+/** Failures of the way from here, which say nothing about an upstream. */
+const OWN_PATH_REASONS: ReadonlySet<PathFailureReason> = new Set([
+  "path_lost",
+  "relay_lost",
+  "relay_refused",
+]);
+
 /** Runs one call: chooses upstreams, makes attempts and retries. */
 export class CallRunner {
   readonly #call: Call;
@@ -66,11 +72,18 @@
   async run(): Promise<void> {
     while (!this.#call.isAbandoned) {
       const upstream = await this.#choice.choose();
+      const choice = upstream ?? await this.#chooseOutOfReach();
       if (this.#call.isAbandoned) return;
-      if (!upstream) return this.#respondWithoutUpstream();
-      if (!await this.#recordOrigin(upstream)) return;
-      const result = await this.#attempt(upstream);
-      const isFinished = await this.#handleResult(upstream, result);
+      if (!choice) return this.#respondWithoutUpstream();
+      if (!await this.#recordOrigin(choice)) return;
+      const avoidsDirect = upstream === undefined;
+      const path = this.#opts.paths.pathTo(choice, { avoidsDirect });
+      if (!path) return this.#respondWithoutUpstream();
+      const result = await this.#attempt(choice, path);
+      const isFinished = await this.#handleResult(choice, {
+        result,
+        path: path.kind,
+      });
       if (isFinished) return;
     }
   }
@@ -89,17 +102,26 @@
     return false;
   }
 
-  async #attempt(upstream: TrackedUpstream): Promise<AttemptResult> {
-    const { timer, prefixIndex, pools, protocol } = this.#opts;
+  /** Chooses an upstream that only a sibling may be able to connect to. */
+  async #chooseOutOfReach(): Promise<TrackedUpstream | undefined> {
+    if (!this.#opts.paths.hasRelay) return undefined;
+    return await this.#choice.chooseInBackoff();
+  }
+
+  async #attempt(
+    upstream: TrackedUpstream,
+    path: UpstreamPath,
+  ): Promise<AttemptResult> {
+    const { timer, prefixIndex, protocol } = this.#opts;
     const call = this.#call;
     const { id } = upstream.entry;
-    const start = this.#startMeasurement(upstream);
+    const start = this.#startMeasurement(upstream, path.kind);
     const timeLeftMs = call.deadlineAt - start.startedAt;
     if (this.#turn) prefixIndex.recordPrefill(id, call.head.promptParts);
     const attempt = startAttempt({
       call,
       upstream,
-      pool: pools.poolOf(upstream),
+      path,
       protocol,
       body: this.#turn?.prompt ?? call.body,
       urgency: this.#choice.urgency(start.startedAt),
@@ -116,7 +138,9 @@
         this.#opts.noticeReader.read(upstream.entry, head);
       },
     });
+    const stopWatching = this.#watchPath(attempt, path.kind);
     const result = await this.#awaitResult(attempt, timeLeftMs);
+    stopWatching();
     start.load.end();
     if ("received" in result && result.received) {
       call.recorder.countBody(result.received, result.kind);
@@ -128,12 +152,16 @@
   }
 
   /** Records the choice and adds the attempt to the load of the upstream. */
-  #startMeasurement(upstream: TrackedUpstream): AttemptStart {
+  #startMeasurement(
+    upstream: TrackedUpstream,
+    path: PathKind,
+  ): AttemptStart {
     const startedAt = this.#opts.timer.monotonicNow();
     const uncachedTokens = this.#choice.uncachedTokens(upstream.entry.id);
     this.#recordRouted(upstream, {
       uncachedTokens,
       timeLeftMs: this.#call.deadlineAt - startedAt,
+      path,
     });
     return {
       startedAt,
@@ -144,6 +172,18 @@
     };
   }
 
+  /**
+   * Interrupts a direct attempt that may run again when the way to all
+   * upstreams turns out to be cut. Returns a function that ends this.
+   */
+  #watchPath(attempt: Attempt, path: PathKind): () => void {
+    const mayRunAgain = isRetrySafe(this.#call.route);
+    if (path !== "direct" || !mayRunAgain) return () => {};
+    return this.#opts.directPath.onCut(({ isSilent }) => {
+      if (isSilent) attempt.interrupt();
+    });
+  }
+
   /**
    * Waits for the result of an attempt. Stops the attempt when the caller
    * disconnects, the deadline passes or the attempt is slow.
@@ -186,7 +226,7 @@
   /** Handles the result of an attempt; returns true if the call is finished. */
   async #handleResult(
     upstream: TrackedUpstream,
-    result: AttemptResult,
+    { result, path }: { result: AttemptResult; path: PathKind },
   ): Promise<boolean> {
     const { id } = upstream.entry;
     switch (result.kind) {
@@ -207,7 +247,7 @@
       case "failed":
         // An upstream that declined the initial stream may accept the rest.
         if (result.failure.hasDeliveredHead) this.#choice.excluded.clear();
-        this.#recordFailure(id, result);
+        this.#recordFailure(id, { ...result, path });
         await this.#discountCrashedRun(upstream, result.failure);
         return this.#retryOrRespond(result.failure.verdict);
       case "stopped":
@@ -262,11 +302,17 @@
 
   #recordFailure(
     id: string,
-    { failure, received }: Extract<AttemptResult, { kind: "failed" }>,
+    { failure, received, path }:
+      & Extract<AttemptResult, { kind: "failed" }>
+      & { path: PathKind },
   ): void {
     const { upstreamRegistry, timer, crashTracker } = this.#opts;
     const now = timer.monotonicNow();
-    this.#choice.excluded.add(id);
+    const isUnreachable = failure.reason === "connect_refused" ||
+      failure.reason === "connect_timeout";
+    const mayReachOtherwise = OWN_PATH_REASONS.has(failure.reason) ||
+      (isUnreachable && path === "direct");
+    if (!mayReachOtherwise) this.#choice.excluded.add(id);
     if (failure.verdict === "not_run") this.#declines += 1;
     else this.#runs += 1;
     this.#call.recorder.record(
@@ -279,8 +325,6 @@
         ...received,
       },
     );
-    const isUnreachable = failure.reason === "connect_refused" ||
-      failure.reason === "connect_timeout";
     if (isUnreachable) upstreamRegistry.recordFailure(id, now);
     if (mayHaveCrashed(failure)) {
       crashTracker.recordCrash(this.#call.fingerprint, id, now);
@@ -288,24 +332,33 @@
   }
 
   /**
-   * Does not count a run against the limit if its upstream no longer listens,
-   * that is, has crashed.
+   * Does not count a run against the limit if its upstream has crashed or was
+   * cut off from this front.
    */
   async #discountCrashedRun(
     upstream: TrackedUpstream,
-    failure: ChannelFailure,
+    failure: PathFailure,
   ): Promise<void> {
     const { route } = this.#call;
-    if (!mayHaveCrashed(failure) || !isRetrySafe(route)) return;
+    const isLost = mayHaveCrashed(failure) || failure.reason === "path_lost";
+    if (!isLost || !isRetrySafe(route)) return;
     if (this.#runs < route.maxRuns) return;
     if (this.#discountedRuns >= MAX_DISCOUNTED_RUNS) return;
-    const { address } = upstream.entry;
-    const hasCrashed = !await isListening(address, this.#opts.dial);
-    if (!hasCrashed) return;
+    if (!await this.#isOutOfReach(upstream, failure)) return;
     this.#discountedRuns += 1;
     this.#runs -= 1;
   }
 
+  /** Whether the upstream has crashed or cannot be reached any more. */
+  async #isOutOfReach(
+    { entry }: TrackedUpstream,
+    failure: PathFailure,
+  ): Promise<boolean> {
+    if (failure.reason === "path_lost") return true;
+    if (this.#opts.directPath.isCut) return false;
+    return !await isListening(entry.address, this.#opts.dial);
+  }
+
   /**
    * Prepares the resumption of an interrupted stream, or aborts the response if
    * the stream cannot be resumed. Returns true when the call is finished.
@@ -333,7 +386,7 @@
     return false;
   }
 
-  #retryOrRespond(verdict: ChannelFailure["verdict"]): boolean {
+  #retryOrRespond(verdict: PathFailure["verdict"]): boolean {
     const call = this.#call;
     if (call.res.headersSent) return this.#resumeOrAbort();
     const next = decideFailureAction({
@@ -375,7 +428,7 @@
 
   #recordRouted(
     upstream: TrackedUpstream,
-    opts: { uncachedTokens: number; timeLeftMs: number },
+    opts: { uncachedTokens: number; timeLeftMs: number; path: PathKind },
   ): void {
     const { upstreamRegistry, timer, upstreamsAgeMs } = this.#opts;
     const load = upstreamRegistry.loadOf(upstream, timer.monotonicNow());
@@ -386,6 +439,7 @@
       resumeAfter: this.#call.head.lastEventId,
       resumedRequest: this.#call.head.resumedRequest,
       service: this.#call.service,
+      path: opts.path,
       configVersion: this.#call.config.version,
       upstreamsAgeMs: Math.round(upstreamsAgeMs()),
       running: load.running,
@@ -402,7 +456,7 @@
 }
 
 /** Whether the upstream may have crashed while it ran the request. */
-function mayHaveCrashed(failure: ChannelFailure): boolean {
+function mayHaveCrashed(failure: PathFailure): boolean {
   return failure.reason === "connection_lost" &&
     failure.verdict === "may_have_run";
 }
--- /dev/null
+++ b/packages/front/src/exchange_relay.ts
@@ -0,0 +1,196 @@
+import type { StreamReceiver, StreamServerHandlers } from "@toucantrestle/link";
+import type { UpstreamRegistry } from "@toucantrestle/routing";
+import {
+  createResponseHead,
+  type ExchangeControl,
+  type OutgoingRequest,
+  type RawResponseHead,
+  type ResponseHandlers,
+  type ResponseHead,
+} from "@toucantrestle/upstream_channel";
+import type { NoticeReader } from "./notice_reader.ts";
+import type { PathFailure, PathFailureReason } from "./path_failure.ts";
+import type { UpstreamPools } from "./upstream_pools.ts";
+
+/** A request that a sibling forwards to an upstream. */
+export interface RelayedRequest {
+  upstream: string;
+  req: OutgoingRequest;
+}
+
+/** Part of a forwarded response. The last one is `end` or `failure`. */
+export type RelayPart =
+  | { kind: "head"; head: RawResponseHead }
+  | { kind: "data"; bytes: Uint8Array }
+  | { kind: "end" }
+  | { kind: "failure"; failure: PathFailure };
+
+/** What the asking front does with a forwarded exchange. */
+export type RelayControl = "cancel" | "pause" | "resume";
+
+/** Streams between fronts. */
+export type FrontStreams = {
+  /** Forwards a request to an upstream and its response back. */
+  exchange: { args: RelayedRequest; part: RelayPart; control: RelayControl };
+};
+
+/** Opens an exchange over the link to a sibling; undefined if it is down. */
+export type OpenRelay = (
+  args: RelayedRequest,
+  handlers: {
+    onPart: (part: RelayPart) => void;
+    onEnd: () => void;
+    onLost: () => void;
+  },
+) => { send(control: RelayControl): void } | undefined;
+
+/** Options of `serveRelayedExchange`. */
+export interface RelayServerOptions {
+  upstreamRegistry: UpstreamRegistry;
+  pools: UpstreamPools;
+  noticeReader: NoticeReader;
+  /** Whether this front reaches upstreams itself. */
+  canReachUpstreams: () => boolean;
+}
+
+/** A response waits while more than this is buffered for a slow sibling. */
+const MAX_BUFFERED_BYTES = 1_000_000;
+/** Time between two looks at the buffer of a paused response. */
+const BUFFER_CHECK_INTERVAL_MS = 20;
+
+const REFUSED: PathFailure = {
+  reason: "relay_refused",
+  verdict: "not_run",
+  hasDeliveredHead: false,
+};
+
+/** Sends a request to an upstream through a sibling. */
+export function sendThroughSibling(
+  open: OpenRelay,
+  upstream: string,
+  { req, handlers }: {
+    req: OutgoingRequest;
+    handlers: ResponseHandlers<PathFailureReason>;
+  },
+): ExchangeControl {
+  let isOver = false;
+  let hasDeliveredHead = false;
+
+  function fail(failure: PathFailure): void {
+    if (isOver) return;
+    isOver = true;
+    handlers.onFailure(failure);
+  }
+
+  function onPart(part: RelayPart): void {
+    if (isOver) return;
+    PART_HANDLERS[part.kind](part as never);
+  }
+
+  const PART_HANDLERS: {
+    [K in RelayPart["kind"]]: (part: Extract<RelayPart, { kind: K }>) => void;
+  } = {
+    head({ head }) {
+      hasDeliveredHead = true;
+      handlers.onHead(createResponseHead(head));
+    },
+    data: ({ bytes }) => handlers.onData(Buffer.from(bytes)),
+    end() {
+      isOver = true;
+      handlers.onEnd();
+    },
+    failure: ({ failure }) => fail(failure),
+  };
+
+  const onLost = () =>
+    fail({ reason: "relay_lost", verdict: "may_have_run", hasDeliveredHead });
+  const stream = open({ upstream, req }, { onPart, onEnd: onLost, onLost });
+  if (!stream) queueMicrotask(() => fail(REFUSED));
+  return {
+    cancel() {
+      stream?.send("cancel");
+      const verdict = stream ? "may_have_run" : "not_run";
+      fail({ reason: "cancelled", verdict, hasDeliveredHead });
+    },
+    pause: () => stream?.send("pause"),
+    resume: () => stream?.send("resume"),
+  };
+}
+
+/** Forwards a sibling's request to an upstream and the response back. */
+export function serveRelayedExchange(
+  { upstream: id, req }: RelayedRequest,
+  receiver: StreamReceiver<RelayPart>,
+  opts: RelayServerOptions,
+): StreamServerHandlers<RelayControl> {
+  const { upstreamRegistry, noticeReader, pools } = opts;
+  const upstream = upstreamRegistry.get(id);
+  const isUsable = upstream && upstreamRegistry.acceptsRequests(upstream);
+  if (!isUsable || !opts.canReachUpstreams()) {
+    receiver.send({ kind: "failure", failure: REFUSED });
+    receiver.end();
+    return { onControl() {}, onLost() {} };
+  }
+  const flow = new RelayFlow(receiver);
+  const exchange = pools.poolOf(upstream).send(req, {
+    onHead(head) {
+      noticeReader.read(upstream.entry, head);
+      receiver.send({ kind: "head", head: toRawHead(head) });
+    },
+    onData(chunk) {
+      receiver.send({ kind: "data", bytes: chunk });
+      flow.onSent();
+    },
+    onEnd() {
+      flow.end();
+      receiver.send({ kind: "end" });
+      receiver.end();
+    },
+    onFailure(failure) {
+      flow.end();
+      receiver.send({ kind: "failure", failure });
+      receiver.end();
+    },
+  });
+  flow.exchange = exchange;
+  return {
+    onControl: (control) => exchange[control](),
+    onLost: () => exchange.cancel(),
+  };
+}
+
+/** Slows down a response while its sibling reads slowly. */
+class RelayFlow {
+  readonly #receiver: StreamReceiver<RelayPart>;
+  exchange: ExchangeControl | undefined;
+  #check: NodeJS.Timeout | undefined;
+
+  constructor(receiver: StreamReceiver<RelayPart>) {
+    this.#receiver = receiver;
+  }
+
+  onSent(): void {
+    if (this.#check || !this.#isFull) return;
+    this.exchange?.pause();
+    this.#check = setInterval(() => this.#resume(), BUFFER_CHECK_INTERVAL_MS);
+  }
+
+  end(): void {
+    clearInterval(this.#check);
+    this.#check = undefined;
+  }
+
+  get #isFull(): boolean {
+    return this.#receiver.bufferedBytes > MAX_BUFFERED_BYTES;
+  }
+
+  #resume(): void {
+    if (this.#isFull) return;
+    this.end();
+    this.exchange?.resume();
+  }
+}
+
+function toRawHead({ status, rawHeaders }: ResponseHead): RawResponseHead {
+  return { status, rawHeaders };
+}
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -7,7 +7,7 @@
 } from "@toucantrestle/routing";
 import { sleep } from "@toucantrestle/timer";
 import { type Relay, TurnStoreClient } from "@toucantrestle/turn_store";
-import { dialTcp } from "@toucantrestle/upstream_channel";
+import { dialTcp, isListening } from "@toucantrestle/upstream_channel";
 import {
   createServer,
   type IncomingMessage,
@@ -20,6 +20,8 @@
 import { ConfigWatcher } from "./config_watcher.ts";
 import { buildDirectoryResponse } from "./directory.ts";
 import type { Digest, FrontState } from "./protocol.ts";
+import { DirectPath, type PathCut } from "./direct_path.ts";
+import { serveRelayedExchange } from "./exchange_relay.ts";
 import { listen, MAX_HEADER_BYTES } from "./listen.ts";
 import type { FrontOptions } from "./front_options.ts";
 import { NoticeReader } from "./notice_reader.ts";
@@ -31,6 +33,7 @@
 import type { ServeOptions } from "./serve_options.ts";
 import { Siblings } from "./siblings.ts";
 import { UpstreamContact } from "./upstream_contact.ts";
+import { UpstreamPaths } from "./upstream_paths.ts";
 import { UpstreamPools } from "./upstream_pools.ts";
 import { UpstreamWatcher } from "./upstream_watcher.ts";
 
@@ -60,6 +63,7 @@
   readonly #siblings: Siblings;
   readonly #loadSharing: LoadSharing;
   readonly #contact: UpstreamContact;
+  readonly #directPath: DirectPath;
   readonly #permits: RequestPermits;
   readonly #turnStore: TurnStoreClient;
   readonly #upstreamRegistry: UpstreamRegistry;
@@ -97,6 +101,14 @@
       timer,
       log: loggers("upstream"),
     });
+    this.#directPath = new DirectPath({
+      timer,
+      contact: this.#contact,
+      addresses: () => this.#upstreamRegistry.acceptingAddresses(),
+      probe: (address) => isListening(address, dial),
+      random: Math.random,
+      log: loggers("upstream"),
+    });
     this.#configWatcher = new ConfigWatcher({
       protocol,
       log: loggers("config"),
@@ -121,6 +133,7 @@
     });
     this.#siblings = new Siblings({
       self: host,
+      dataCentre,
       linkAddress: opts.linkAddress,
       seeds: opts.seeds,
       fleet,
@@ -135,6 +148,13 @@
       forwardSettle: ({ memberId, notice }) => {
         this.#turnStore.links.forwardSettle(memberId, notice);
       },
+      serveExchange: (args, receiver) =>
+        serveRelayedExchange(args, receiver, {
+          upstreamRegistry: this.#upstreamRegistry,
+          pools,
+          noticeReader,
+          canReachUpstreams: () => !this.#directPath.isCut,
+        }),
       upstreams: () => this.#upstreamRegistry.all().map((it) => it.entry),
       onUpstreams: (entries) => this.#upstreamWatcher.mergeFromSibling(entries),
       timer,
@@ -177,6 +197,13 @@
       permits: this.#permits,
       pools,
       dial,
+      directPath: this.#directPath,
+      paths: new UpstreamPaths({
+        pools,
+        directPath: this.#directPath,
+        chooseRelay: (dataCentre) =>
+          this.#siblings.chooseExchangeRelay(dataCentre),
+      }),
       turnStore: this.#turnStore,
       chooser: opts.chooser,
       disabled: opts.disabled,
@@ -201,6 +228,8 @@
     this.#configWatcher.onConfig((config) => this.#applyLimits(config));
     this.#configWatcher.start({ store, timer });
     this.#upstreamWatcher.start(store);
+    this.#directPath.onCut((cut) => this.#onPathCut(cut));
+    this.#directPath.start();
     await this.#siblings.start();
     await listen(this.#callerServer, this.#opts.callerAddress);
     await this.#listenAuxiliary(this.#opts.readyAddress);
@@ -263,6 +292,7 @@
       this.#opts.timer.monotonicNow() - this.#contact.receivedAt,
     );
     metrics.gauge("upstreams_not_connected", this.#contact.failedCount);
+    metrics.gauge("reaches_upstreams", Number(!this.#directPath.isCut));
     metrics.gauge("upstreams_known", this.#upstreamRegistry.all().length);
     metrics.gauge(
       "upstream_connections_opened",
@@ -298,6 +328,15 @@
       this.#configWatcher.config !== undefined;
   }
 
+  /** Makes requests take the way through siblings. */
+  #onPathCut({ isSilent }: PathCut): void {
+    this.#upstreamRegistry.clearBackoffs();
+    this.#siblings.broadcastNow();
+    const { pools } = this.#serveOptions;
+    pools.closeUnconnected();
+    if (isSilent) pools.closeIdle();
+  }
+
   #sweep(): void {
     const now = this.#opts.timer.monotonicNow();
     this.#serveOptions.crashTracker.sweep(now);
@@ -410,6 +449,7 @@
       host,
       state: this.#state,
       reachesTurnStores: this.#turnStore.isQuorumReachable,
+      reachesUpstreams: !this.#directPath.isCut,
       configVersion: this.#configWatcher.config?.version ?? -1,
       crashes: this.#serveOptions.crashTracker.crashesSince(
         timer.monotonicNow() - CRASH_REPORT_WINDOW_MS,
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -94,6 +94,8 @@
   state: FrontState;
   /** Whether this front reaches a quorum of turn stores. */
   reachesTurnStores: boolean;
+  /** Whether this front reaches upstreams over its own connections. */
+  reachesUpstreams: boolean;
   configVersion: number;
   /** Requests that recently crashed upstreams, and these upstreams. */
   crashes: { fingerprint: string; upstreams: string[] }[];
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -9,10 +9,12 @@
 } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
 import type { TurnStoreClient } from "@toucantrestle/turn_store";
+import type { DirectPath } from "./direct_path.ts";
 import type { NoticeReader } from "./notice_reader.ts";
 import type { Dial } from "@toucantrestle/upstream_channel";
 import type { Protocol } from "./protocol.ts";
 import type { RequestPermits } from "./request_permits.ts";
+import type { UpstreamPaths } from "./upstream_paths.ts";
 import type { UpstreamPools } from "./upstream_pools.ts";
 
 /** Dependencies of serving a call. */
@@ -24,6 +26,8 @@
   noticeReader: NoticeReader;
   permits: RequestPermits;
   pools: UpstreamPools;
+  directPath: DirectPath;
+  paths: UpstreamPaths;
   dial: Dial;
   turnStore: TurnStoreClient;
   chooser: ChooserName;
--- a/packages/front/src/siblings.ts
+++ b/packages/front/src/siblings.ts
@@ -1,8 +1,20 @@
 import type { Fleet } from "@toucantrestle/fleet";
-import { LinkClient, LinkServer } from "@toucantrestle/link";
+import {
+  LinkClient,
+  LinkServer,
+  type StreamReceiver,
+  type StreamServerHandlers,
+} from "@toucantrestle/link";
 import type { Logger } from "@toucantrestle/log";
 import type { Timer } from "@toucantrestle/timer";
 import type { ConfigWatcher } from "./config_watcher.ts";
+import type {
+  FrontStreams,
+  OpenRelay,
+  RelayControl,
+  RelayedRequest,
+  RelayPart,
+} from "./exchange_relay.ts";
 import type {
   Digest,
   FrontMethods,
@@ -15,6 +27,7 @@
 /** Options of `Siblings`. */
 export interface SiblingsOptions {
   self: string;
+  dataCentre: string;
   linkAddress: string;
   /** Link addresses of siblings, for a start while the store is unreachable. */
   seeds: string[];
@@ -34,17 +47,28 @@
   /** Forwards a sibling's request to a turn store. */
   forward: RelayHandlers["relay"];
   forwardSettle: (it: FrontNotices["settle"]) => void;
+  /** Forwards a sibling's request to an upstream. */
+  serveExchange: (
+    args: RelayedRequest,
+    receiver: StreamReceiver<RelayPart>,
+  ) => StreamServerHandlers<RelayControl>;
   upstreams: () => UpstreamEntry[];
   onUpstreams: (entries: UpstreamEntry[]) => void;
   timer: Timer;
   log: Logger;
 }
 
+/** A sibling that was heard recently. */
+interface FreshSibling {
+  digest: Digest;
+  link: FrontLink;
+}
+
 interface RelayHandlers {
   relay: (it: FrontMethods["relay"]["args"]) => Promise<unknown>;
 }
 
-type FrontLink = LinkClient<FrontMethods, FrontNotices>;
+type FrontLink = LinkClient<FrontMethods, FrontNotices, FrontStreams>;
 
 const MIN_DIGEST_INTERVAL_MS = 250;
 const MIN_PING_INTERVAL_MS = 500;
@@ -71,14 +95,14 @@
   readonly #opts: SiblingsOptions;
   readonly #links = new Map<string, FrontLink>();
   readonly #digests = new Map<string, { digest: Digest; receivedAt: number }>();
-  readonly #server: LinkServer<FrontMethods, FrontNotices>;
+  readonly #server: LinkServer<FrontMethods, FrontNotices, FrontStreams>;
   #seeds: string[];
   #isFetchingConfig = false;
 
   constructor(opts: SiblingsOptions) {
     this.#opts = opts;
     this.#seeds = opts.seeds;
-    this.#server = new LinkServer<FrontMethods, FrontNotices>({
+    this.#server = new LinkServer<FrontMethods, FrontNotices, FrontStreams>({
       log: opts.log,
       methods: {
         config: () => ({ text: opts.configWatcher.text }),
@@ -93,6 +117,7 @@
         loads: (report) => opts.onLoads(report),
         settle: (it) => opts.forwardSettle(it),
       },
+      streams: { exchange: opts.serveExchange },
     });
   }
 
@@ -148,16 +173,44 @@
   }
 
   #chooseRelayLink(): FrontLink | undefined {
-    const candidates: FrontLink[] = [];
+    const candidates = this.#freshSiblings()
+      .filter((it) => it.digest.reachesTurnStores);
+    return candidates[Math.floor(Math.random() * candidates.length)]?.link;
+  }
+
+  /**
+   * Chooses a sibling that reaches upstreams itself, with the fewest changes of
+   * data centre on the way to the upstreams of one. Returns undefined if there
+   * is none.
+   */
+  chooseExchangeRelay(dataCentre: string | undefined): OpenRelay | undefined {
+    const { fleet, dataCentre: own } = this.#opts;
+    const locations = new Map(
+      fleet.hosts.map((it) => [it.host, it.dataCentre]),
+    );
+    const crossings = ({ digest }: FreshSibling) => {
+      const location = locations.get(digest.host);
+      return Number(location !== own) + Number(location !== dataCentre);
+    };
+    const candidates = this.#freshSiblings()
+      .filter((it) => it.digest.reachesUpstreams);
+    const least = Math.min(...candidates.map(crossings));
+    const closest = candidates.filter((it) => crossings(it) === least);
+    const link = closest[Math.floor(Math.random() * closest.length)]?.link;
+    return link &&
+      ((args, handlers) => link.open("exchange", args, handlers));
+  }
+
+  /** Siblings with an open link and a recent digest. */
+  #freshSiblings(): FreshSibling[] {
     const now = this.#opts.timer.monotonicNow();
+    const fresh: FreshSibling[] = [];
     for (const [host, { digest, receivedAt }] of this.#digests) {
       const link = this.#links.get(host);
       const isFresh = now - receivedAt < this.#digestTtlMs;
-      if (isFresh && digest.reachesTurnStores && link?.isOpen) {
-        candidates.push(link);
-      }
+      if (isFresh && link?.isOpen) fresh.push({ digest, link });
     }
-    return candidates[Math.floor(Math.random() * candidates.length)];
+    return fresh;
   }
 
   /** Broadcasts a digest immediately, for example when this front stops. */
--- a/packages/front/src/upstream_choice.ts
+++ b/packages/front/src/upstream_choice.ts
@@ -61,11 +61,22 @@
   async choose(): Promise<TrackedUpstream | undefined> {
     const { queryLoads } = this.#opts;
     if (this.#kind === "engine") {
-      const likely = closestCandidates(this.#createInput(), MAX_QUERIED);
+      const input = this.#createInput(this.#candidates());
+      const likely = closestCandidates(input, MAX_QUERIED);
       if (likely.length > 0) await queryLoads(likely);
       if (this.#call.isAbandoned) return undefined;
     }
-    return await this.#choosePermitted();
+    return await this.#choosePermitted(() => this.#candidates());
+  }
+
+  /** Chooses among the upstreams that could not be connected lately. */
+  async chooseInBackoff(): Promise<TrackedUpstream | undefined> {
+    return await this.#choosePermitted(() => {
+      const { upstreamRegistry, timer } = this.#opts;
+      const now = timer.monotonicNow();
+      return upstreamRegistry.inBackoff(this.#call.service, now)
+        .filter((it) => this.#mayServe(it));
+    });
   }
 
   /** Time until an upstream that is limited may take the call, in ms. */
@@ -76,15 +87,19 @@
     return waits.length > 0 ? Math.min(...waits) : 0;
   }
 
-  /** Chooses among the upstreams until one is not limited or grants a permit. */
-  async #choosePermitted(): Promise<TrackedUpstream | undefined> {
+  /** Chooses among upstreams until one is not limited or grants a permit. */
+  async #choosePermitted(
+    list: () => TrackedUpstream[],
+  ): Promise<TrackedUpstream | undefined> {
     const { chooser, permits } = this.#opts;
     const kind = this.#isBegun ? "continued" : "new";
     const denied = new Set<string>();
     while (!this.#call.isAbandoned) {
-      const input = this.#createInput(denied);
-      if (input.candidates.length === 0) return undefined;
-      const upstream = CHOOSERS[chooser](input);
+      const candidates = list().filter((it) =>
+        this.#mayBePermitted(it) && !denied.has(it.entry.id)
+      );
+      if (candidates.length === 0) return undefined;
+      const upstream = CHOOSERS[chooser](this.#createInput(candidates));
       if (!upstream || await permits.ask(upstream.entry, kind)) return upstream;
       denied.add(upstream.entry.id);
     }
@@ -93,9 +108,11 @@
 
   /** Returns the upstream that would be chosen on what is known locally. */
   likely(): UpstreamEntry | undefined {
-    const input = this.#createInput();
-    if (input.candidates.length === 0) return undefined;
-    return CHOOSERS[this.#opts.chooser](input)?.entry;
+    const candidates = this.#candidates().filter((it) =>
+      this.#mayBePermitted(it)
+    );
+    if (candidates.length === 0) return undefined;
+    return CHOOSERS[this.#opts.chooser](this.#createInput(candidates))?.entry;
   }
 
   /** Returns the prompt tokens that an upstream has probably not cached. */
@@ -169,8 +186,11 @@
     const { upstreamRegistry, timer } = this.#opts;
     return upstreamRegistry
       .candidates(this.#call.service, timer.monotonicNow())
-      .filter((it) => !this.excluded.has(it.entry.id))
-      .filter((it) => this.#mayWrite(it.entry));
+      .filter((it) => this.#mayServe(it));
+  }
+
+  #mayServe({ entry }: TrackedUpstream): boolean {
+    return !this.excluded.has(entry.id) && this.#mayWrite(entry);
   }
 
   /** Whether a permit for an upstream may be available now. */
@@ -178,14 +198,12 @@
     return this.#isBegun || this.#opts.permits.waitMs(entry) === 0;
   }
 
-  #createInput(denied: ReadonlySet<string> = new Set()): ChooserInput {
+  #createInput(candidates: TrackedUpstream[]): ChooserInput {
     const { upstreamRegistry, prefixIndex, timer, dataCentre, pools } =
       this.#opts;
     const now = timer.monotonicNow();
     return {
-      candidates: this.#candidates()
-        .filter((it) => !denied.has(it.entry.id))
-        .filter((it) => this.#mayBePermitted(it)),
+      candidates,
       upstreamRegistry,
       prefixIndex,
       parts: this.#call.head.promptParts,
--- a/packages/front/src/upstream_contact.ts
+++ b/packages/front/src/upstream_contact.ts
@@ -25,6 +25,11 @@
     return this.#failedSinceConnect.size;
   }
 
+  /** Forgets failures to connect, after another proof that connections work. */
+  clearFailures(): void {
+    this.#failedSinceConnect.clear();
+  }
+
   /** Returns the listener for the connections to one upstream. */
   listenerOf(id: string): ContactListener {
     return {
--- a/packages/front/src/upstream_pools.ts
+++ b/packages/front/src/upstream_pools.ts
@@ -54,6 +54,16 @@
     return pool;
   }
 
+  /** Gives up connections that are not established yet. */
+  closeUnconnected(): void {
+    for (const { pool } of this.#pools.values()) pool.closeUnconnected();
+  }
+
+  /** Closes the connections without a request. */
+  closeIdle(): void {
+    for (const { pool } of this.#pools.values()) pool.closeIdle();
+  }
+
   close(): void {
     for (const { pool } of this.#pools.values()) pool.close();
   }
--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -3,7 +3,12 @@
 import { WebSocket } from "ws";
 import { LinkError } from "./errors.ts";
 import { redialDelayMs } from "./redial.ts";
-import type { LinkMessage, MethodTable, NoticeTable } from "./messages.ts";
+import type {
+  LinkMessage,
+  MethodTable,
+  NoticeTable,
+  StreamTable,
+} from "./messages.ts";
 import { decodeMessage, sendMessage } from "./socket.ts";
 
 /** Options of a link that this process dials. */
@@ -20,6 +25,19 @@
   onLost?: () => void;
 }
 
+/** Callbacks of a stream. After `onEnd` or `onLost` nothing follows. */
+export interface StreamHandlers<Part> {
+  onPart(part: Part): void;
+  onEnd(): void;
+  /** The link is down or was lost before the end of the stream. */
+  onLost(): void;
+}
+
+/** Sends controls to the remote side of a stream. */
+export interface StreamControl<Control> {
+  send(control: Control): void;
+}
+
 interface PendingRequest {
   resolve: (result: unknown) => void;
   reject: (err: Error) => void;
@@ -35,9 +53,14 @@
 const HANDSHAKE_TIMEOUT_MS = 500;
 
 /** Client side of a link. Reconnects whenever the connection is lost. */
-export class LinkClient<M extends MethodTable, N extends NoticeTable> {
+export class LinkClient<
+  M extends MethodTable,
+  N extends NoticeTable,
+  S extends StreamTable = Record<never, never>,
+> {
   readonly #opts: LinkClientOptions;
   readonly #pending = new Map<number, PendingRequest>();
+  readonly #streams = new Map<number, StreamHandlers<unknown>>();
   #socket: WebSocket | undefined;
   #isOpen = false;
   #isClosed = false;
@@ -98,7 +121,26 @@
     sendMessage(this.#socket, { t: "notice", name, body });
   }
 
-  /** Closes the link permanently. Pending requests are rejected. */
+  /** Opens a stream. Returns undefined, without any callback, if it is down. */
+  open<K extends keyof S & string>(
+    name: K,
+    args: S[K]["args"],
+    handlers: StreamHandlers<S[K]["part"]>,
+  ): StreamControl<S[K]["control"]> | undefined {
+    const socket = this.#socket;
+    if (!this.#isOpen || !socket) return undefined;
+    const id = this.#nextId++;
+    this.#streams.set(id, handlers as StreamHandlers<unknown>);
+    sendMessage(socket, { t: "open", id, name, args });
+    return {
+      send: (body) => {
+        if (!this.#streams.has(id)) return;
+        sendMessage(socket, { t: "control", id, body });
+      },
+    };
+  }
+
+  /** Closes the link permanently. Pending requests and streams fail. */
   close(): void {
     this.#isClosed = true;
     this.#pingTimer?.cancel();
@@ -134,6 +176,7 @@
     this.#isOpen = false;
     this.#pingTimer?.cancel();
     this.#rejectPending();
+    this.#loseStreams();
     if (this.#isClosed) return;
     const now = this.#opts.timer.monotonicNow();
     if (wasOpen) {
@@ -173,8 +216,21 @@
     this.#pending.clear();
   }
 
+  #loseStreams(): void {
+    const streams = [...this.#streams.values()];
+    this.#streams.clear();
+    for (const handlers of streams) handlers.onLost();
+  }
+
   #receive(message: LinkMessage): void {
     this.#lastReceivedAt = this.#opts.timer.monotonicNow();
+    if (message.t === "part") {
+      this.#streams.get(message.id)?.onPart(message.body);
+    } else if (message.t === "end") {
+      const handlers = this.#streams.get(message.id);
+      this.#streams.delete(message.id);
+      handlers?.onEnd();
+    }
     if (message.t === "result") {
       this.#removePending(message.id)?.resolve(message.result);
     } else if (message.t === "failure") {
--- a/packages/link/src/mod.ts
+++ b/packages/link/src/mod.ts
@@ -4,12 +4,23 @@
  *
  * @module
  */
-export { LinkClient, type LinkClientOptions } from "./client.ts";
+export {
+  LinkClient,
+  type LinkClientOptions,
+  type StreamControl,
+  type StreamHandlers,
+} from "./client.ts";
 export { LinkError } from "./errors.ts";
 export type {
   Hello,
   LinkMessage,
   MethodTable,
   NoticeTable,
+  StreamTable,
 } from "./messages.ts";
-export { LinkServer, type LinkServerOptions } from "./server.ts";
+export {
+  LinkServer,
+  type LinkServerOptions,
+  type StreamReceiver,
+  type StreamServerHandlers,
+} from "./server.ts";
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -1,13 +1,42 @@
 import type { Logger } from "@toucantrestle/log";
 import { createServer, type Server } from "node:http";
 import { type WebSocket, WebSocketServer } from "ws";
-import type { LinkMessage, MethodTable, NoticeTable } from "./messages.ts";
+import type {
+  LinkMessage,
+  MethodTable,
+  NoticeTable,
+  StreamTable,
+} from "./messages.ts";
 import { decodeMessage, sendMessage } from "./socket.ts";
 
+/** The remote side of a stream, which opened it. */
+export interface StreamReceiver<Part> {
+  send(part: Part): void;
+  /** Ends the stream; nothing may be sent after it. */
+  end(): void;
+  /** Bytes that are buffered for the link, over all its streams. */
+  readonly bufferedBytes: number;
+}
+
+/** Callbacks of a stream that a remote process has opened. */
+export interface StreamServerHandlers<Control> {
+  onControl(control: Control): void;
+  /** The link was lost before the end of the stream. */
+  onLost(): void;
+}
+
+type StreamServers<S extends StreamTable> = {
+  [K in keyof S]: (
+    args: S[K]["args"],
+    receiver: StreamReceiver<S[K]["part"]>,
+  ) => StreamServerHandlers<S[K]["control"]>;
+};
+
 /** Logger, and handlers for the requests and notices of remote processes. */
 export interface LinkServerOptions<
   M extends MethodTable,
   N extends NoticeTable,
+  S extends StreamTable = Record<never, never>,
 > {
   log: Logger;
   methods: {
@@ -17,17 +46,33 @@
     ) => M[K]["result"] | Promise<M[K]["result"]>;
   };
   notices: { [K in keyof N]: (body: N[K], from: string) => void };
+  streams?: StreamServers<S>;
 }
 
 const MAX_MESSAGE_BYTES = 64_000_000;
 
+/** Streams that the remote process has open, by its id for them. */
+type OpenStreams = Map<number, StreamServerHandlers<unknown>>;
+
+/** An accepted connection. */
+interface Connection {
+  socket: WebSocket;
+  streams: OpenStreams;
+  /** Host that dialled; empty before its hello. */
+  from: string;
+}
+
 /** Accepts links from other processes and handles their messages. */
-export class LinkServer<M extends MethodTable, N extends NoticeTable> {
-  readonly #opts: LinkServerOptions<M, N>;
+export class LinkServer<
+  M extends MethodTable,
+  N extends NoticeTable,
+  S extends StreamTable = Record<never, never>,
+> {
+  readonly #opts: LinkServerOptions<M, N, S>;
   readonly #server: Server = createServer();
   readonly #sockets: WebSocketServer;
 
-  constructor(opts: LinkServerOptions<M, N>) {
+  constructor(opts: LinkServerOptions<M, N, S>) {
     this.#opts = opts;
     this.#sockets = new WebSocketServer({
       server: this.#server,
@@ -53,6 +98,11 @@
 
   #accept(socket: WebSocket): void {
     let from = "";
+    const streams: OpenStreams = new Map();
+    socket.on("close", () => {
+      for (const handlers of streams.values()) handlers.onLost();
+      streams.clear();
+    });
     socket.on("error", () => socket.terminate());
     socket.on("message", (data) => {
       const message = decodeMessage(data);
@@ -64,11 +114,12 @@
         return;
       }
       if (message.t === "hello") from = message.host;
-      else this.#dispatch(socket, message, from);
+      else this.#dispatch({ socket, streams, from }, message);
     });
   }
 
-  #dispatch(socket: WebSocket, message: LinkMessage, from: string): void {
+  #dispatch(connection: Connection, message: LinkMessage): void {
+    const { socket, streams, from } = connection;
     switch (message.t) {
       case "ping":
         return sendMessage(socket, { t: "pong" });
@@ -80,11 +131,41 @@
       case "request":
         this.#handleRequest(socket, message, from);
         return;
+      case "open":
+        return this.#openStream(connection, message);
+      case "control":
+        return streams.get(message.id)?.onControl(message.body);
       default:
         return;
     }
   }
 
+  #openStream(
+    { socket, streams }: Connection,
+    { id, name, args }: Extract<LinkMessage, { t: "open" }>,
+  ): void {
+    const serve = this.#opts.streams?.[name];
+    if (!serve) {
+      this.#opts.log.warn(`stream "${name}" is unknown`);
+      return sendMessage(socket, { t: "end", id });
+    }
+    let isEnded = false;
+    const handlers = serve(args as S[string]["args"], {
+      send: (body) => {
+        if (!isEnded) sendMessage(socket, { t: "part", id, body });
+      },
+      end: () => {
+        isEnded = true;
+        streams.delete(id);
+        sendMessage(socket, { t: "end", id });
+      },
+      get bufferedBytes() {
+        return socket.bufferedAmount;
+      },
+    });
+    if (!isEnded) streams.set(id, handlers);
+  }
+
   async #handleRequest(
     socket: WebSocket,
     message: Extract<LinkMessage, { t: "request" }>,
--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -138,14 +138,37 @@
 
   /** Returns the upstreams of a service that accept new requests. */
   candidates(service: string, now: number): TrackedUpstream[] {
-    const available: TrackedUpstream[] = [];
+    return this.#accepting(service).filter((it) => now >= it.backoffUntil);
+  }
+
+  /** Returns the upstreams of a service that wait for the end of a backoff. */
+  inBackoff(service: string, now: number): TrackedUpstream[] {
+    return this.#accepting(service).filter((it) => now < it.backoffUntil);
+  }
+
+  #accepting(service: string): TrackedUpstream[] {
+    return this.all().filter((it) =>
+      it.entry.service === service && this.acceptsRequests(it)
+    );
+  }
+
+  /** Whether an upstream takes new requests as far as it and its entry say. */
+  acceptsRequests({ entry }: TrackedUpstream): boolean {
+    return !entry.isDraining && !this.notices.isLeaving(entry);
+  }
+
+  /** Addresses of the upstreams that take new requests. */
+  acceptingAddresses(): string[] {
+    return this.all().filter((it) => this.acceptsRequests(it))
+      .map((it) => it.entry.address);
+  }
+
+  /** Ends all backoffs, for instance because their cause was another one. */
+  clearBackoffs(): void {
     for (const known of this.#upstreams.values()) {
-      if (known.entry.service !== service || known.entry.isDraining) continue;
-      if (this.notices.isLeaving(known.entry)) continue;
-      if (now < known.backoffUntil) continue;
-      available.push(known);
+      known.backoffUntil = 0;
+      known.consecutiveFailures = 0;
     }
-    return available;
   }
 
   /**
--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -4,12 +4,12 @@
 import type { Socket } from "node:net";
 import type { ContactListener } from "./contact.ts";
 import type { Dial } from "./dial.ts";
-import type {
-  BodyDelimiter,
-  ChannelFailure,
-  OutgoingRequest,
-  ResponseHandlers,
-  ResponseHead,
+import {
+  type ChannelFailure,
+  createResponseHead,
+  type OutgoingRequest,
+  type ResponseHandlers,
+  type ResponseHead,
 } from "./exchange.ts";
 
 /** Options of one connection. */
@@ -109,6 +109,11 @@
     if (this.#exchange?.req.id === id) this.#socket.resume();
   }
 
+  /** Closes the connection if it is not established yet. */
+  closeUnconnected(): void {
+    if (!this.#isConnected) this.#close("connect_timeout");
+  }
+
   /** Closes the connection, which cancels the request in flight. */
   close(): void {
     this.#close("cancelled");
@@ -176,9 +181,7 @@
   #onHead(status: number, rawHeaders: string[], canKeepAlive: boolean): void {
     const exchange = this.#exchange;
     if (!exchange) return this.#close("bad_answer");
-    const headers = toHeaderMap(rawHeaders);
-    const bodyDelimiter = bodyDelimiterOf(headers);
-    const head = { status, bodyDelimiter, rawHeaders, headers };
+    const head = createResponseHead({ status, rawHeaders });
     const echoedId = this.#opts.echoedRequestId(head);
     const isInterim = status < 200;
     this.#isSkipping = isInterim ||
@@ -241,23 +244,6 @@
   end: number;
 }
 
-function toHeaderMap(rawHeaders: string[]): Map<string, string> {
-  const headers = new Map<string, string>();
-  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
-    headers.set(
-      (rawHeaders[i] as string).toLowerCase(),
-      rawHeaders[i + 1] as string,
-    );
-  }
-  return headers;
-}
-
-function bodyDelimiterOf(headers: Map<string, string>): BodyDelimiter {
-  const transferEncoding = headers.get("transfer-encoding")?.toLowerCase();
-  if (transferEncoding === "chunked") return "chunked";
-  return headers.has("content-length") ? "length" : "close";
-}
-
 /** Returns the idle timeout announced by a `Keep-Alive` header, in ms. */
 function parseIdleTimeoutMs(headers: Map<string, string>): number | undefined {
   const match = /timeout=(\d+)/i.exec(headers.get("keep-alive") ?? "");
--- a/packages/upstream_channel/src/channel_pool.ts
+++ b/packages/upstream_channel/src/channel_pool.ts
@@ -5,6 +5,7 @@
 import { type Dial, dialTcp } from "./dial.ts";
 import type {
   ExchangeControl,
+  ExchangeSender,
   OutgoingRequest,
   ResponseHandlers,
   ResponseHead,
@@ -31,7 +32,7 @@
 };
 
 /** Keep-alive connections to one upstream, reused in LIFO order. */
-export class ChannelPool {
+export class ChannelPool implements ExchangeSender {
   readonly #opts: ChannelPoolOptions;
   readonly #channels = new Set<Channel>();
   #idle: Channel[] = [];
@@ -68,6 +69,16 @@
     };
   }
 
+  /** Gives up connections that are not established yet. */
+  closeUnconnected(): void {
+    for (const channel of [...this.#channels]) channel.closeUnconnected();
+  }
+
+  /** Closes the connections without a request. */
+  closeIdle(): void {
+    for (const channel of [...this.#idle]) channel.close();
+  }
+
   /** Closes all connections, which cancels the requests in flight. */
   close(): void {
     for (const channel of [...this.#channels]) channel.close();
--- a/packages/upstream_channel/src/exchange.ts
+++ b/packages/upstream_channel/src/exchange.ts
@@ -27,14 +27,36 @@
   headers: Map<string, string>;
 }
 
-/** Why an exchange failed. */
-export interface ChannelFailure {
-  reason:
-    | "connect_refused"
-    | "connect_timeout"
-    | "connection_lost"
-    | "bad_answer"
-    | "cancelled";
+/** Status and headers of a response as the upstream sent them. */
+export type RawResponseHead = Pick<ResponseHead, "status" | "rawHeaders">;
+
+/** Adds what follows from the headers to a response head. */
+export function createResponseHead(raw: RawResponseHead): ResponseHead {
+  const headers = new Map<string, string>();
+  for (let i = 0; i + 1 < raw.rawHeaders.length; i += 2) {
+    const name = (raw.rawHeaders[i] as string).toLowerCase();
+    headers.set(name, raw.rawHeaders[i + 1] as string);
+  }
+  return { ...raw, headers, bodyDelimiter: bodyDelimiterOf(headers) };
+}
+
+function bodyDelimiterOf(headers: Map<string, string>): BodyDelimiter {
+  const transferEncoding = headers.get("transfer-encoding")?.toLowerCase();
+  if (transferEncoding === "chunked") return "chunked";
+  return headers.has("content-length") ? "length" : "close";
+}
+
+/** Why an exchange over a connection to the upstream failed. */
+export type ChannelFailureReason =
+  | "connect_refused"
+  | "connect_timeout"
+  | "connection_lost"
+  | "bad_answer"
+  | "cancelled";
+
+/** Failure of an exchange; `R` are the possible reasons. */
+export interface ChannelFailure<R extends string = ChannelFailureReason> {
+  reason: R;
   /** `not_run` only if no byte of the request was sent. */
   verdict: Verdict;
   /** True if the response head was delivered before the failure. */
@@ -45,11 +67,16 @@
  * Callbacks of an exchange. The last call is either `onEnd` or `onFailure`,
  * exactly once.
  */
-export interface ResponseHandlers {
+export interface ResponseHandlers<R extends string = ChannelFailureReason> {
   onHead(head: ResponseHead): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
-  onFailure(failure: ChannelFailure): void;
+  onFailure(failure: ChannelFailure<R>): void;
+}
+
+/** Sends requests to one upstream. */
+export interface ExchangeSender<R extends string = ChannelFailureReason> {
+  send(req: OutgoingRequest, handlers: ResponseHandlers<R>): ExchangeControl;
 }
 
 /** Controls an exchange in flight; has no effect after its end. */
--- a/packages/upstream_channel/src/mod.ts
+++ b/packages/upstream_channel/src/mod.ts
@@ -7,11 +7,15 @@
 export type {
   BodyDelimiter,
   ChannelFailure,
+  ChannelFailureReason,
   ExchangeControl,
+  ExchangeSender,
   OutgoingRequest,
+  RawResponseHead,
   ResponseHandlers,
   ResponseHead,
 } from "./exchange.ts";
+export { createResponseHead } from "./exchange.ts";
 export { ChannelPool, type ChannelPoolOptions } from "./channel_pool.ts";
 export type { ContactListener } from "./contact.ts";
 export { type Dial, dialTcp } from "./dial.ts";
