--- a/packages/front/src/exchange_relay.ts
+++ b/packages/front/src/exchange_relay.ts
@@ -1,5 +1,6 @@
 import type { StreamReceiver, StreamServerHandlers } from "@toucantrestle/link";
 import type { UpstreamRegistry } from "@toucantrestle/routing";
+import type { Timer } from "@toucantrestle/timer";
 import {
   createResponseHead,
   type ExchangeControl,
@@ -51,6 +52,7 @@
   noticeReader: NoticeReader;
   /** Whether this front reaches upstreams itself. */
   canReachUpstreams: () => boolean;
+  timer: Timer;
 }
 
 /** A response waits while more than this is buffered for a slow sibling. */
@@ -58,6 +60,11 @@
 /** Time between two looks at the buffer of a paused response. */
 const BUFFER_CHECK_INTERVAL_MS = 20;
 
+const CONNECT_FAILURES: ReadonlySet<PathFailureReason> = new Set([
+  "connect_refused",
+  "connect_timeout",
+]);
+
 const REFUSED: PathFailure = {
   reason: "relay_refused",
   verdict: "not_run",
@@ -123,9 +130,10 @@
   receiver: StreamReceiver<RelayPart>,
   opts: RelayServerOptions,
 ): StreamServerHandlers<RelayControl> {
-  const { upstreamRegistry, noticeReader, pools } = opts;
+  const { upstreamRegistry, noticeReader, pools, timer } = opts;
   const upstream = upstreamRegistry.get(id);
-  const isUsable = upstream && upstreamRegistry.acceptsRequests(upstream);
+  const isUsable = upstream && upstreamRegistry.acceptsRequests(upstream) &&
+    timer.monotonicNow() >= upstream.backoffUntil;
   if (!isUsable || !opts.canReachUpstreams()) {
     receiver.send({ kind: "failure", failure: REFUSED });
     receiver.end();
@@ -148,6 +156,9 @@
     },
     onFailure(failure) {
       flow.end();
+      if (CONNECT_FAILURES.has(failure.reason)) {
+        upstreamRegistry.recordFailure(id, timer.monotonicNow());
+      }
       receiver.send({ kind: "failure", failure });
       receiver.end();
     },
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -154,6 +154,7 @@
           pools,
           noticeReader,
           canReachUpstreams: () => !this.#directPath.isCut,
+          timer,
         }),
       upstreams: () => this.#upstreamRegistry.all().map((it) => it.entry),
       onUpstreams: (entries) => this.#upstreamWatcher.mergeFromSibling(entries),
--- a/packages/front/test/unreachable_upstreams_test.ts
+++ b/packages/front/test/unreachable_upstreams_test.ts
@@ -241,6 +241,15 @@
     expect(performance.now() - startedAt).toBeLessThan(200);
   });
 
+  it("refuses calls at once while the upstreams of a service are dead", async () => {
+    for (const id of ["p1", "p2"]) cluster.crashUpstream(id);
+    await callMany("/plain/x");
+    const startedAt = performance.now();
+    const result = await cluster.call("/plain/x", { headers: { "x-id": "r" } });
+    expect(result.status).toEqual(503);
+    expect(performance.now() - startedAt).toBeLessThan(200);
+  });
+
   it("takes the direct way again after the cut", async () => {
     await cutAndSettle("hang");
     paths[0]?.heal();
