Own interface: an upstream that says when it takes requests again is left alone until then (LIMIT)

What operators would see: an engine or service that refuses calls with Retry-After gets more of them after 1 or 2 s, whatever it asked for; a service's 429 with the verdict not_run was recorded as the result of the call.

Change: the clients read Retry-After (seconds), and a daemon sends no calls there for at least that long; a 429 that declares not_run is a refusal. The limit is kept by each daemon that was refused, not by all together: the own protocol has no header for such a limit.

Evidence: engine_client_test and service_client_test, 4 cases failed before and pass; the expected whole response of a service names the new field.

--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -25,7 +25,7 @@
 import { UNPROCESSABLE_STATUS } from "./isolation.ts";
 import { listUnableToContinue, type OutputOrigin } from "./output_origin.ts";
 import { startStallWatchdog } from "./stall_watchdog.ts";
-import { hasNotRunVerdict, tryUpstreams } from "./try_upstreams.ts";
+import { downTimeMs, hasNotRunVerdict, tryUpstreams } from "./try_upstreams.ts";
 
 const MAX_ATTEMPTS = 4;
 /**
@@ -202,7 +202,7 @@
     this.#excludedUpstreams.push(upstream);
     this.#ctx.placementQueue.dispatcher.markDown(
       upstream,
-      this.#ctx.timer.now() + ENGINE_DOWN_MS,
+      this.#ctx.timer.now() + downTimeMs(err, ENGINE_DOWN_MS),
     );
     this.#ctx.timeline.record({
       part: "call",
--- a/packages/daemon/src/service_call.ts
+++ b/packages/daemon/src/service_call.ts
@@ -14,7 +14,7 @@
 import { createUpstreamUnavailableError } from "./crash_guard.ts";
 import type { Placement } from "./placement_queue.ts";
 import type { OwnedShard } from "./owned_shard.ts";
-import { hasNotRunVerdict, tryUpstreams } from "./try_upstreams.ts";
+import { downTimeMs, hasNotRunVerdict, tryUpstreams } from "./try_upstreams.ts";
 
 const MAX_ATTEMPTS = 3;
 /**
@@ -117,16 +117,17 @@
       mayRetry: (err) =>
         (route.idempotent || hasNotRunVerdict(err)) &&
         this.#ctx.retryBudget.tryConsume(),
-      recordFailure: (placement) => this.#recordFailure(placement),
+      recordFailure: (placement, err) => this.#recordFailure(placement, err),
       placeRetry: () => this.#placeRetry(step),
     });
     return { outcome: createOutcome(response), spentTokens: route.costTokens };
   }
 
-  #recordFailure({ upstream }: Placement): void {
+  #recordFailure({ upstream }: Placement, err: unknown): void {
     const { placementQueue, timer } = this.#ctx;
     this.#excludedUpstreams.push(upstream);
-    placementQueue.dispatcher.markDown(upstream, timer.now() + SERVICE_DOWN_MS);
+    const downMs = downTimeMs(err, SERVICE_DOWN_MS);
+    placementQueue.dispatcher.markDown(upstream, timer.now() + downMs);
   }
 
   async #placeRetry(step: number): Promise<Placement> {
--- a/packages/daemon/src/try_upstreams.ts
+++ b/packages/daemon/src/try_upstreams.ts
@@ -47,6 +47,15 @@
   return err instanceof RequestError && err.verdict === "not_run";
 }
 
+/**
+ * Returns how long an upstream gets no calls after a failure: `downMs`, or
+ * longer if it says so itself. Times in ms.
+ */
+export function downTimeMs(err: unknown, downMs: number): number {
+  const retryAfterMs = err instanceof RequestError ? err.retryAfterMs : 0;
+  return Math.max(downMs, retryAfterMs ?? 0);
+}
+
 /**
  * Returns the error with the verdict `may_have_run` instead of `not_run` if an
  * earlier attempt may have run.
--- a/packages/engine/src/engine_client.ts
+++ b/packages/engine/src/engine_client.ts
@@ -1,6 +1,7 @@
 import {
   ConflictError,
   parseDeclaredVerdict,
+  parseRetryAfterMs,
   RequestError,
   TimeoutError,
   toUpstreamError,
@@ -92,6 +93,7 @@
     const parser = new StreamParser();
     let status = 0;
     let errorBody = "";
+    let retryAfterMs: number | undefined;
     try {
       await streamRequest(this.#pool, {
         path: "/v1/chat/completions",
@@ -103,8 +105,9 @@
         },
         body: JSON.stringify(toWireRequest(call)),
         signal: opts.signal,
-        onStatus: (it) => {
+        onHead: (it, headers) => {
           status = it;
+          retryAfterMs = parseRetryAfterMs(headers["retry-after"]);
         },
         onText: (text) => {
           if (status !== 200) {
@@ -119,7 +122,9 @@
       if (err instanceof RequestError) throw err;
       throw toUpstreamError(this.#name, err);
     }
-    if (status !== 200) throw this.#errorOfStatus(status, errorBody);
+    if (status !== 200) {
+      throw this.#errorOfStatus(status, { body: errorBody, retryAfterMs });
+    }
     if (parser.isDone) return parser.result();
     throw toUpstreamError(
       this.#name,
@@ -204,18 +209,21 @@
       });
       const text = await res.body.text();
       if (res.statusCode === 200) return JSON.parse(text);
-      throw this.#errorOfStatus(res.statusCode, text);
+      throw this.#errorOfStatus(res.statusCode, { body: text });
     } catch (err) {
       if (err instanceof RequestError) throw err;
       throw toUpstreamError(this.#name, err);
     }
   }
 
-  #errorOfStatus(status: number, body: string): RequestError {
+  #errorOfStatus(
+    status: number,
+    { body, retryAfterMs }: { body: string; retryAfterMs?: number | undefined },
+  ): RequestError {
     const verdict: Verdict = parseDeclaredVerdict(body);
     const message = `engine ${this.#name} responded with status ${status}`;
     if (status === 409) return new ConflictError(message);
-    return new UpstreamError(message, { props: { verdict } });
+    return new UpstreamError(message, { props: { verdict, retryAfterMs } });
   }
 }
 
--- a/packages/engine/src/stream_request.ts
+++ b/packages/engine/src/stream_request.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from "undici";
+import type { IncomingHttpHeaders } from "node:http";
 import { StringDecoder } from "node:string_decoder";
 
 /** A POST request whose response is read in chunks. */
@@ -8,8 +9,8 @@
   body: string;
   /** Aborts the request. */
   signal: AbortSignal;
-  /** Called with the HTTP status, before any text. */
-  onStatus(status: number): void;
+  /** Called with the HTTP status and the headers, before any text. */
+  onHead(status: number, headers: IncomingHttpHeaders): void;
   /** Called with each chunk of text as it arrives. */
   onText(text: string): void;
 }
@@ -46,7 +47,8 @@
       onRequestStart: (it) => {
         controller = it;
       },
-      onResponseStart: (_controller, status) => req.onStatus(status),
+      onResponseStart: (_controller, status, headers) =>
+        req.onHead(status, headers),
       onResponseData: (_controller, chunk) => req.onText(decoder.write(chunk)),
       onResponseEnd: () => finish(resolve),
       onResponseError: (_controller, err) => finish(() => reject(err)),
--- a/packages/engine/test/engine_client_test.ts
+++ b/packages/engine/test/engine_client_test.ts
@@ -22,6 +22,8 @@
 
 interface EngineResponse {
   status?: number;
+  /** Further header lines, each with its line end. */
+  headers?: string;
   delimiter: typeof DELIMITERS[number];
   body: string;
   /** Size of the whole body, if only a part of it is sent. */
@@ -40,7 +42,8 @@
     chunked: `transfer-encoding: chunked\r\n\r\n${chunk}${lastChunk}`,
     close: `\r\n${body}`,
   };
-  socket.write(`HTTP/1.1 ${status} x\r\n${framed[delimiter]}`);
+  const { headers = "" } = response;
+  socket.write(`HTTP/1.1 ${status} x\r\n${headers}${framed[delimiter]}`);
   if (ending === "close") socket.end();
   else setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
 }
@@ -75,6 +78,13 @@
 
 /** Returns the finish reason of a completion, or the verdict of its error. */
 function complete(client: EngineClient): Promise<string> {
+  return completeOrFail(client).then(
+    (result) => result.finishReason,
+    (err) => (err as { verdict: string }).verdict,
+  );
+}
+
+function completeOrFail(client: EngineClient) {
   const call: CompletionCall = {
     requestId: "q1",
     program: "p1",
@@ -87,10 +97,7 @@
     extra: {},
   };
   const signal = AbortSignal.timeout(2_000);
-  return client.complete(call, { signal, onDelta() {} }).then(
-    (result) => result.finishReason,
-    (err) => (err as { verdict: string }).verdict,
-  );
+  return client.complete(call, { signal, onDelta() {} });
 }
 
 // Guards against taking an interrupted stream for a complete one.
@@ -136,6 +143,35 @@
   });
 });
 
+describe("an engine that limits its requests", () => {
+  // Guards against LIMIT: what an upstream says of its limit was not read.
+  for (const status of [429, 503]) {
+    it(`says when it takes requests again (${status})`, async () => {
+      const client = await startEngine({
+        status,
+        headers: "retry-after: 1.5\r\n",
+        delimiter: "length",
+        body: '{"verdict":"not_run"}',
+        ending: "close",
+      });
+      const err = await completeOrFail(client).catch((it) => it);
+      expect([err.verdict, err.retryAfterMs]).toEqual(["not_run", 1_500]);
+    });
+  }
+
+  it("says nothing with a header that cannot be read", async () => {
+    const client = await startEngine({
+      status: 429,
+      headers: "retry-after: soon\r\n",
+      delimiter: "length",
+      body: "{}",
+      ending: "close",
+    });
+    const err = await completeOrFail(client).catch((it) => it);
+    expect(err.retryAfterMs).toEqual(undefined);
+  });
+});
+
 describe("a control response of an engine", () => {
   for (const ending of ENDINGS) {
     it(`is rejected if its connection ends early (${ending})`, async () => {
--- a/packages/service/src/service_client.ts
+++ b/packages/service/src/service_client.ts
@@ -8,6 +8,7 @@
 } from "@toucantrestle/upstream_channel";
 import {
   parseDeclaredVerdict,
+  parseRetryAfterMs,
   TimeoutError,
   UpstreamError,
 } from "@toucantrestle/verdict";
@@ -37,6 +38,8 @@
    * marked its end.
    */
   endsWithConnection: boolean;
+  /** Time after which the service takes requests again, in ms, if it says so. */
+  retryAfterMs: number | undefined;
 }
 
 /** Options of `ServiceClient`. */
@@ -47,6 +50,8 @@
   log: Logger;
 }
 
+const TOO_MANY_REQUESTS_STATUS = 429;
+
 /** Client of one service upstream. */
 export class ServiceClient {
   readonly #name: string;
@@ -71,10 +76,13 @@
    */
   async call(call: ServiceCall): Promise<ServiceResponse> {
     const response = await this.#exchange(call);
-    if (response.status < 500) return response;
+    const verdict = parseDeclaredVerdict(response.body);
+    const isRefused = response.status === TOO_MANY_REQUESTS_STATUS &&
+      verdict === "not_run";
+    if (response.status < 500 && !isRefused) return response;
     throw new UpstreamError(
       `service ${this.#name} responded with status ${response.status}`,
-      { props: { verdict: parseDeclaredVerdict(response.body) } },
+      { props: { verdict, retryAfterMs: response.retryAfterMs } },
     );
   }
 
@@ -162,6 +170,7 @@
     status: head.status,
     contentType: head.headers.get("content-type") ?? "text/plain",
     body: Buffer.concat(chunks).toString(),
+    retryAfterMs: parseRetryAfterMs(head.headers.get("retry-after")),
     endsWithConnection: head.bodyDelimiter === "close",
   };
 }
--- a/packages/service/test/service_client_test.ts
+++ b/packages/service/test/service_client_test.ts
@@ -82,6 +82,7 @@
       contentType: "text/plain",
       body: "done",
       endsWithConnection: false,
+      retryAfterMs: undefined,
     });
   });
 
@@ -165,3 +166,20 @@
     expect(sentBytes).toBeLessThan(MAX_SENT_BYTES);
   });
 });
+
+describe("a service that limits its requests", () => {
+  // Guards against LIMIT: what an upstream says of its limit was not read.
+  for (const status of [429, 503]) {
+    it(`says when it takes requests again (${status})`, async () => {
+      const body = '{"verdict":"not_run"}';
+      const client = await startService((socket) =>
+        socket.end(
+          `HTTP/1.1 ${status} x\r\nretry-after: 1.5\r\n` +
+            `content-length: ${body.length}\r\n\r\n${body}`,
+        )
+      );
+      const err = await call(client).catch((it) => it);
+      expect([err.verdict, err.retryAfterMs]).toEqual(["not_run", 1_500]);
+    });
+  }
+});
--- a/packages/verdict/src/mod.ts
+++ b/packages/verdict/src/mod.ts
@@ -11,4 +11,8 @@
   toProblem,
   toRequestError,
 } from "./problem.ts";
-export { parseDeclaredVerdict, toUpstreamError } from "./upstream_error.ts";
+export {
+  parseDeclaredVerdict,
+  parseRetryAfterMs,
+  toUpstreamError,
+} from "./upstream_error.ts";
--- a/packages/verdict/src/upstream_error.ts
+++ b/packages/verdict/src/upstream_error.ts
@@ -52,3 +52,17 @@
     return "may_have_run";
   }
 }
+
+const RETRY_AFTER = /^\d+(\.\d+)?$/;
+const MS_PER_S = 1_000;
+
+/**
+ * Returns the delay in a `Retry-After` header, in ms. A date or a value that
+ * cannot be read gives none.
+ */
+export function parseRetryAfterMs(
+  value: string | undefined,
+): number | undefined {
+  const seconds = value?.trim() ?? "";
+  return RETRY_AFTER.test(seconds) ? Number(seconds) * MS_PER_S : undefined;
+}
