Fronts: permits of a limited upstream go to the calls with most work (LIMIT)

A limit counts requests, whatever their work.

Change: a call's work (expected output tokens) against the mean of its service gives a weight; the less it is, the more unused tokens the collector's bucket must hold. Where all upstreams of a service are limited all calls weigh the same, so that none starves.

--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -28,6 +28,7 @@
 import { FleetShare } from "./fleet_share.ts";
 import { LoadSharing } from "./load_sharing.ts";
 import { readCall } from "./read_call.ts";
+import { PermitWeights } from "./permit_weights.ts";
 import { RequestPermits } from "./request_permits.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServeOptions } from "./serve_options.ts";
@@ -196,6 +197,7 @@
       crashTracker: new CrashTracker(),
       noticeReader,
       permits: this.#permits,
+      permitWeights: new PermitWeights(),
       pools,
       dial,
       directPath: this.#directPath,
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -1,6 +1,6 @@
 import type { FleetSnapshot } from "@toucantrestle/fleet";
 import type {
-  PermitKind,
+  PermitRequest,
   PromptPart,
   RoutingConfig,
   UpstreamEntry,
@@ -118,7 +118,11 @@
   };
   /** Asks the collector of an upstream for a permit to send one request. */
   permit: {
-    args: { upstream: UpstreamEntry; kind: PermitKind; notice: SharedNotice };
+    args: {
+      upstream: UpstreamEntry;
+      request: PermitRequest;
+      notice: SharedNotice;
+    };
     /** `waitMs` is 0 if the permit is granted. */
     result: { waitMs: number; notice: SharedNotice | undefined };
   };
--- a/packages/front/src/request_permits.ts
+++ b/packages/front/src/request_permits.ts
@@ -1,6 +1,6 @@
 import type { Logger } from "@toucantrestle/log";
 import {
-  type PermitKind,
+  type PermitRequest,
   RateLimiter,
   type UpstreamEntry,
   type UpstreamNotices,
@@ -14,6 +14,12 @@
 type PermitQuery = FrontMethods["permit"]["args"];
 type PermitReply = FrontMethods["permit"]["result"];
 
+/** The last denial of a permit; it holds for no greater weight. */
+interface Denial {
+  until: number;
+  weight: number;
+}
+
 /** Links to the siblings that `RequestPermits` needs. */
 export interface PermitLinks {
   queryPermit(
@@ -58,43 +64,49 @@
   readonly #collected = new Map<string, RateLimiter>();
   /** Limiters of upstreams whose collector does not answer. */
   readonly #unanswered = new Map<string, RateLimiter>();
-  /** Times until which no further permits are available. */
-  readonly #deniedUntil = new Map<string, number>();
+  /** Denials by upstream. */
+  readonly #denials = new Map<string, Denial>();
 
   constructor(opts: RequestPermitsOptions) {
     this.#opts = opts;
   }
 
   /** Asks for a permit to send one request; true if it may be sent. */
-  async ask(upstream: UpstreamEntry, kind: PermitKind): Promise<boolean> {
+  async ask(
+    upstream: UpstreamEntry,
+    request: PermitRequest,
+  ): Promise<boolean> {
     const { collectors, notices, self } = this.#opts;
     if (notices.maxRequestsPerS(upstream) === undefined) return true;
     const collector = collectors.of(upstream.id);
     const waitMs = collector === self
-      ? this.#take(this.#collected, { upstream, kind })
-      : await this.#askCollector(collector, { upstream, kind });
+      ? this.#take(this.#collected, { upstream, request })
+      : await this.#askCollector(collector, { upstream, request });
     if (waitMs === 0) return true;
     const now = this.#opts.timer.monotonicNow();
-    const denialMs = Math.min(MAX_DENIAL_MS, waitMs);
-    this.#deniedUntil.set(upstream.id, now + denialMs);
+    const until = now + Math.min(MAX_DENIAL_MS, waitMs);
+    this.#denials.set(upstream.id, { until, weight: request.weight });
     return false;
   }
 
   /** Answers a sibling that takes this front for the collector. */
-  answer({ upstream, kind, notice }: PermitQuery): PermitReply {
+  answer({ upstream, request, notice }: PermitQuery): PermitReply {
     const { notices, timer } = this.#opts;
     notices.record(fromSharedNotice(notice, timer.monotonicNow()));
-    const waitMs = this.#take(this.#collected, { upstream, kind });
+    const waitMs = this.#take(this.#collected, { upstream, request });
     return { waitMs, notice: this.#sharedNotice(upstream) };
   }
 
-  /** Time until another permit may be available, in ms; 0 if one may be now. */
-  waitMs(upstream: UpstreamEntry): number {
+  /**
+   * Time until a permit may be available for a request of this weight, in ms; 0
+   * if one may be now.
+   */
+  waitMs(upstream: UpstreamEntry, weight: number): number {
+    const denial = this.#denials.get(upstream.id);
     const isLimited =
       this.#opts.notices.maxRequestsPerS(upstream) !== undefined;
-    const deniedUntil = this.#deniedUntil.get(upstream.id);
-    if (!isLimited || deniedUntil === undefined) return 0;
-    return Math.max(0, deniedUntil - this.#opts.timer.monotonicNow());
+    if (!isLimited || !denial || weight > denial.weight) return 0;
+    return Math.max(0, denial.until - this.#opts.timer.monotonicNow());
   }
 
   /** Drops the state of upstreams that are not registered any more. */
@@ -103,7 +115,7 @@
       const state of [
         this.#collected,
         this.#unanswered,
-        this.#deniedUntil,
+        this.#denials,
       ]
     ) {
       for (const id of state.keys()) {
@@ -114,13 +126,13 @@
 
   async #askCollector(
     collector: string,
-    { upstream, kind }: { upstream: UpstreamEntry; kind: PermitKind },
+    { upstream, request }: { upstream: UpstreamEntry; request: PermitRequest },
   ): Promise<number> {
     const { links, notices, timer, log } = this.#opts;
     const notice = this.#sharedNotice(upstream);
     if (!notice) return 0;
     try {
-      const query = { upstream, kind, notice };
+      const query = { upstream, request, notice };
       const reply = await links.queryPermit(collector, query, QUERY_TIMEOUT_MS);
       if (reply.notice) {
         notices.record(fromSharedNotice(reply.notice, timer.monotonicNow()));
@@ -129,14 +141,14 @@
       return reply.waitMs;
     } catch (err) {
       log.debug(`permit query to front ${collector} failed: ${String(err)}`);
-      return this.#take(this.#unanswered, { upstream, kind });
+      return this.#take(this.#unanswered, { upstream, request });
     }
   }
 
   /** Takes a token from the limiter of an upstream; returns the wait in ms. */
   #take(
     limiters: Map<string, RateLimiter>,
-    { upstream, kind }: { upstream: UpstreamEntry; kind: PermitKind },
+    { upstream, request }: { upstream: UpstreamEntry; request: PermitRequest },
   ): number {
     const { notices, share, timer } = this.#opts;
     const limitPerS = notices.maxRequestsPerS(upstream);
@@ -148,7 +160,7 @@
       ? UNANSWERED_FRACTION * share.own
       : share.connected;
     const ratePerS = Math.max(MIN_RATE_PER_S, limitPerS) * fraction;
-    return limiter.take({ ratePerS, kind, now });
+    return limiter.take(request, { ratePerS, now });
   }
 
   #sharedNotice(upstream: UpstreamEntry) {
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -13,6 +13,7 @@
 import type { NoticeReader } from "./notice_reader.ts";
 import type { Dial } from "@toucantrestle/upstream_channel";
 import type { Protocol } from "./protocol.ts";
+import type { PermitWeights } from "./permit_weights.ts";
 import type { RequestPermits } from "./request_permits.ts";
 import type { UpstreamPaths } from "./upstream_paths.ts";
 import type { UpstreamPools } from "./upstream_pools.ts";
@@ -25,6 +26,7 @@
   crashTracker: CrashTracker;
   noticeReader: NoticeReader;
   permits: RequestPermits;
+  permitWeights: PermitWeights;
   pools: UpstreamPools;
   directPath: DirectPath;
   paths: UpstreamPaths;
--- a/packages/front/src/upstream_choice.ts
+++ b/packages/front/src/upstream_choice.ts
@@ -59,8 +59,9 @@
    * Returns undefined if none is left or the caller has disconnected.
    */
   async choose(): Promise<TrackedUpstream | undefined> {
-    const { queryLoads } = this.#opts;
+    const { queryLoads, permitWeights } = this.#opts;
     if (this.#kind === "engine") {
+      permitWeights.observe(this.#call.service, this.#workMs);
       const input = this.#createInput(this.#candidates());
       const likely = closestCandidates(input, MAX_QUERIED);
       if (likely.length > 0) await queryLoads(likely);
@@ -81,8 +82,10 @@
 
   /** Time until an upstream that is limited may take the call, in ms. */
   get permitWaitMs(): number {
-    const waits = this.#candidates()
-      .map((it) => this.#opts.permits.waitMs(it.entry))
+    const candidates = this.#candidates();
+    const weight = this.#permitWeight(candidates);
+    const waits = candidates
+      .map((it) => this.#opts.permits.waitMs(it.entry, weight))
       .filter((ms) => ms > 0);
     return waits.length > 0 ? Math.min(...waits) : 0;
   }
@@ -95,12 +98,13 @@
     const kind = this.#isBegun ? "continued" : "new";
     const denied = new Set<string>();
     while (!this.#call.isAbandoned) {
-      const candidates = list().filter((it) =>
-        this.#mayBePermitted(it) && !denied.has(it.entry.id)
-      );
+      const all = list().filter((it) => !denied.has(it.entry.id));
+      const weight = this.#permitWeight(all);
+      const candidates = all.filter((it) => this.#mayBePermitted(it, weight));
       if (candidates.length === 0) return undefined;
       const upstream = CHOOSERS[chooser](this.#createInput(candidates));
-      if (!upstream || await permits.ask(upstream.entry, kind)) return upstream;
+      if (!upstream) return undefined;
+      if (await permits.ask(upstream.entry, { kind, weight })) return upstream;
       denied.add(upstream.entry.id);
     }
     return undefined;
@@ -108,9 +112,9 @@
 
   /** Returns the upstream that would be chosen on what is known locally. */
   likely(): UpstreamEntry | undefined {
-    const candidates = this.#candidates().filter((it) =>
-      this.#mayBePermitted(it)
-    );
+    const all = this.#candidates();
+    const weight = this.#permitWeight(all);
+    const candidates = all.filter((it) => this.#mayBePermitted(it, weight));
     if (candidates.length === 0) return undefined;
     return CHOOSERS[this.#opts.chooser](this.#createInput(candidates))?.entry;
   }
@@ -194,8 +198,26 @@
   }
 
   /** Whether a permit for an upstream may be available now. */
-  #mayBePermitted({ entry }: TrackedUpstream): boolean {
-    return this.#isBegun || this.#opts.permits.waitMs(entry) === 0;
+  #mayBePermitted({ entry }: TrackedUpstream, weight: number): boolean {
+    return this.#isBegun || this.#opts.permits.waitMs(entry, weight) === 0;
+  }
+
+  /**
+   * Weight of the call for permits. Without an upstream that has no limit all
+   * calls count the same, so that small ones are served too.
+   */
+  #permitWeight(candidates: TrackedUpstream[]): number {
+    const { permitWeights, upstreamRegistry } = this.#opts;
+    const hasUnlimited = candidates.some(({ entry }) =>
+      upstreamRegistry.notices.maxRequestsPerS(entry) === undefined
+    );
+    if (!hasUnlimited || this.#isBegun) return 1;
+    return permitWeights.weightOf(this.#call.service, this.#workMs);
+  }
+
+  /** Work of the call for an engine with a cached prompt, in ms. */
+  get #workMs(): number {
+    return this.#outputTokens * this.speed.idleDecodeMsPerToken;
   }
 
   #createInput(candidates: TrackedUpstream[]): ChooserInput {
--- a/packages/front/test/request_permits_test.ts
+++ b/packages/front/test/request_permits_test.ts
@@ -10,6 +10,7 @@
 
 const WINDOW_MS = 4_000;
 const STEP_MS = 20;
+const PLAIN_REQUEST = { kind: "new", weight: 1 } as const;
 
 /** Most requests that an upstream may get in a window. */
 function allowedInWindow(limitPerS: number): number {
@@ -205,8 +206,8 @@
         for (const host of fronts) {
           const permit = permits.get(host);
           if (!alive.has(host) || !permit) continue;
-          if (permit.waitMs(upstream) > 0) continue;
-          if (!await permit.ask(upstream, "new")) continue;
+          if (permit.waitMs(upstream, 1) > 0) continue;
+          if (!await permit.ask(upstream, PLAIN_REQUEST)) continue;
           grants.push(timer.monotonicNow());
           learn(host);
         }
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -19,7 +19,11 @@
   type UpstreamLoad,
   UpstreamRegistry,
 } from "./upstream_registry.ts";
-export { type PermitKind, RateLimiter } from "./rate_limiter.ts";
+export {
+  type PermitKind,
+  type PermitRequest,
+  RateLimiter,
+} from "./rate_limiter.ts";
 export {
   type NoticeChange,
   type ReceivedNotice,
--- a/packages/routing/src/rate_limiter.ts
+++ b/packages/routing/src/rate_limiter.ts
@@ -4,6 +4,16 @@
  */
 export type PermitKind = "new" | "continued";
 
+/** A request for a permit. */
+export interface PermitRequest {
+  kind: PermitKind;
+  /**
+   * How much the request gains by the permit, from 0 to 1. The less it gains,
+   * the more unused tokens there must be.
+   */
+  weight: number;
+}
+
 /** Tokens that may be used in advance, by kind of permit. */
 const ADVANCE_TOKENS: Record<PermitKind, number> = { new: 0, continued: 2 };
 /** Unused tokens are kept for bursts up to this time's worth, in s. */
@@ -25,11 +35,15 @@
    * Takes a token for one request. Returns 0 if there is one, and otherwise the
    * time until there will be, in ms.
    */
-  take(opts: { ratePerS: number; kind: PermitKind; now: number }): number {
-    this.#refill(opts.ratePerS, opts.now);
-    const missing = 1 - ADVANCE_TOKENS[opts.kind] - this.#tokens;
+  take(
+    { kind, weight }: PermitRequest,
+    { ratePerS, now }: { ratePerS: number; now: number },
+  ): number {
+    this.#refill(ratePerS, now);
+    const reserve = (1 - weight) * BURST_S * ratePerS;
+    const missing = 1 + reserve - ADVANCE_TOKENS[kind] - this.#tokens;
     if (missing > TOLERANCE_TOKENS) {
-      return Math.ceil(missing / opts.ratePerS * MS_PER_S);
+      return Math.ceil(missing / ratePerS * MS_PER_S);
     }
     this.#tokens -= 1;
     return 0;
--- a/packages/routing/test/rate_limiter_test.ts
+++ b/packages/routing/test/rate_limiter_test.ts
@@ -3,13 +3,13 @@
 import { describe, it } from "node:test";
 import { RateLimiter } from "../src/mod.ts";
 
+const NEW = { kind: "new", weight: 1 } as const;
 const rates = fc.double({ min: 0.1, max: 200, noNaN: true });
 
 describe("RateLimiter", () => {
   it("starts without tokens and says when there will be one", () => {
     const limiter = new RateLimiter(0);
-    const take = (now: number) =>
-      limiter.take({ ratePerS: 0.5, kind: "new", now });
+    const take = (now: number) => limiter.take(NEW, { ratePerS: 0.5, now });
     expect(take(0)).toEqual(2_000);
     expect(take(1_500)).toEqual(500);
     expect(take(2_000)).toEqual(0);
@@ -19,7 +19,7 @@
   it("grants a continued request in advance, and takes that back", () => {
     const limiter = new RateLimiter(0);
     const take = (kind: "new" | "continued", now: number) =>
-      limiter.take({ ratePerS: 1, kind, now });
+      limiter.take({ kind, weight: 1 }, { ratePerS: 1, now });
     expect(take("continued", 1_000)).toEqual(0);
     expect(take("continued", 1_000)).toEqual(0);
     expect(take("continued", 1_000)).toEqual(0);
@@ -27,6 +27,30 @@
     expect(take("new", 2_000)).toEqual(2_000);
   });
 
+  it("leaves the tokens to the requests that gain most, if these use them", () => {
+    const limiter = new RateLimiter(0);
+    const granted = { large: 0, small: 0 };
+    for (let now = 0; now < 20_000; now += 20) {
+      const size = now % 100 === 0 ? "large" : "small";
+      const weight = size === "large" ? 1 : 0.2;
+      const request = { kind: "new", weight } as const;
+      if (limiter.take(request, { ratePerS: 10, now }) === 0) {
+        granted[size] += 1;
+      }
+    }
+    expect(granted.large).toBeGreaterThanOrEqual(190);
+  });
+
+  it("grants small requests too while large ones leave tokens", () => {
+    const limiter = new RateLimiter(0);
+    const request = { kind: "new", weight: 0 } as const;
+    let granted = 0;
+    for (let now = 0; now < 20_000; now += 20) {
+      if (limiter.take(request, { ratePerS: 10, now }) === 0) granted += 1;
+    }
+    expect(granted).toBeGreaterThanOrEqual(180);
+  });
+
   it("never grants more in a window than its rate and its burst allow", () => {
     fc.assert(fc.property(
       rates,
@@ -63,7 +87,7 @@
   let now = 0;
   for (const gap of gaps) {
     now += gap;
-    if (limiter.take({ ratePerS, kind: "new", now }) === 0) granted.push(now);
+    if (limiter.take(NEW, { ratePerS, now }) === 0) granted.push(now);
   }
   return granted;
 }
