--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -1,16 +1,17 @@
-import {
-  canResumeStream,
-  decideFailureAction,
-  isRetrySafe,
-  type TrackedUpstream,
-} from "@toucantrestle/routing";
-import { isListening } from "@toucantrestle/upstream_channel";
+import { isRetrySafe, type TrackedUpstream } from "@toucantrestle/routing";
 import { abortResponse, refuseCall, respond } from "./responses.ts";
 import { type Attempt, type AttemptResult, startAttempt } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import { EventTimes } from "./event_times.ts";
 import { finishCall } from "./finish_call.ts";
-import type { PathFailure, PathFailureReason } from "./path_failure.ts";
+import {
+  isConnectFailure,
+  isOwnPathFailure,
+  mayHaveCrashed,
+  type PathFailure,
+} from "./path_failure.ts";
+import { recordRouted } from "./record_routed.ts";
+import { RunCount } from "./run_count.ts";
 import type { ServeOptions } from "./serve_options.ts";
 import type { PathKind, UpstreamPath } from "./upstream_paths.ts";
 import type { TurnState } from "./turn_state.ts";
@@ -22,11 +23,6 @@
 
 /** The deadline of an upstream precedes that of the caller by this margin. */
 const DEADLINE_MARGIN_MS = 10;
-/**
- * Maximum number of runs on crashed upstreams that do not count against the run
- * limit. A call during which more upstreams crash may itself be the cause.
- */
-const MAX_DISCOUNTED_RUNS = 1;
 /**
  * An attempt at an idempotent call counts as slow after this multiple of the
  * mean duration; the call is then retried on another upstream.
@@ -34,23 +30,13 @@
 const SLOW_FACTOR = 6;
 const MIN_SLOW_ATTEMPT_MS = 300;
 
-/** Failures of the way from here, which say nothing about an upstream. */
-const OWN_PATH_REASONS: ReadonlySet<PathFailureReason> = new Set([
-  "path_lost",
-  "relay_lost",
-  "relay_refused",
-]);
-
 /** Runs one call: chooses upstreams, makes attempts and retries. */
 export class CallRunner {
   readonly #call: Call;
   readonly #turn: TurnState | undefined;
   readonly #opts: ServeOptions;
   readonly #choice: UpstreamChoice;
-  #runs = 0;
-  #declines = 0;
-  /** Runs not counted in `#runs` because their upstream crashed. */
-  #discountedRuns = 0;
+  readonly #count: RunCount;
   /** Id of the last event forwarded to the caller. */
   #lastEventId: string | undefined;
 
@@ -66,6 +52,7 @@
     this.#turn = turn;
     this.#opts = opts;
     this.#choice = choice;
+    this.#count = new RunCount(call, opts);
   }
 
   /** Attempts the call on one upstream after another until it is finished. */
@@ -97,7 +84,7 @@
     if (await this.#turn.recordOrigin(upstream.entry)) {
       return !this.#call.isAbandoned;
     }
-    if (this.#runs > 0) this.#respondFailed("origin cannot be recorded");
+    if (this.#count.runs > 0) this.#respondFailed("origin cannot be recorded");
     else refuseCall(this.#call, "turns_unknown");
     return false;
   }
@@ -158,11 +145,16 @@
   ): AttemptStart {
     const startedAt = this.#opts.timer.monotonicNow();
     const uncachedTokens = this.#choice.uncachedTokens(upstream.entry.id);
-    this.#recordRouted(upstream, {
-      uncachedTokens,
-      timeLeftMs: this.#call.deadlineAt - startedAt,
+    const call = this.#call;
+    recordRouted(call, {
+      upstream,
       path,
-    });
+      isTurn: this.#turn !== undefined,
+      uncachedTokens,
+      timeLeftMs: call.deadlineAt - startedAt,
+      programLeftMs: this.#choice.programLeftMs(startedAt),
+      tries: this.#count.runs + this.#count.declines,
+    }, this.#opts);
     return {
       startedAt,
       uncachedTokens,
@@ -216,7 +208,7 @@
     const { route } = this.#call;
     const mayTryAnother = !this.#opts.disabled.has("slow_attempts") &&
       route.kind === "idempotent" &&
-      this.#runs + 1 < route.maxRuns;
+      this.#count.mayRunAgain;
     if (!mayTryAnother) return Infinity;
     const mean = this.#opts.upstreamRegistry.meanMs(route.name) ??
       DEFAULT_CALL_DURATION_MS;
@@ -248,7 +240,7 @@
         // An upstream that declined the initial stream may accept the rest.
         if (result.failure.hasDeliveredHead) this.#choice.excluded.clear();
         this.#recordFailure(id, { ...result, path });
-        await this.#discountCrashedRun(upstream, result.failure);
+        await this.#count.discountLostRun(upstream, result.failure);
         return this.#retryOrRespond(result.failure.verdict);
       case "stopped":
         return this.#handleStopped(id, result);
@@ -259,7 +251,7 @@
     id: string,
     result: Extract<AttemptResult, { kind: "stopped" }>,
   ): boolean {
-    this.#runs += 1;
+    this.#count.count("may_have_run");
     this.#choice.excluded.add(id);
     this.#call.recorder.record(
       "stopped",
@@ -281,7 +273,7 @@
 
   #recordDeclined(id: string, status: number): void {
     this.#choice.excluded.add(id);
-    this.#declines += 1;
+    this.#count.count("not_run");
     this.#call.recorder.record(
       "declined",
       `upstream ${id} declined the call with status ${status}`,
@@ -308,13 +300,11 @@
   ): void {
     const { upstreamRegistry, timer, crashTracker } = this.#opts;
     const now = timer.monotonicNow();
-    const isUnreachable = failure.reason === "connect_refused" ||
-      failure.reason === "connect_timeout";
-    const mayReachOtherwise = OWN_PATH_REASONS.has(failure.reason) ||
+    const isUnreachable = isConnectFailure(failure);
+    const mayReachOtherwise = isOwnPathFailure(failure) ||
       (isUnreachable && path === "direct");
     if (!mayReachOtherwise) this.#choice.excluded.add(id);
-    if (failure.verdict === "not_run") this.#declines += 1;
-    else this.#runs += 1;
+    this.#count.count(failure.verdict);
     this.#call.recorder.record(
       "attempt_failed",
       `attempt on ${id} failed: ${failure.reason}`,
@@ -331,46 +321,14 @@
     }
   }
 
-  /**
-   * Does not count a run against the limit if its upstream has crashed or was
-   * cut off from this front.
-   */
-  async #discountCrashedRun(
-    upstream: TrackedUpstream,
-    failure: PathFailure,
-  ): Promise<void> {
-    const { route } = this.#call;
-    const isLost = mayHaveCrashed(failure) || failure.reason === "path_lost";
-    if (!isLost || !isRetrySafe(route)) return;
-    if (this.#runs < route.maxRuns) return;
-    if (this.#discountedRuns >= MAX_DISCOUNTED_RUNS) return;
-    if (!await this.#isOutOfReach(upstream, failure)) return;
-    this.#discountedRuns += 1;
-    this.#runs -= 1;
-  }
-
-  /** Whether the upstream has crashed or cannot be reached any more. */
-  async #isOutOfReach(
-    { entry }: TrackedUpstream,
-    failure: PathFailure,
-  ): Promise<boolean> {
-    if (failure.reason === "path_lost") return true;
-    if (this.#opts.directPath.isCut) return false;
-    return !await isListening(entry.address, this.#opts.dial);
-  }
-
   /**
    * Prepares the resumption of an interrupted stream, or aborts the response if
    * the stream cannot be resumed. Returns true when the call is finished.
    */
   #resumeOrAbort(): boolean {
     const call = this.#call;
-    const canResume = this.#lastEventId !== undefined && canResumeStream({
-      route: call.route,
-      runs: this.#runs,
-      declines: this.#declines,
-      timeLeftMs: call.deadlineAt - this.#opts.timer.monotonicNow(),
-    });
+    const canResume = this.#lastEventId !== undefined &&
+      this.#count.canResume();
     if (!canResume) {
       abortResponse(call, "upstream failed, stream cannot be resumed");
       return true;
@@ -380,7 +338,7 @@
       `stream resumed after event ${this.#lastEventId}`,
       {
         lastEventId: this.#lastEventId,
-        runs: this.#runs,
+        runs: this.#count.runs,
       },
     );
     return false;
@@ -389,13 +347,7 @@
   #retryOrRespond(verdict: PathFailure["verdict"]): boolean {
     const call = this.#call;
     if (call.res.headersSent) return this.#resumeOrAbort();
-    const next = decideFailureAction({
-      route: call.route,
-      verdict,
-      runs: this.#runs,
-      declines: this.#declines,
-      timeLeftMs: call.deadlineAt - this.#opts.timer.monotonicNow(),
-    });
+    const next = this.#count.nextAction(verdict);
     if (next === "retry") return false;
     if (next === "refuse") refuseCall(call, "upstreams_full");
     else if (next === "time_out") this.#respondDeadlineExceeded();
@@ -406,10 +358,11 @@
   #respondWithoutUpstream(): void {
     if (this.#call.res.headersSent) {
       abortResponse(this.#call, "no upstream left to resume the stream");
-    } else if (this.#runs > 0) {
+    } else if (this.#count.runs > 0) {
       this.#respondFailed("no upstream left to retry the call");
-    } else if (this.#declines > 0) refuseCall(this.#call, "upstreams_full");
-    else if (this.#choice.permitWaitMs > 0) {
+    } else if (this.#count.declines > 0) {
+      refuseCall(this.#call, "upstreams_full");
+    } else if (this.#choice.permitWaitMs > 0) {
       refuseCall(this.#call, "upstreams_limited", this.#choice.permitWaitMs);
     } else refuseCall(this.#call, "no_upstream");
   }
@@ -425,38 +378,4 @@
       reason: "deadline exceeded",
     });
   }
-
-  #recordRouted(
-    upstream: TrackedUpstream,
-    opts: { uncachedTokens: number; timeLeftMs: number; path: PathKind },
-  ): void {
-    const { upstreamRegistry, timer, upstreamsAgeMs } = this.#opts;
-    const load = upstreamRegistry.loadOf(upstream, timer.monotonicNow());
-    const { id } = upstream.entry;
-    this.#call.recorder.record("routed", `call sent to ${id}`, {
-      upstream: id,
-      softwareVersion: upstream.entry.softwareVersion,
-      resumeAfter: this.#call.head.lastEventId,
-      resumedRequest: this.#call.head.resumedRequest,
-      service: this.#call.service,
-      path: opts.path,
-      configVersion: this.#call.config.version,
-      upstreamsAgeMs: Math.round(upstreamsAgeMs()),
-      running: load.running,
-      maxRequestsPerS: upstreamRegistry.notices.maxRequestsPerS(
-        upstream.entry,
-      ),
-      waitingTokens: this.#turn ? load.prefillTokens : undefined,
-      unreadTokens: this.#turn ? opts.uncachedTokens : undefined,
-      timeLeftMs: Math.round(opts.timeLeftMs),
-      programLeftMs: this.#choice.programLeftMs(timer.monotonicNow()),
-      tries: this.#runs + this.#declines,
-    });
-  }
-}
-
-/** Whether the upstream may have crashed while it ran the request. */
-function mayHaveCrashed(failure: PathFailure): boolean {
-  return failure.reason === "connection_lost" &&
-    failure.verdict === "may_have_run";
 }
--- a/packages/front/src/exchange_relay.ts
+++ b/packages/front/src/exchange_relay.ts
@@ -10,7 +10,11 @@
   type ResponseHead,
 } from "@toucantrestle/upstream_channel";
 import type { NoticeReader } from "./notice_reader.ts";
-import type { PathFailure, PathFailureReason } from "./path_failure.ts";
+import {
+  isConnectFailure,
+  type PathFailure,
+  type PathFailureReason,
+} from "./path_failure.ts";
 import type { UpstreamPools } from "./upstream_pools.ts";
 
 /** A request that a sibling forwards to an upstream. */
@@ -60,11 +64,6 @@
 /** Time between two looks at the buffer of a paused response. */
 const BUFFER_CHECK_INTERVAL_MS = 20;
 
-const CONNECT_FAILURES: ReadonlySet<PathFailureReason> = new Set([
-  "connect_refused",
-  "connect_timeout",
-]);
-
 const REFUSED: PathFailure = {
   reason: "relay_refused",
   verdict: "not_run",
@@ -156,7 +155,7 @@
     },
     onFailure(failure) {
       flow.end();
-      if (CONNECT_FAILURES.has(failure.reason)) {
+      if (isConnectFailure(failure)) {
         upstreamRegistry.recordFailure(id, timer.monotonicNow());
       }
       receiver.send({ kind: "failure", failure });
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -1,13 +1,6 @@
-import { SpeedEstimate } from "@toucantrestle/policy";
-import {
-  CrashTracker,
-  PrefixIndex,
-  type RoutingConfig,
-  UpstreamRegistry,
-} from "@toucantrestle/routing";
+import type { RoutingConfig } from "@toucantrestle/routing";
 import { sleep } from "@toucantrestle/timer";
-import { type Relay, TurnStoreClient } from "@toucantrestle/turn_store";
-import { dialTcp, isListening } from "@toucantrestle/upstream_channel";
+import type { TurnStoreClient } from "@toucantrestle/turn_store";
 import {
   createServer,
   type IncomingMessage,
@@ -15,28 +8,21 @@
   type ServerResponse,
 } from "node:http";
 import { abortResponse, sendText } from "./responses.ts";
+import { serveAuxiliary } from "./auxiliary.ts";
 import type { Call } from "./call.ts";
-import { Collectors } from "./collectors.ts";
-import { ConfigWatcher } from "./config_watcher.ts";
+import type { ConfigWatcher } from "./config_watcher.ts";
 import { buildDirectoryResponse } from "./directory.ts";
 import type { Digest, FrontState } from "./protocol.ts";
-import { DirectPath, type PathCut } from "./direct_path.ts";
-import { serveRelayedExchange } from "./exchange_relay.ts";
+import type { PathCut } from "./direct_path.ts";
 import { listen, MAX_HEADER_BYTES } from "./listen.ts";
 import type { FrontOptions } from "./front_options.ts";
-import { NoticeReader } from "./notice_reader.ts";
-import { FleetShare } from "./fleet_share.ts";
-import { LoadSharing } from "./load_sharing.ts";
+import { createFrontParts } from "./front_parts.ts";
 import { readCall } from "./read_call.ts";
-import { PermitWeights } from "./permit_weights.ts";
-import { RequestPermits } from "./request_permits.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServeOptions } from "./serve_options.ts";
-import { Siblings } from "./siblings.ts";
-import { UpstreamContact } from "./upstream_contact.ts";
-import { UpstreamPaths } from "./upstream_paths.ts";
-import { UpstreamPools } from "./upstream_pools.ts";
-import { UpstreamWatcher } from "./upstream_watcher.ts";
+import type { Siblings } from "./siblings.ts";
+import type { UpstreamContact } from "./upstream_contact.ts";
+import type { UpstreamWatcher } from "./upstream_watcher.ts";
 
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 /** Idle connections outlive the configured timeout by this margin. */
@@ -62,162 +48,28 @@
   readonly #configWatcher: ConfigWatcher;
   readonly #upstreamWatcher: UpstreamWatcher;
   readonly #siblings: Siblings;
-  readonly #loadSharing: LoadSharing;
   readonly #contact: UpstreamContact;
-  readonly #directPath: DirectPath;
-  readonly #permits: RequestPermits;
   readonly #turnStore: TurnStoreClient;
-  readonly #upstreamRegistry: UpstreamRegistry;
   readonly #serveOptions: ServeOptions;
   readonly #callerServer: Server;
   readonly #auxiliaryServers: Server[] = [];
   readonly #activeCalls = new Set<Call>();
-  readonly #speeds = new Map<string, SpeedEstimate>();
   #graceMs: number;
   #isStopping = false;
 
   constructor(opts: FrontOptions) {
     this.#opts = opts;
     this.#graceMs = opts.graceMs;
-    const { protocol, timer, loggers, host, dataCentre, fleet } = opts;
-    const prefixIndex = new PrefixIndex();
-    const dial = opts.dial ?? dialTcp;
-    this.#contact = new UpstreamContact({ timer, metrics: opts.metrics });
-    const pools = new UpstreamPools({
-      timer,
-      log: loggers("upstream"),
-      dial,
-      contact: this.#contact,
-      echoedRequestId: (head) => protocol.echoedRequestId(head),
-    });
-    this.#upstreamRegistry = new UpstreamRegistry({
-      onInstanceGone: (id) => {
-        prefixIndex.removeUpstream(id);
-        pools.remove(id);
-      },
-    });
-    const noticeReader = new NoticeReader({
-      protocol,
-      notices: this.#upstreamRegistry.notices,
-      timer,
-      log: loggers("upstream"),
-    });
-    this.#directPath = new DirectPath({
-      timer,
-      contact: this.#contact,
-      addresses: () => this.#upstreamRegistry.acceptingAddresses(),
-      probe: (address) => isListening(address, dial),
-      random: Math.random,
-      log: loggers("upstream"),
-    });
-    this.#configWatcher = new ConfigWatcher({
-      protocol,
-      log: loggers("config"),
-    });
-    this.#upstreamWatcher = new UpstreamWatcher({
-      protocol,
-      upstreamRegistry: this.#upstreamRegistry,
-      timer,
-      log: loggers("upstream"),
+    const parts = createFrontParts(opts, {
+      createDigest: () => this.#createDigest(),
+      applyDigest: (digest) => this.#applyDigest(digest),
     });
-    this.#turnStore = new TurnStoreClient({
-      self: host,
-      dataCentre,
-      timer,
-      log: loggers("turns"),
-      onView: (view) => fleet.applyView(view),
-      canRelay: () => this.#siblings.canRelay,
-      relay: ((memberId, name, args) =>
-        this.#siblings.relay({ memberId, name, args })) as Relay,
-      relaySettle: (memberId, notice) =>
-        this.#siblings.relaySettle({ memberId, notice }),
-    });
-    this.#siblings = new Siblings({
-      self: host,
-      dataCentre,
-      linkAddress: opts.linkAddress,
-      seeds: opts.seeds,
-      fleet,
-      configWatcher: this.#configWatcher,
-      digest: () => this.#createDigest(),
-      onDigest: (digest) => this.#applyDigest(digest),
-      onLoads: (report) => this.#loadSharing.applyReport(report),
-      answerLoads: (query) => this.#loadSharing.answerQuery(query),
-      answerPermit: (query) => this.#permits.answer(query),
-      forward: ({ memberId, name, args }) =>
-        this.#turnStore.links.forward(memberId, name, args as never),
-      forwardSettle: ({ memberId, notice }) => {
-        this.#turnStore.links.forwardSettle(memberId, notice);
-      },
-      serveExchange: (args, receiver) =>
-        serveRelayedExchange(args, receiver, {
-          upstreamRegistry: this.#upstreamRegistry,
-          pools,
-          noticeReader,
-          canReachUpstreams: () => !this.#directPath.isCut,
-          timer,
-        }),
-      upstreams: () => this.#upstreamRegistry.all().map((it) => it.entry),
-      onUpstreams: (entries) => this.#upstreamWatcher.mergeFromSibling(entries),
-      timer,
-      log: loggers("sibling"),
-    });
-    const collectors = new Collectors({
-      self: host,
-      timer,
-      siblings: this.#siblings,
-    });
-    this.#loadSharing = new LoadSharing({
-      self: host,
-      timer,
-      upstreamRegistry: this.#upstreamRegistry,
-      siblings: this.#siblings,
-      collectors,
-      isEnabled: !opts.disabled.has("shared_loads"),
-      log: loggers("sibling"),
-    });
-    this.#permits = new RequestPermits({
-      self: host,
-      timer,
-      notices: this.#upstreamRegistry.notices,
-      collectors,
-      share: new FleetShare({
-        self: host,
-        timer,
-        connectedSiblings: () => collectors.siblings,
-        registeredFronts: () => fleet.fronts,
-      }),
-      links: this.#siblings,
-      log: loggers("sibling"),
-    });
-    this.#serveOptions = {
-      protocol,
-      upstreamRegistry: this.#upstreamRegistry,
-      prefixIndex,
-      crashTracker: new CrashTracker(),
-      noticeReader,
-      permits: this.#permits,
-      permitWeights: new PermitWeights(),
-      pools,
-      dial,
-      directPath: this.#directPath,
-      paths: new UpstreamPaths({
-        pools,
-        directPath: this.#directPath,
-        chooseRelay: (dataCentre) =>
-          this.#siblings.chooseExchangeRelay(dataCentre),
-      }),
-      turnStore: this.#turnStore,
-      chooser: opts.chooser,
-      disabled: opts.disabled,
-      speedOf: (service) => this.#speedOf(service),
-      host,
-      dataCentre,
-      onLoadChange: (id, kind) => this.#loadSharing.reportChange(id, kind),
-      queryLoads: (upstreams) => this.#loadSharing.query(upstreams),
-      upstreamsAgeMs: () => this.#upstreamWatcher.ageMs,
-      timer,
-    };
+    this.#configWatcher = parts.configWatcher;
+    this.#upstreamWatcher = parts.upstreamWatcher;
+    this.#siblings = parts.siblings;
+    this.#contact = parts.contact;
+    this.#turnStore = parts.turnStore;
+    this.#serveOptions = parts.serveOptions;
     this.#callerServer = this.#createServer((req, res) =>
       this.#onCall(req, res)
     );
@@ -231,8 +83,8 @@
     this.#configWatcher.onConfig((config) => this.#applyLimits(config));
     this.#configWatcher.start({ store, timer });
     this.#upstreamWatcher.start(store);
-    this.#directPath.onCut((cut) => this.#onPathCut(cut));
-    this.#directPath.start();
+    this.#serveOptions.directPath.onCut((cut) => this.#onPathCut(cut));
+    this.#serveOptions.directPath.start();
     await this.#siblings.start();
     await listen(this.#callerServer, this.#opts.callerAddress);
     await this.#listenAuxiliary(this.#opts.readyAddress);
@@ -285,27 +137,23 @@
 
   /** Updates the gauge metrics. */
   reportGauges(): void {
-    const { metrics } = this.#opts;
-    metrics.gauge("calls_open", this.#activeCalls.size);
-    metrics.gauge("config_version", this.#configWatcher.config?.version ?? -1);
-    metrics.gauge("config_age_ms", this.#configWatcher.ageMs);
-    metrics.gauge("upstreams_age_ms", this.#upstreamWatcher.ageMs);
-    metrics.gauge(
-      "upstreams_heard_age_ms",
-      this.#opts.timer.monotonicNow() - this.#contact.receivedAt,
-    );
-    metrics.gauge("upstreams_not_connected", this.#contact.failedCount);
-    metrics.gauge("reaches_upstreams", Number(!this.#directPath.isCut));
-    metrics.gauge("upstreams_known", this.#upstreamRegistry.all().length);
-    metrics.gauge(
-      "upstream_connections_opened",
-      this.#serveOptions.pools.openedCount,
-    );
-    metrics.gauge("turn_view", this.#turnStore.view?.number ?? 0);
-    metrics.gauge(
-      "reaches_turn_stores",
-      Number(this.#turnStore.isQuorumReachable),
-    );
+    const { metrics, timer } = this.#opts;
+    const gauges: Record<string, number> = {
+      calls_open: this.#activeCalls.size,
+      config_version: this.#configWatcher.config?.version ?? -1,
+      config_age_ms: this.#configWatcher.ageMs,
+      upstreams_age_ms: this.#upstreamWatcher.ageMs,
+      upstreams_heard_age_ms: timer.monotonicNow() - this.#contact.receivedAt,
+      upstreams_not_connected: this.#contact.failedCount,
+      reaches_upstreams: Number(!this.#serveOptions.directPath.isCut),
+      upstreams_known: this.#serveOptions.upstreamRegistry.all().length,
+      upstream_connections_opened: this.#serveOptions.pools.openedCount,
+      turn_view: this.#turnStore.view?.number ?? 0,
+      reaches_turn_stores: Number(this.#turnStore.isQuorumReachable),
+    };
+    for (const [name, value] of Object.entries(gauges)) {
+      metrics.gauge(name, value);
+    }
   }
 
   /** Stops immediately without draining, for tests. */
@@ -333,7 +181,7 @@
 
   /** Makes requests take the way through siblings. */
   #onPathCut({ isSilent }: PathCut): void {
-    this.#upstreamRegistry.clearBackoffs();
+    this.#serveOptions.upstreamRegistry.clearBackoffs();
     this.#siblings.broadcastNow();
     const { pools } = this.#serveOptions;
     pools.closeUnconnected();
@@ -343,18 +191,10 @@
   #sweep(): void {
     const now = this.#opts.timer.monotonicNow();
     this.#serveOptions.crashTracker.sweep(now);
-    this.#upstreamRegistry.notices.sweep(now);
-    this.#permits.retain((id) => this.#upstreamRegistry.get(id) !== undefined);
-  }
-
-  /** Returns the speed of a service's engines, learned from its answers. */
-  #speedOf(service: string): SpeedEstimate {
-    let speed = this.#speeds.get(service);
-    if (!speed) {
-      speed = new SpeedEstimate();
-      this.#speeds.set(service, speed);
-    }
-    return speed;
+    this.#serveOptions.upstreamRegistry.notices.sweep(now);
+    this.#serveOptions.permits.retain((id) =>
+      this.#serveOptions.upstreamRegistry.get(id) !== undefined
+    );
   }
 
   #createServer(
@@ -382,35 +222,20 @@
       KEEP_ALIVE_MARGIN_MS;
   }
 
-  /** Serves readiness probes and directory queries. */
   #onAuxiliaryRequest(req: IncomingMessage, res: ServerResponse): void {
-    const { protocol } = this.#opts;
-    const path = (req.url ?? "/").split("?")[0];
-    if (path === protocol.readyPath) {
-      sendText(res, this.#isReady ? 200 : 503, "");
-    } else if (path === protocol.directoryPath) {
-      this.#sendDirectory(res);
-    } else sendText(res, 404, "path not found");
-  }
-
-  #sendDirectory(res: ServerResponse): void {
     const { fleet, host, callerAddress, protocol } = this.#opts;
-    const response = buildDirectoryResponse({
-      fleet,
-      siblings: this.#siblings,
-      self: host,
-      ownAddress: callerAddress,
-      state: this.#state,
-    });
-    if (response.addresses.length === 0) {
-      return sendText(res, 503, "no front is ready");
-    }
-    const body = protocol.formatDirectoryResponse(response);
-    res.writeHead(200, {
-      "content-type": "application/json",
-      "content-length": String(Buffer.byteLength(body)),
+    serveAuxiliary(req, res, {
+      protocol,
+      isReady: this.#isReady,
+      directory: () =>
+        buildDirectoryResponse({
+          fleet,
+          siblings: this.#siblings,
+          self: host,
+          ownAddress: callerAddress,
+          state: this.#state,
+        }),
     });
-    res.end(body);
   }
 
   async #onCall(req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -452,7 +277,7 @@
       host,
       state: this.#state,
       reachesTurnStores: this.#turnStore.isQuorumReachable,
-      reachesUpstreams: !this.#directPath.isCut,
+      reachesUpstreams: !this.#serveOptions.directPath.isCut,
       configVersion: this.#configWatcher.config?.version ?? -1,
       crashes: this.#serveOptions.crashTracker.crashesSince(
         timer.monotonicNow() - CRASH_REPORT_WINDOW_MS,
--- /dev/null
+++ b/packages/front/src/front_parts.ts
@@ -0,0 +1,195 @@
+import {
+  CrashTracker,
+  PrefixIndex,
+  UpstreamRegistry,
+} from "@toucantrestle/routing";
+import { type Relay, TurnStoreClient } from "@toucantrestle/turn_store";
+import { dialTcp, isListening } from "@toucantrestle/upstream_channel";
+import { Collectors } from "./collectors.ts";
+import { ConfigWatcher } from "./config_watcher.ts";
+import { DirectPath } from "./direct_path.ts";
+import { serveRelayedExchange } from "./exchange_relay.ts";
+import { FleetShare } from "./fleet_share.ts";
+import type { FrontOptions } from "./front_options.ts";
+import { LoadSharing } from "./load_sharing.ts";
+import { NoticeReader } from "./notice_reader.ts";
+import { PermitWeights } from "./permit_weights.ts";
+import type { Digest } from "./protocol.ts";
+import { RequestPermits } from "./request_permits.ts";
+import type { ServeOptions } from "./serve_options.ts";
+import { Siblings } from "./siblings.ts";
+import { SpeedEstimates } from "./speed_estimates.ts";
+import { UpstreamContact } from "./upstream_contact.ts";
+import { UpstreamPaths } from "./upstream_paths.ts";
+import { UpstreamPools } from "./upstream_pools.ts";
+import { UpstreamWatcher } from "./upstream_watcher.ts";
+
+/** Parts of a front, connected to each other and not started. */
+export interface FrontParts {
+  configWatcher: ConfigWatcher;
+  upstreamWatcher: UpstreamWatcher;
+  siblings: Siblings;
+  contact: UpstreamContact;
+  turnStore: TurnStoreClient;
+  serveOptions: ServeOptions;
+}
+
+/** What the parts need of the front itself. */
+export interface FrontHooks {
+  createDigest: () => Digest;
+  applyDigest: (digest: Digest) => void;
+}
+
+/** Creates the parts of a front. */
+export function createFrontParts(
+  opts: FrontOptions,
+  hooks: FrontHooks,
+): FrontParts {
+  const { protocol, timer, loggers, host, dataCentre, fleet } = opts;
+  const prefixIndex = new PrefixIndex();
+  const speeds = new SpeedEstimates();
+  const dial = opts.dial ?? dialTcp;
+  const contact = new UpstreamContact({ timer, metrics: opts.metrics });
+  const pools = new UpstreamPools({
+    timer,
+    log: loggers("upstream"),
+    dial,
+    contact,
+    echoedRequestId: (head) => protocol.echoedRequestId(head),
+  });
+  const upstreamRegistry = new UpstreamRegistry({
+    onInstanceGone: (id) => {
+      prefixIndex.removeUpstream(id);
+      pools.remove(id);
+    },
+  });
+  const noticeReader = new NoticeReader({
+    protocol,
+    notices: upstreamRegistry.notices,
+    timer,
+    log: loggers("upstream"),
+  });
+  const directPath = new DirectPath({
+    timer,
+    contact,
+    addresses: () => upstreamRegistry.acceptingAddresses(),
+    probe: (address) => isListening(address, dial),
+    random: Math.random,
+    log: loggers("upstream"),
+  });
+  const configWatcher = new ConfigWatcher({
+    protocol,
+    log: loggers("config"),
+  });
+  const upstreamWatcher = new UpstreamWatcher({
+    protocol,
+    upstreamRegistry,
+    timer,
+    log: loggers("upstream"),
+  });
+  const turnStore = new TurnStoreClient({
+    self: host,
+    dataCentre,
+    timer,
+    log: loggers("turns"),
+    onView: (view) => fleet.applyView(view),
+    canRelay: () => siblings.canRelay,
+    relay: ((memberId, name, args) =>
+      siblings.relay({ memberId, name, args })) as Relay,
+    relaySettle: (memberId, notice) =>
+      siblings.relaySettle({ memberId, notice }),
+  });
+  const siblings = new Siblings({
+    self: host,
+    dataCentre,
+    linkAddress: opts.linkAddress,
+    seeds: opts.seeds,
+    fleet,
+    configWatcher,
+    digest: () => hooks.createDigest(),
+    onDigest: (digest) => hooks.applyDigest(digest),
+    onLoads: (report) => loadSharing.applyReport(report),
+    answerLoads: (query) => loadSharing.answerQuery(query),
+    answerPermit: (query) => permits.answer(query),
+    forward: ({ memberId, name, args }) =>
+      turnStore.links.forward(memberId, name, args as never),
+    forwardSettle: ({ memberId, notice }) => {
+      turnStore.links.forwardSettle(memberId, notice);
+    },
+    serveExchange: (args, receiver) =>
+      serveRelayedExchange(args, receiver, {
+        upstreamRegistry,
+        pools,
+        noticeReader,
+        canReachUpstreams: () => !directPath.isCut,
+        timer,
+      }),
+    upstreams: () => upstreamRegistry.all().map((it) => it.entry),
+    onUpstreams: (entries) => upstreamWatcher.mergeFromSibling(entries),
+    timer,
+    log: loggers("sibling"),
+  });
+  const collectors = new Collectors({
+    self: host,
+    timer,
+    siblings,
+  });
+  const loadSharing = new LoadSharing({
+    self: host,
+    timer,
+    upstreamRegistry,
+    siblings,
+    collectors,
+    isEnabled: !opts.disabled.has("shared_loads"),
+    log: loggers("sibling"),
+  });
+  const permits = new RequestPermits({
+    self: host,
+    timer,
+    notices: upstreamRegistry.notices,
+    collectors,
+    share: new FleetShare({
+      self: host,
+      timer,
+      connectedSiblings: () => collectors.siblings,
+      registeredFronts: () => fleet.fronts,
+    }),
+    links: siblings,
+    log: loggers("sibling"),
+  });
+  const serveOptions: ServeOptions = {
+    protocol,
+    upstreamRegistry,
+    prefixIndex,
+    crashTracker: new CrashTracker(),
+    noticeReader,
+    permits,
+    permitWeights: new PermitWeights(),
+    pools,
+    dial,
+    directPath,
+    paths: new UpstreamPaths({
+      pools,
+      directPath,
+      chooseRelay: (dataCentre) => siblings.chooseExchangeRelay(dataCentre),
+    }),
+    turnStore,
+    chooser: opts.chooser,
+    disabled: opts.disabled,
+    speedOf: (service) => speeds.of(service),
+    host,
+    dataCentre,
+    onLoadChange: (id, kind) => loadSharing.reportChange(id, kind),
+    queryLoads: (upstreams) => loadSharing.query(upstreams),
+    upstreamsAgeMs: () => upstreamWatcher.ageMs,
+    timer,
+  };
+  return {
+    configWatcher,
+    upstreamWatcher,
+    siblings,
+    contact,
+    turnStore,
+    serveOptions,
+  };
+}
--- a/packages/front/src/path_failure.ts
+++ b/packages/front/src/path_failure.ts
@@ -15,3 +15,30 @@
 
 /** Failure of an exchange with an upstream. */
 export type PathFailure = ChannelFailure<PathFailureReason>;
+
+/** Failures of the way from here, which say nothing about an upstream. */
+const OWN_PATH_REASONS: ReadonlySet<PathFailureReason> = new Set([
+  "path_lost",
+  "relay_lost",
+  "relay_refused",
+]);
+
+const CONNECT_REASONS: ReadonlySet<PathFailureReason> = new Set([
+  "connect_refused",
+  "connect_timeout",
+]);
+
+/** Whether a failure says nothing about the upstream. */
+export function isOwnPathFailure({ reason }: PathFailure): boolean {
+  return OWN_PATH_REASONS.has(reason);
+}
+
+/** Whether no connection to the upstream could be established. */
+export function isConnectFailure({ reason }: PathFailure): boolean {
+  return CONNECT_REASONS.has(reason);
+}
+
+/** Whether the upstream may have crashed while it ran the request. */
+export function mayHaveCrashed({ reason, verdict }: PathFailure): boolean {
+  return reason === "connection_lost" && verdict === "may_have_run";
+}
