--- a/packages/front/src/exchange_relay.ts
+++ b/packages/front/src/exchange_relay.ts
@@ -15,6 +15,7 @@
   type PathFailure,
   type PathFailureReason,
 } from "./path_failure.ts";
+import { RelayFlow } from "./relay_flow.ts";
 import type { UpstreamPools } from "./upstream_pools.ts";
 
 /** A request that a sibling forwards to an upstream. */
@@ -59,11 +60,6 @@
   timer: Timer;
 }
 
-/** A response waits while more than this is buffered for a slow sibling. */
-const MAX_BUFFERED_BYTES = 1_000_000;
-/** Time between two looks at the buffer of a paused response. */
-const BUFFER_CHECK_INTERVAL_MS = 20;
-
 const REFUSED: PathFailure = {
   reason: "relay_refused",
   verdict: "not_run",
@@ -138,7 +134,6 @@
     receiver.end();
     return { onControl() {}, onLost() {} };
   }
-  const flow = new RelayFlow(receiver);
   const exchange = pools.poolOf(upstream).send(req, {
     onHead(head) {
       noticeReader.read(upstream.entry, head);
@@ -162,45 +157,18 @@
       receiver.end();
     },
   });
-  flow.exchange = exchange;
+  const flow = new RelayFlow({ exchange, receiver, timer });
+  const controls: Record<RelayControl, () => void> = {
+    cancel: () => exchange.cancel(),
+    pause: () => flow.pause(),
+    resume: () => flow.resume(),
+  };
   return {
-    onControl: (control) => exchange[control](),
-    onLost: () => exchange.cancel(),
+    onControl: (control) => controls[control]?.(),
+    onLost: controls.cancel,
   };
 }
 
-/** Slows down a response while its sibling reads slowly. */
-class RelayFlow {
-  readonly #receiver: StreamReceiver<RelayPart>;
-  exchange: ExchangeControl | undefined;
-  #check: NodeJS.Timeout | undefined;
-
-  constructor(receiver: StreamReceiver<RelayPart>) {
-    this.#receiver = receiver;
-  }
-
-  onSent(): void {
-    if (this.#check || !this.#isFull) return;
-    this.exchange?.pause();
-    this.#check = setInterval(() => this.#resume(), BUFFER_CHECK_INTERVAL_MS);
-  }
-
-  end(): void {
-    clearInterval(this.#check);
-    this.#check = undefined;
-  }
-
-  get #isFull(): boolean {
-    return this.#receiver.bufferedBytes > MAX_BUFFERED_BYTES;
-  }
-
-  #resume(): void {
-    if (this.#isFull) return;
-    this.end();
-    this.exchange?.resume();
-  }
-}
-
 function toRawHead({ status, rawHeaders }: ResponseHead): RawResponseHead {
   return { status, rawHeaders };
 }
