--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -289,7 +289,7 @@
   #applyDigest(digest: Digest): void {
     const now = this.#opts.timer.monotonicNow();
     const { noticeReader } = this.#serveOptions;
-    for (const notice of digest.notices) noticeReader.merge(notice);
+    for (const notice of digest.notices ?? []) noticeReader.merge(notice);
     for (const { fingerprint, upstreams } of digest.crashes) {
       for (const id of upstreams) {
         this.#serveOptions.crashTracker.recordCrash(fingerprint, id, now);
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -99,8 +99,11 @@
   configVersion: number;
   /** Requests that recently crashed upstreams, and these upstreams. */
   crashes: { fingerprint: string; upstreams: string[] }[];
-  /** Recent notices of upstreams that are or were limited or leaving. */
-  notices: SharedNotice[];
+  /**
+   * Recent notices of upstreams that are or were limited or leaving; missing
+   * from fronts of earlier builds.
+   */
+  notices?: SharedNotice[];
 }
 
 /** Load that a front puts on upstreams, by upstream id; zero if it ended. */
