--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -49,6 +49,8 @@
   readonly received: ReceivedRequest[] = [];
   readonly callerAddresses: string[] = [];
   readonly directoryAddresses: string[] = [];
+  /** Addresses for links to the fronts. */
+  readonly frontLinkAddresses: string[] = [];
   readonly #servers: Server[] = [];
   readonly #upstreams = new Map<string, Server>();
   readonly #entries = new Map<string, UpstreamEntry>();
@@ -143,6 +145,7 @@
     this.fronts.push(front);
     this.callerAddresses.push(callerAddress);
     this.directoryAddresses.push(directoryAddress);
+    this.frontLinkAddresses.push(linkAddress);
     return front;
   }
 
