--- a/packages/front/test/path_fault.ts
+++ b/packages/front/test/path_fault.ts
@@ -2,7 +2,7 @@
 import { connect, Socket } from "node:net";
 
 /** What a cut does to connections: to open ones and to new ones. */
-export type CutKind = "hang" | "reset" | "refuse_new";
+export type CutKind = "hang" | "reset" | "refuse_new" | "silence_open";
 
 /** Port on which nothing listens. */
 const CLOSED_PORT = 1;
@@ -18,7 +18,8 @@
   readonly dial = (address: string): Socket => {
     this.dialCount += 1;
     if (this.#cut === "hang") return new Socket();
-    if (this.#cut) return connect(CLOSED_PORT, "127.0.0.1");
+    const allowsNew = this.#cut === undefined || this.#cut === "silence_open";
+    if (!allowsNew) return connect(CLOSED_PORT, "127.0.0.1");
     const socket = dialTcp(address);
     this.#sockets.add(socket);
     socket.on("close", () => this.#sockets.delete(socket));
@@ -39,6 +40,7 @@
   hang: silence,
   reset: (socket) => socket.resetAndDestroy(),
   refuse_new: () => {},
+  silence_open: silence,
 };
 
 /** From now on the connection carries nothing in either direction. */
--- a/packages/front/test/unreachable_upstreams_test.ts
+++ b/packages/front/test/unreachable_upstreams_test.ts
@@ -271,3 +271,15 @@
     expect(runs.length).toEqual(1);
   });
 });
+
+describe("connections to upstreams that go silent for good", () => {
+  // Guards against calls that hang on connections that carry nothing (severed).
+  it("hold up no call from 3 s on, as new ones work", async () => {
+    await Promise.all([callMany("/slow/x"), callMany("/plain/x")]);
+    await cutAndSettle("silence_open");
+    for (const path of ["/plain/x", "/once/x", "/turn/x", "/slow/x"]) {
+      const results = await callMany(path);
+      expect(results.filter((it) => !isServed(it))).toEqual([]);
+    }
+  });
+});
