--- a/packages/link/test/stream_test.ts
+++ b/packages/link/test/stream_test.ts
@@ -1,8 +1,7 @@
 import { createNoopLoggers } from "@toucantrestle/log";
 import { createSystemTimer, createTimerScope } from "@toucantrestle/timer";
 import { expect } from "earl";
-import { once } from "node:events";
-import { createServer } from "node:net";
+import { randomInt } from "node:crypto";
 import { describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { LinkClient, LinkServer, type StreamReceiver } from "../src/mod.ts";
@@ -13,6 +12,9 @@
 
 const log = createNoopLoggers()("link");
 const WAIT_MS = 2_000;
+/** Below the ephemeral ports, which outgoing connections may claim. */
+const LOWEST_PORT = 12_000;
+const HIGHEST_PORT = 31_000;
 
 describe("a stream over a link", () => {
   it("delivers parts in order, then its end", async () => {
@@ -89,7 +91,7 @@
       },
     },
   });
-  const address = await freeAddress();
+  const address = `127.0.0.1:${randomInt(LOWEST_PORT, HIGHEST_PORT)}`;
   await server.listen(address);
   const client = new LinkClient<Methods, Notices, Streams>({
     self: "a",
@@ -118,16 +120,3 @@
     },
   };
 }
-
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const address = server.address();
-  server.close();
-  await once(server, "close");
-  if (address === null || typeof address === "string") {
-    throw new Error("no port");
-  }
-  return `127.0.0.1:${address.port}`;
-}
