Fronts: an overlay in place of the full mesh; few fronts read the store for all

Cause: at 171 fronts each process paid for all others: 340 sockets and as many handshakes at the start, a ranking of all fronts every 250 ms, and watches of the platform's store polled by each process for itself. Ruled out: messages themselves as the cost (the pacing bounded them); paced digests over fewer links without link state (a death or a split is then known only by age).

--- a/packages/config_store/src/list_and_watch.ts
+++ b/packages/config_store/src/list_and_watch.ts
@@ -19,11 +19,13 @@
   onReachable?: (isReachable: boolean) => void;
   /** Called whenever the service has confirmed that the copy is current. */
   onConfirmed?: () => void;
+  /** Returns the longest delay between two retries, in ms. */
+  maxRetryMs?: () => number;
 }
 
 /** Delay before the first retry; doubles with each failure up to the limit. */
 const MIN_RETRY_MS = 250;
-const MAX_RETRY_MS = 800;
+const DEFAULT_MAX_RETRY_MS = 800;
 
 /**
  * Lists the items below a prefix and then watches it for changes. Retries with
@@ -58,7 +60,8 @@
   function retry(fn: () => void): void {
     if (isCancelled) return;
     timer.after(retryMs, fn);
-    retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
+    const maxRetryMs = opts.maxRetryMs?.() ?? DEFAULT_MAX_RETRY_MS;
+    retryMs = Math.min(maxRetryMs, retryMs * 2);
   }
 
   async function list(): Promise<void> {
--- a/packages/config_store/src/memory_store.ts
+++ b/packages/config_store/src/memory_store.ts
@@ -100,7 +100,8 @@
       events.push({ kind: "put", item });
     }
     for (const key of deletes) {
-      if (this.#items.delete(key)) events.push({ kind: "delete", key });
+      if (!this.#items.delete(key)) continue;
+      events.push({ kind: "delete", key, revision: this.#revision });
     }
     for (const { prefix, handlers } of this.#watches) {
       const matching = events.filter((it) =>
--- a/packages/config_store/src/store.ts
+++ b/packages/config_store/src/store.ts
@@ -56,7 +56,7 @@
 /** A change that a watch reports. */
 export type StoreEvent =
   | { kind: "put"; item: StoreItem }
-  | { kind: "delete"; key: string };
+  | { kind: "delete"; key: string; revision: number };
 
 /**
  * Why a watch has ended: the connection was lost, or the store has compacted
--- a/packages/config_store/src/wire.ts
+++ b/packages/config_store/src/wire.ts
@@ -72,7 +72,11 @@
   const events = line.result?.events ?? [];
   return events.map((event) =>
     event.type === "DELETE"
-      ? { kind: "delete", key: decode(event.kv.key) }
+      ? {
+        kind: "delete",
+        key: decode(event.kv.key),
+        revision: Number(event.kv.mod_revision ?? 0),
+      }
       : { kind: "put", item: toStoreItem(event.kv) }
   );
 }
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -15,6 +15,8 @@
   store: ConfigStore;
   timer: Timer;
   log: Logger;
+  /** Returns the longest delay between two retries of the watch, in ms. */
+  maxRetryMs?: () => number;
 }
 
 /** Hosts and view known to one process, as exchanged between siblings. */
@@ -57,6 +59,12 @@
     return [...this.#hosts.values()];
   }
 
+  /** Returns the registered front of a name. */
+  front(host: string): HostEntry | undefined {
+    const entry = this.#hosts.get(host);
+    return entry?.role === "front" ? entry : undefined;
+  }
+
   /** Names of the registered fronts, including this one. */
   get fronts(): string[] {
     return this.hosts.filter((it) => it.role === "front").map((it) => it.host);
@@ -90,6 +98,7 @@
       onSnapshot: (items) => this.#applySnapshot(items),
       onEvents: (events) => this.#applyEvents(events),
       onReachable: (isReachable) => this.#isStoreReachable = isReachable,
+      ...(this.#opts.maxRetryMs && { maxRetryMs: this.#opts.maxRetryMs }),
     });
     this.#leaseRenewal = this.#opts.timer.every(
       LEASE_RENEW_INTERVAL_MS,
--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -298,7 +298,7 @@
       & Extract<AttemptResult, { kind: "failed" }>
       & { path: PathKind },
   ): void {
-    const { upstreamRegistry, timer, crashTracker } = this.#opts;
+    const { upstreamRegistry, timer, recordCrash } = this.#opts;
     const now = timer.monotonicNow();
     const isUnreachable = isConnectFailure(failure);
     const mayReachOtherwise = isOwnPathFailure(failure) ||
@@ -317,7 +317,7 @@
     );
     if (isUnreachable) upstreamRegistry.recordFailure(id, now);
     if (mayHaveCrashed(failure)) {
-      crashTracker.recordCrash(this.#call.fingerprint, id, now);
+      recordCrash(this.#call.fingerprint, id);
     }
   }
 
--- a/packages/front/src/config_watcher.ts
+++ b/packages/front/src/config_watcher.ts
@@ -46,7 +46,9 @@
   }
 
   /** Subscribes to the configuration in the platform's store. */
-  start(opts: { store: ConfigStore; timer: Timer }): void {
+  start(
+    opts: { store: ConfigStore; timer: Timer; maxRetryMs?: () => number },
+  ): void {
     const { configKey } = this.#protocol;
     this.#now = () => opts.timer.monotonicNow();
     listAndWatch({
--- a/packages/front/src/directory.ts
+++ b/packages/front/src/directory.ts
@@ -1,6 +1,6 @@
 import type { Fleet } from "@toucantrestle/fleet";
 import type { FrontState } from "./protocol.ts";
-import type { Siblings } from "./siblings.ts";
+import type { Siblings } from "./siblings/siblings.ts";
 
 /** How long a caller may cache the response, in ms. */
 const RESPONSE_TTL_MS = 2_000;
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -12,7 +12,7 @@
 import type { Call } from "./call.ts";
 import type { ConfigWatcher } from "./config_watcher.ts";
 import { buildDirectoryResponse } from "./directory.ts";
-import type { Digest, FrontState } from "./protocol.ts";
+import type { FrontReport, FrontState } from "./protocol.ts";
 import type { PathCut } from "./direct_path.ts";
 import { listen, MAX_HEADER_BYTES } from "./listen.ts";
 import type { FrontOptions } from "./front_options.ts";
@@ -20,7 +20,8 @@
 import { readCall } from "./read_call.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServeOptions } from "./serve_options.ts";
-import type { Siblings } from "./siblings.ts";
+import type { Siblings } from "./siblings/siblings.ts";
+import type { StoreReaders, StoreReading } from "./siblings/store_readers.ts";
 import type { UpstreamContact } from "./upstream_contact.ts";
 import type { UpstreamWatcher } from "./upstream_watcher.ts";
 
@@ -36,7 +37,6 @@
 /** Draining ends this long before the process is killed. */
 const EXIT_MARGIN_MS = 800;
 const DRAIN_POLL_INTERVAL_MS = 50;
-const CRASH_REPORT_WINDOW_MS = 3_000;
 const SWEEP_INTERVAL_MS = 10_000;
 
 /**
@@ -48,6 +48,7 @@
   readonly #configWatcher: ConfigWatcher;
   readonly #upstreamWatcher: UpstreamWatcher;
   readonly #siblings: Siblings;
+  readonly #storeReaders: StoreReaders;
   readonly #contact: UpstreamContact;
   readonly #turnStore: TurnStoreClient;
   readonly #serveOptions: ServeOptions;
@@ -61,12 +62,12 @@
     this.#opts = opts;
     this.#graceMs = opts.graceMs;
     const parts = createFrontParts(opts, {
-      createDigest: () => this.#createDigest(),
-      applyDigest: (digest) => this.#applyDigest(digest),
+      report: () => this.#report(),
     });
     this.#configWatcher = parts.configWatcher;
     this.#upstreamWatcher = parts.upstreamWatcher;
     this.#siblings = parts.siblings;
+    this.#storeReaders = parts.storeReaders;
     this.#contact = parts.contact;
     this.#turnStore = parts.turnStore;
     this.#serveOptions = parts.serveOptions;
@@ -81,7 +82,8 @@
     fleet.onView((view) => this.#turnStore.adoptView(view));
     if (fleet.view) this.#turnStore.adoptView(fleet.view);
     this.#configWatcher.onConfig((config) => this.#applyLimits(config));
-    this.#configWatcher.start({ store, timer });
+    const maxRetryMs = () => this.#storeReaders.maxRetryMs;
+    this.#configWatcher.start({ store, timer, maxRetryMs });
     this.#upstreamWatcher.start(store);
     this.#serveOptions.directPath.onCut((cut) => this.#onPathCut(cut));
     this.#serveOptions.directPath.start();
@@ -111,7 +113,7 @@
     loggers("front").info(
       `stopping, ${this.#activeCalls.size} calls in progress`,
     );
-    this.#siblings.broadcastNow();
+    this.#siblings.reportNow();
     const deregistration = fleet.deregister();
     const drainDeadline = timer.monotonicNow() + graceMs - EXIT_MARGIN_MS;
     await sleep(timer, Math.min(ACCEPT_AFTER_STOP_MS, graceMs / 2));
@@ -135,6 +137,16 @@
     }
   }
 
+  /** How this front reads the platform's store. */
+  get storeReading(): StoreReading {
+    return this.#storeReaders.reading;
+  }
+
+  /** Longest delay between two tries to reach the store again, in ms. */
+  get maxStoreRetryMs(): number {
+    return this.#storeReaders.maxRetryMs;
+  }
+
   /** Updates the gauge metrics. */
   reportGauges(): void {
     const { metrics, timer } = this.#opts;
@@ -182,7 +194,7 @@
   /** Makes requests take the way through siblings. */
   #onPathCut({ isSilent }: PathCut): void {
     this.#serveOptions.upstreamRegistry.clearBackoffs();
-    this.#siblings.broadcastNow();
+    this.#siblings.reportNow();
     const { pools } = this.#serveOptions;
     pools.closeUnconnected();
     if (isSilent) pools.closeIdle();
@@ -271,29 +283,13 @@
     call.onAbandon?.();
   }
 
-  #createDigest(): Digest {
-    const { timer, host } = this.#opts;
+  #report(): FrontReport {
     return {
-      host,
       state: this.#state,
       reachesTurnStores: this.#turnStore.isQuorumReachable,
       reachesUpstreams: !this.#serveOptions.directPath.isCut,
-      configVersion: this.#configWatcher.config?.version ?? -1,
-      crashes: this.#serveOptions.crashTracker.crashesSince(
-        timer.monotonicNow() - CRASH_REPORT_WINDOW_MS,
-      ),
-      notices: this.#serveOptions.noticeReader.recentNews(),
+      reachesStore: this.#opts.fleet.isStoreReachable &&
+        this.#upstreamWatcher.isReachable,
     };
   }
-
-  #applyDigest(digest: Digest): void {
-    const now = this.#opts.timer.monotonicNow();
-    const { noticeReader } = this.#serveOptions;
-    for (const notice of digest.notices ?? []) noticeReader.merge(notice);
-    for (const { fingerprint, upstreams } of digest.crashes) {
-      for (const id of upstreams) {
-        this.#serveOptions.crashTracker.recordCrash(fingerprint, id, now);
-      }
-    }
-  }
 }
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -14,10 +14,12 @@
 import { LoadSharing } from "./load_sharing.ts";
 import { NoticeReader } from "./notice_reader.ts";
 import { PermitWeights } from "./permit_weights.ts";
-import type { Digest } from "./protocol.ts";
+import type { FrontReport } from "./protocol.ts";
 import { RequestPermits } from "./request_permits.ts";
 import type { ServeOptions } from "./serve_options.ts";
-import { Siblings } from "./siblings.ts";
+import { FleetNews } from "./siblings/fleet_news.ts";
+import { Siblings } from "./siblings/siblings.ts";
+import { StoreReaders } from "./siblings/store_readers.ts";
 import { SpeedEstimates } from "./speed_estimates.ts";
 import { UpstreamContact } from "./upstream_contact.ts";
 import { UpstreamPaths } from "./upstream_paths.ts";
@@ -29,6 +31,7 @@
   configWatcher: ConfigWatcher;
   upstreamWatcher: UpstreamWatcher;
   siblings: Siblings;
+  storeReaders: StoreReaders;
   contact: UpstreamContact;
   turnStore: TurnStoreClient;
   serveOptions: ServeOptions;
@@ -36,8 +39,7 @@
 
 /** What the parts need of the front itself. */
 export interface FrontHooks {
-  createDigest: () => Digest;
-  applyDigest: (digest: Digest) => void;
+  report: () => FrontReport;
 }
 
 /** Creates the parts of a front. */
@@ -47,6 +49,7 @@
 ): FrontParts {
   const { protocol, timer, loggers, host, dataCentre, fleet } = opts;
   const prefixIndex = new PrefixIndex();
+  const crashTracker = new CrashTracker();
   const speeds = new SpeedEstimates();
   const dial = opts.dial ?? dialTcp;
   const contact = new UpstreamContact({ timer, metrics: opts.metrics });
@@ -67,6 +70,7 @@
     protocol,
     notices: upstreamRegistry.notices,
     timer,
+    onNews: (notice) => siblings.publish({ kind: "notice", notice }),
     log: loggers("upstream"),
   });
   const directPath = new DirectPath({
@@ -84,9 +88,21 @@
   const upstreamWatcher = new UpstreamWatcher({
     protocol,
     upstreamRegistry,
+    isStoreReader: () => storeReaders.isReader,
+    onChange: (change) => siblings.publish({ kind: "upstream", change }),
+    maxRetryMs: () => storeReaders.maxRetryMs,
     timer,
     log: loggers("upstream"),
   });
+  const news = new FleetNews({
+    configWatcher,
+    noticeReader,
+    crashTracker,
+    upstreamWatcher,
+    timer,
+    onNewerConfig: (version, host) => siblings.announceConfig(version, host),
+    log: loggers("sibling"),
+  });
   const turnStore = new TurnStoreClient({
     self: host,
     dataCentre,
@@ -106,8 +122,9 @@
     seeds: opts.seeds,
     fleet,
     configWatcher,
-    digest: () => hooks.createDigest(),
-    onDigest: (digest) => hooks.applyDigest(digest),
+    report: () => hooks.report(),
+    applyNews: (it, from) => news.apply(it, from),
+    recentNews: () => news.recent(),
     onLoads: (report) => loadSharing.applyReport(report),
     answerLoads: (query) => loadSharing.answerQuery(query),
     answerPermit: (query) => permits.answer(query),
@@ -129,6 +146,11 @@
     timer,
     log: loggers("sibling"),
   });
+  const storeReaders = new StoreReaders({
+    self: host,
+    timer,
+    candidates: () => siblings.storeReaderCandidates,
+  });
   const collectors = new Collectors({
     self: host,
     timer,
@@ -161,7 +183,12 @@
     protocol,
     upstreamRegistry,
     prefixIndex,
-    crashTracker: new CrashTracker(),
+    crashTracker,
+    recordCrash(fingerprint, upstream) {
+      const now = timer.monotonicNow();
+      if (!crashTracker.recordCrash(fingerprint, upstream, now)) return;
+      siblings.publish({ kind: "crash", fingerprint, upstream });
+    },
     noticeReader,
     permits,
     permitWeights: new PermitWeights(),
@@ -188,6 +215,7 @@
     configWatcher,
     upstreamWatcher,
     siblings,
+    storeReaders,
     contact,
     turnStore,
     serveOptions,
--- a/packages/front/src/mod.ts
+++ b/packages/front/src/mod.ts
@@ -14,3 +14,4 @@
   Protocol,
   UpstreamRequestAttributes,
 } from "./protocol.ts";
+export type { StoreReading } from "./siblings/store_readers.ts";
--- a/packages/front/src/notice_reader.ts
+++ b/packages/front/src/notice_reader.ts
@@ -19,6 +19,8 @@
   protocol: Protocol;
   notices: UpstreamNotices;
   timer: Timer;
+  /** Called with a notice from a response that has something new. */
+  onNews: (notice: SharedNotice) => void;
   log: Logger;
 }
 
@@ -45,17 +47,20 @@
     const isFromUpstream = protocol.hasUpstreamMark(head) ||
       protocol.isDeclined(head);
     if (!isFromUpstream) return;
-    this.#record({
+    const now = timer.monotonicNow();
+    const notice: ReceivedNotice = {
       ...protocol.parseNotice(head),
       upstream: entry.id,
       startedAt: entry.startedAt,
-      at: timer.monotonicNow(),
-    });
+      at: now,
+    };
+    if (this.#record(notice)) this.#opts.onNews(toSharedNotice(notice, now));
   }
 
-  /** Records a sibling's notice. */
-  merge(shared: SharedNotice): void {
-    this.#record(fromSharedNotice(shared, this.#opts.timer.monotonicNow()));
+  /** Records a sibling's notice. Returns whether it has something new. */
+  merge(shared: SharedNotice): boolean {
+    const now = this.#opts.timer.monotonicNow();
+    return this.#record(fromSharedNotice(shared, now));
   }
 
   /** Returns the recent news for the siblings. */
@@ -65,8 +70,9 @@
       .map((it) => toSharedNotice(it, now));
   }
 
-  #record(notice: ReceivedNotice): void {
-    for (const change of this.#opts.notices.record(notice)) {
+  #record(notice: ReceivedNotice): boolean {
+    const changes = this.#opts.notices.record(notice);
+    for (const change of changes) {
       this.#opts.log.info(
         `upstream ${notice.upstream} ${CHANGE_TEXTS[change]}`,
         {
@@ -76,5 +82,6 @@
         },
       );
     }
+    return changes.length > 0;
   }
 }
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -1,4 +1,5 @@
 import type { FleetSnapshot } from "@toucantrestle/fleet";
+import type { GossipMessage } from "@toucantrestle/overlay";
 import type {
   PermitRequest,
   PromptPart,
@@ -88,21 +89,41 @@
 /** State of a front; callers should connect only to a ready one. */
 export type FrontState = "starting" | "ready" | "stopping";
 
-/** State that fronts broadcast to each other several times a second. */
-export interface Digest {
-  host: string;
+/** What a front reports about itself to all siblings. */
+export interface FrontReport {
   state: FrontState;
   /** Whether this front reaches a quorum of turn stores. */
   reachesTurnStores: boolean;
   /** Whether this front reaches upstreams over its own connections. */
   reachesUpstreams: boolean;
+  /** Whether this front reaches the platform's store. */
+  reachesStore: boolean;
+}
+
+/** News that concern all fronts. */
+export type FrontNews =
+  | { kind: "config"; version: number }
+  /** An upstream is or was limited, or is leaving. */
+  | { kind: "notice"; notice: SharedNotice }
+  /** A request has crashed an upstream. */
+  | { kind: "crash"; fingerprint: string; upstream: string }
+  | { kind: "upstream"; change: UpstreamChange };
+
+/** Change of a registered upstream, as the platform's store reported it. */
+export type UpstreamChange =
+  | { kind: "put"; entry: UpstreamEntry; revision: number }
+  | { kind: "remove"; id: string; revision: number };
+
+/** State and news that fronts of earlier builds send to all siblings. */
+export interface Digest {
+  host: string;
+  state: FrontState;
+  reachesTurnStores: boolean;
+  /** Missing from fronts that never forward for others. */
+  reachesUpstreams?: boolean;
   configVersion: number;
   /** Requests that recently crashed upstreams, and these upstreams. */
   crashes: { fingerprint: string; upstreams: string[] }[];
-  /**
-   * Recent notices of upstreams that are or were limited or leaving; missing
-   * from fronts of earlier builds.
-   */
   notices?: SharedNotice[];
 }
 
@@ -145,6 +166,7 @@
 
 /** One-way notices between fronts. */
 export type FrontNotices = {
+  gossip: GossipMessage<FrontReport, FrontNews>;
   digest: Digest;
   loads: LoadReport;
   /** Forwards a notice to a turn store that the sender does not reach. */
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -24,6 +24,8 @@
   upstreamRegistry: UpstreamRegistry;
   prefixIndex: PrefixIndex;
   crashTracker: CrashTracker;
+  /** Records that an upstream crashed while it ran a request. */
+  recordCrash: (fingerprint: string, upstream: string) => void;
   noticeReader: NoticeReader;
   permits: RequestPermits;
   permitWeights: PermitWeights;
--- /dev/null
+++ b/packages/front/src/siblings/fleet_news.ts
@@ -0,0 +1,99 @@
+import type { CrashTracker } from "@toucantrestle/routing";
+import type { Logger } from "@toucantrestle/log";
+import type { Timer } from "@toucantrestle/timer";
+import type { ConfigWatcher } from "../config_watcher.ts";
+import type { NoticeReader } from "../notice_reader.ts";
+import type { UpstreamWatcher } from "../upstream_watcher.ts";
+import type { FrontNews } from "../protocol.ts";
+
+/** Options of `FleetNews`. */
+export interface FleetNewsOptions {
+  configWatcher: ConfigWatcher;
+  noticeReader: NoticeReader;
+  crashTracker: CrashTracker;
+  upstreamWatcher: UpstreamWatcher;
+  timer: Timer;
+  /** Called when a sibling has a newer configuration. */
+  onNewerConfig: (version: number, from: string) => void;
+  log: Logger;
+}
+
+type NewsHandlers = {
+  [K in FrontNews["kind"]]: (
+    news: Extract<FrontNews, { kind: K }>,
+    from: string,
+  ) => boolean;
+};
+
+/** A front that is linked gets the crashes of this time. */
+const CRASH_WINDOW_MS = 10_000;
+
+/** Applies the news of siblings, and collects those for a new neighbour. */
+export class FleetNews {
+  readonly #opts: FleetNewsOptions;
+  readonly #handlers: NewsHandlers;
+
+  constructor(opts: FleetNewsOptions) {
+    this.#opts = opts;
+    this.#handlers = {
+      // Passed on only after this front has it, as others fetch it from here.
+      config: ({ version }, from) => {
+        if (version > this.#configVersion) opts.onNewerConfig(version, from);
+        return false;
+      },
+      notice: ({ notice }) => opts.noticeReader.merge(notice),
+      crash: ({ fingerprint, upstream }) =>
+        opts.crashTracker.recordCrash(
+          fingerprint,
+          upstream,
+          opts.timer.monotonicNow(),
+        ),
+      upstream: ({ change }) => opts.upstreamWatcher.applyChange(change),
+    };
+  }
+
+  /** Applies news. Returns whether other siblings need them from this front. */
+  apply(news: FrontNews, from: string): boolean {
+    const handler = this.#handlers[news.kind] as
+      | ((news: FrontNews, from: string) => boolean)
+      | undefined;
+    try {
+      // News of a later build may be of an unknown kind.
+      return handler?.(news, from) ?? false;
+    } catch (err) {
+      this.#opts.log.warn(
+        `${news.kind} news of front ${from} are malformed: ${String(err)}`,
+      );
+      return false;
+    }
+  }
+
+  /** Returns what a front that was out of touch may have missed. */
+  recent(): FrontNews[] {
+    const { noticeReader, crashTracker, upstreamWatcher, timer } = this.#opts;
+    const since = timer.monotonicNow() - CRASH_WINDOW_MS;
+    return [
+      { kind: "config", version: this.#configVersion },
+      ...noticeReader.recentNews().map((notice) => ({
+        kind: "notice" as const,
+        notice,
+      })),
+      ...crashTracker.crashesSince(since).flatMap(
+        ({ fingerprint, upstreams }) =>
+          upstreams.map((upstream) => ({
+            kind: "crash" as const,
+            fingerprint,
+            upstream,
+          })),
+      ),
+      ...upstreamWatcher.recentChanges().map((change) => ({
+        kind: "upstream" as const,
+        change,
+      })),
+    ];
+  }
+
+  get #configVersion(): number {
+    return this.#opts.configWatcher.config?.version ?? -1;
+  }
+}
--- /dev/null
+++ b/packages/front/src/siblings/store_readers.ts
@@ -0,0 +1,69 @@
+import { rankByRendezvous } from "@toucantrestle/membership";
+import type { Timer } from "@toucantrestle/timer";
+
+/**
+ * How a front reads the platform's store: like `all` others in a small fleet,
+ * as a `reader` for the others in a larger one, or `seldom`.
+ */
+export type StoreReading = "all" | "reader" | "seldom";
+
+/** Options of `StoreReaders`. */
+export interface StoreReadersOptions {
+  self: string;
+  timer: Timer;
+  /** Names of the connected siblings that reach the store. */
+  candidates: () => string[];
+}
+
+/** In a fleet of up to this many fronts all are readers. */
+const MAX_COMPLETE_FLEET = 13;
+/** Readers of a larger fleet, enough that some are left when hosts fail. */
+const READER_COUNT = 4;
+const REFRESH_INTERVAL_MS = 250;
+/** Longest delay between two tries to reach the store again. */
+const READER_MAX_RETRY_MS = 800;
+const OTHER_MAX_RETRY_MS = 5_000;
+
+/**
+ * Chooses the fronts that read the platform's store often; they broadcast what
+ * changes. The others read it seldom. A front that is connected to no reader
+ * becomes one.
+ */
+export class StoreReaders {
+  readonly #opts: StoreReadersOptions;
+  #reading: StoreReading = "all";
+  #refreshedAt = -Infinity;
+
+  constructor(opts: StoreReadersOptions) {
+    this.#opts = opts;
+  }
+
+  /** Longest delay between two tries to reach the store again, in ms. */
+  get maxRetryMs(): number {
+    return this.isReader ? READER_MAX_RETRY_MS : OTHER_MAX_RETRY_MS;
+  }
+
+  /** Whether this front reads often. */
+  get isReader(): boolean {
+    return this.reading !== "seldom";
+  }
+
+  /** How this front reads the store. */
+  get reading(): StoreReading {
+    const now = this.#opts.timer.monotonicNow();
+    if (now - this.#refreshedAt >= REFRESH_INTERVAL_MS) {
+      this.#refreshedAt = now;
+      this.#reading = this.#choose();
+    }
+    return this.#reading;
+  }
+
+  #choose(): StoreReading {
+    const { self, candidates } = this.#opts;
+    const fronts = [self, ...candidates()];
+    if (fronts.length <= MAX_COMPLETE_FLEET) return "all";
+    const readers = rankByRendezvous("store-reader", fronts)
+      .slice(0, READER_COUNT);
+    return readers.includes(self) ? "reader" : "seldom";
+  }
+}
--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -7,22 +7,41 @@
 import type { Logger } from "@toucantrestle/log";
 import type { UpstreamEntry, UpstreamRegistry } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
-import type { Protocol } from "./protocol.ts";
+import { isDeepStrictEqual } from "node:util";
+import type { Protocol, UpstreamChange } from "./protocol.ts";
 
 const SWEEP_INTERVAL_MS = 200;
 /** Entries removed this soon after an outage may have expired leases. */
 const LEASE_EXPIRY_WINDOW_MS = 2_000;
 /** No lease expires during an outage shorter than this. */
 const MIN_OUTAGE_MS = 2_000;
+/** Siblings that connect are told the changes of this time. */
+const RECENT_CHANGES_MS = 30_000;
 
-/** Updates the registry of upstreams from the platform's store. */
+/** Options of `UpstreamWatcher`. */
+export interface UpstreamWatcherOptions {
+  protocol: Protocol;
+  upstreamRegistry: UpstreamRegistry;
+  /** Whether this front reads the store often; siblings rely on its news. */
+  isStoreReader: () => boolean;
+  /** Called with a change that siblings may not know yet. */
+  onChange: (change: UpstreamChange) => void;
+  /** Returns the longest delay between two retries of the watch, in ms. */
+  maxRetryMs?: () => number;
+  timer: Timer;
+  log: Logger;
+}
+
+/**
+ * Updates the registry of upstreams from the platform's store and from the
+ * changes that siblings have read there. The store's revisions order both.
+ */
 export class UpstreamWatcher {
-  readonly #opts: {
-    protocol: Protocol;
-    upstreamRegistry: UpstreamRegistry;
-    timer: Timer;
-    log: Logger;
-  };
+  readonly #opts: UpstreamWatcherOptions;
+  /** Revision of the newest change, by upstream id. */
+  readonly #revisions = new Map<string, number>();
+  /** Recent changes and when they became known here, by upstream id. */
+  readonly #recent = new Map<string, { change: UpstreamChange; at: number }>();
   #isReachable = false;
   #lastUpdateAt = 0;
   /** When the store became unreachable; undefined while it is reachable. */
@@ -30,14 +49,7 @@
   /** End of the last outage that was long enough for leases to expire. */
   #reconnectedAt = -Infinity;
 
-  constructor(
-    opts: {
-      protocol: Protocol;
-      upstreamRegistry: UpstreamRegistry;
-      timer: Timer;
-      log: Logger;
-    },
-  ) {
+  constructor(opts: UpstreamWatcherOptions) {
     this.#opts = opts;
   }
 
@@ -52,30 +64,24 @@
   }
 
   start(store: ConfigStore): void {
-    const { protocol, timer, log, upstreamRegistry } = this.#opts;
+    const { protocol, timer, log, maxRetryMs } = this.#opts;
     listAndWatch({
       store,
       prefix: protocol.upstreamPrefix,
       timer,
       log,
-      onSnapshot: (items) => this.#applySnapshot(items),
+      onSnapshot: (items, revision) => this.#applySnapshot(items, revision),
       onEvents: (events) => {
         this.#lastUpdateAt = timer.monotonicNow();
-        for (const event of events) this.#applyEvent(event);
+        for (const event of lastOfEachKey(events)) this.#applyEvent(event);
       },
       onReachable: (isReachable) => {
         this.#isReachable = isReachable;
         this.#trackOutage(isReachable);
       },
+      ...(maxRetryMs && { maxRetryMs }),
     });
-    timer.every(SWEEP_INTERVAL_MS, () => {
-      if (!this.#isReachable) return;
-      for (const id of upstreamRegistry.sweep(timer.monotonicNow())) {
-        log.info(
-          `upstream ${id} did not register again after a store outage; removed`,
-        );
-      }
-    });
+    timer.every(SWEEP_INTERVAL_MS, () => this.#sweep());
   }
 
   /** Merges a sibling's upstreams; ignored while the store is reachable. */
@@ -84,6 +90,27 @@
     for (const entry of entries) this.#upsert(entry);
   }
 
+  /** Applies a sibling's change. Returns whether it was new here. */
+  applyChange(change: UpstreamChange): boolean {
+    const id = change.kind === "put" ? change.entry.id : change.id;
+    if (!this.#advance(id, change.revision)) return false;
+    this.#lastUpdateAt = this.#opts.timer.monotonicNow();
+    const isNew = change.kind === "put"
+      ? this.#upsert(change.entry)
+      : this.#remove(id);
+    if (isNew) this.#remember(change);
+    return isNew;
+  }
+
+  /** Returns the changes that became known here a short time ago. */
+  recentChanges(): UpstreamChange[] {
+    const since = this.#opts.timer.monotonicNow() - RECENT_CHANGES_MS;
+    for (const [id, { at }] of this.#recent) {
+      if (at < since) this.#recent.delete(id);
+    }
+    return [...this.#recent.values()].map((it) => it.change);
+  }
+
   #trackOutage(isReachable: boolean): void {
     const now = this.#opts.timer.monotonicNow();
     if (!isReachable) {
@@ -96,41 +123,110 @@
     this.#disconnectedAt = undefined;
   }
 
-  #applySnapshot(items: StoreItem[]): void {
-    const entries = items
-      .map((it) => this.#parseEntry(it.key, it.value))
-      .filter((it) => it !== undefined);
+  #applySnapshot(items: StoreItem[], revision: number): void {
     const { upstreamRegistry, timer, log } = this.#opts;
+    const entries: UpstreamEntry[] = [];
+    for (const { key, value, modRevision } of items) {
+      const entry = this.#parseEntry(key, value);
+      if (!entry) continue;
+      entries.push(entry);
+      this.#advance(entry.id, modRevision);
+    }
     this.#lastUpdateAt = timer.monotonicNow();
-    upstreamRegistry.reconcile(entries, this.#lastUpdateAt);
+    // A sibling may have read later changes already.
+    const isNewer = (id: string) => (this.#revisions.get(id) ?? 0) > revision;
+    const newer = upstreamRegistry.all().map((it) => it.entry)
+      .filter((it) => isNewer(it.id));
+    const older = entries.filter((it) => !isNewer(it.id));
+    upstreamRegistry.reconcile([...older, ...newer], this.#lastUpdateAt);
     log.info(`${entries.length} upstreams registered`);
   }
 
   #applyEvent(event: StoreEvent): void {
-    const { protocol, upstreamRegistry, log, timer } = this.#opts;
-    if (event.kind === "put") {
-      const entry = this.#parseEntry(event.item.key, event.item.value);
-      if (entry) this.#upsert(entry);
+    const { protocol } = this.#opts;
+    if (event.kind === "delete") {
+      const id = event.key.slice(protocol.upstreamPrefix.length);
+      if (this.#advance(id, event.revision)) this.#applyDeletion(id);
       return;
     }
-    const id = event.key.slice(protocol.upstreamPrefix.length);
+    const { key, value, modRevision } = event.item;
+    const entry = this.#parseEntry(key, value);
+    if (!entry || !this.#advance(entry.id, modRevision)) return;
+    if (!this.#upsert(entry)) return;
+    this.#announce({ kind: "put", entry, revision: modRevision });
+  }
+
+  #applyDeletion(id: string): void {
+    const { upstreamRegistry, isStoreReader, log, timer } = this.#opts;
+    if (!upstreamRegistry.get(id)) return;
     const now = timer.monotonicNow();
-    const mayHaveLapsed = now - this.#reconnectedAt < LEASE_EXPIRY_WINDOW_MS;
+    // A front that reads seldom does not see every outage of the store.
+    const mayHaveLapsed = !isStoreReader() ||
+      now - this.#reconnectedAt < LEASE_EXPIRY_WINDOW_MS;
     log.info(`upstream ${id} was removed from the store`, {
       event: "gone",
       mayHaveLapsed,
     });
     // An expired entry is removed unless it reappears soon after the outage.
-    if (mayHaveLapsed) upstreamRegistry.markMissing(id, this.#reconnectedAt);
-    else upstreamRegistry.remove(id);
+    if (mayHaveLapsed) upstreamRegistry.markMissing(id, now);
+    else this.#announceRemoval(id);
+  }
+
+  #sweep(): void {
+    const { upstreamRegistry, timer, log } = this.#opts;
+    if (!this.#isReachable) return;
+    for (const id of upstreamRegistry.sweep(timer.monotonicNow())) {
+      log.info(
+        `upstream ${id} did not register again after a store outage; removed`,
+      );
+      this.#announceRemoval(id);
+    }
+  }
+
+  #announceRemoval(id: string): void {
+    this.#remove(id);
+    const revision = this.#revisions.get(id) ?? 0;
+    this.#announce({ kind: "remove", id, revision });
+  }
+
+  /** Passes a change on; siblings rely on the fronts that read often. */
+  #announce(change: UpstreamChange): void {
+    this.#remember(change);
+    if (this.#opts.isStoreReader()) this.#opts.onChange(change);
+  }
+
+  #remember(change: UpstreamChange): void {
+    const id = change.kind === "put" ? change.entry.id : change.id;
+    this.#recent.set(id, { change, at: this.#opts.timer.monotonicNow() });
+  }
+
+  /** Records the revision of a change. Returns whether it is the newest. */
+  #advance(id: string, revision: number): boolean {
+    const known = this.#revisions.get(id) ?? 0;
+    if (revision <= known) return false;
+    this.#revisions.set(id, revision);
+    return true;
+  }
+
+  #remove(id: string): boolean {
+    const isKnown = this.#opts.upstreamRegistry.get(id) !== undefined;
+    this.#opts.upstreamRegistry.remove(id);
+    return isKnown;
   }
 
-  #upsert(entry: UpstreamEntry): void {
-    const change = this.#opts.upstreamRegistry.put(entry);
-    if (!change) return;
-    this.#opts.log.info(
-      `upstream ${entry.id} of ${entry.service} at ${entry.address}: ${change}`,
-    );
+  /** Adds or updates an upstream. Returns whether more than a beat changed. */
+  #upsert(entry: UpstreamEntry): boolean {
+    const { upstreamRegistry, log } = this.#opts;
+    const known = upstreamRegistry.get(entry.id);
+    const before = known?.entry;
+    const wasMissing = known?.missingSince !== undefined;
+    const change = upstreamRegistry.put(entry);
+    if (change) {
+      log.info(
+        `upstream ${entry.id} of ${entry.service} at ${entry.address}: ${change}`,
+      );
+    }
+    return change !== undefined || wasMissing || !isSameEntry(before, entry);
   }
 
   #parseEntry(key: string, text: string): UpstreamEntry | undefined {
@@ -139,3 +235,26 @@
     return entry;
   }
 }
+
+/** Returns the last event of each key, in the order of these events. */
+function lastOfEachKey(events: StoreEvent[]): StoreEvent[] {
+  const last = new Map<string, StoreEvent>();
+  for (const event of events) {
+    const key = event.kind === "put" ? event.item.key : event.key;
+    last.delete(key);
+    last.set(key, event);
+  }
+  return [...last.values()];
+}
+
+/** Whether two entries differ in nothing but the rest of a warm-up. */
+function isSameEntry(
+  before: UpstreamEntry | undefined,
+  after: UpstreamEntry,
+): boolean {
+  return before !== undefined &&
+    isDeepStrictEqual({ ...before, coldLeftMs: 0 }, {
+      ...after,
+      coldLeftMs: 0,
+    });
+}
--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -361,7 +361,7 @@
   } else if (isCut || delimiter === "close") socket.end();
 }
 
-async function freeAddress(): Promise<string> {
+export async function freeAddress(): Promise<string> {
   const server = createTcpServer();
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
--- a/packages/front/test/upstream_watcher_test.ts
+++ b/packages/front/test/upstream_watcher_test.ts
@@ -48,6 +48,8 @@
   new UpstreamWatcher({
     protocol: testProtocol,
     upstreamRegistry,
+    isStoreReader: () => true,
+    onChange: () => {},
     timer,
     log: createNoopLoggers()("upstream"),
   }).start(store);
--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -38,6 +38,13 @@
   send(control: Control): void;
 }
 
+/** A caller of `waitUntilOpen`. */
+interface OpenWaiter {
+  resolve: () => void;
+  reject: (err: Error) => void;
+  timeout: Subscription;
+}
+
 interface PendingRequest {
   resolve: (result: unknown) => void;
   reject: (err: Error) => void;
@@ -61,6 +68,7 @@
   readonly #opts: LinkClientOptions;
   readonly #pending = new Map<number, PendingRequest>();
   readonly #streams = new Map<number, StreamHandlers<unknown>>();
+  readonly #openWaiters = new Set<OpenWaiter>();
   #socket: WebSocket | undefined;
   #isOpen = false;
   #isClosed = false;
@@ -85,6 +93,32 @@
     return this.#opts.address;
   }
 
+  /** Whether no request and no stream is in progress. */
+  get isIdle(): boolean {
+    return this.#pending.size === 0 && this.#streams.size === 0;
+  }
+
+  /**
+   * Resolves when the link is connected.
+   *
+   * @throws {LinkError} if it is not within `timeoutMs`, or is closed
+   */
+  waitUntilOpen(timeoutMs: number): Promise<void> {
+    if (this.#isOpen) return Promise.resolve();
+    return new Promise((resolve, reject) => {
+      const timeout = this.#opts.timer.after(timeoutMs, () => {
+        this.#openWaiters.delete(waiter);
+        reject(
+          new LinkError(
+            `link to ${this.address} is not open after ${timeoutMs} ms`,
+          ),
+        );
+      });
+      const waiter: OpenWaiter = { resolve, reject, timeout };
+      this.#openWaiters.add(waiter);
+    });
+  }
+
   /**
    * Sends a request and waits for its result.
    *
@@ -145,6 +179,16 @@
     this.#isClosed = true;
     this.#pingTimer?.cancel();
     this.#socket?.terminate();
+    for (const waiter of this.#takeOpenWaiters()) {
+      waiter.reject(new LinkError(`link to ${this.address} is closed`));
+    }
+  }
+
+  #takeOpenWaiters(): OpenWaiter[] {
+    const waiters = [...this.#openWaiters];
+    this.#openWaiters.clear();
+    for (const { timeout } of waiters) timeout.cancel();
+    return waiters;
   }
 
   #dial(): void {
@@ -169,6 +213,7 @@
     sendMessage(socket, { t: "hello", host: this.#opts.self });
     this.#schedulePing();
     this.#opts.onOpen?.();
+    for (const waiter of this.#takeOpenWaiters()) waiter.resolve();
   }
 
   #onClose(): void {
--- a/packages/routing/src/crash_tracker.ts
+++ b/packages/routing/src/crash_tracker.ts
@@ -12,15 +12,19 @@
 export class CrashTracker {
   readonly #records = new Map<string, CrashRecord>();
 
-  /** Records that an upstream crashed while it ran the request. */
-  recordCrash(fingerprint: string, upstream: string, now: number): void {
+  /**
+   * Records that an upstream crashed while it ran the request. Returns whether
+   * this was not known yet.
+   */
+  recordCrash(fingerprint: string, upstream: string, now: number): boolean {
     const known = this.#records.get(fingerprint);
     const upstreams = known?.upstreams ?? new Set<string>();
     // Siblings forward crash records to each other. Refreshing the timestamp of
     // a known crash would keep the record from ever expiring.
-    if (upstreams.has(upstream)) return;
+    if (upstreams.has(upstream)) return false;
     upstreams.add(upstream);
     this.#records.set(fingerprint, { upstreams, at: now });
+    return true;
   }
 
   /** Returns whether the request has crashed too many upstreams to be run. */
