Store: stale first lists, watches that outlive the history start anew; siblings split

Cause: each process listed three prefixes at full price at its start, and each poll of a quiet watch older than the store's history was answered 410, so a quiet watch cost a doomed poll, a list and a poll each 20 s. Change: a watch's first list, and the one after a long time without a change, may be stale (a tenth of the price); the watch goes on from its revision. Fronts tell a change of their state within 100 ms, and choose neighbours at once after the first list. Collectors are ranked anew only when the connected fronts change. `Siblings` is split: requests to one sibling, the fetch of a configuration, digests of the earlier build.

--- a/packages/config_store/src/list_and_watch.ts
+++ b/packages/config_store/src/list_and_watch.ts
@@ -64,19 +64,21 @@
     retryMs = Math.min(maxRetryMs, retryMs * 2);
   }
 
-  async function list(): Promise<void> {
+  /** Lists the items; the watch then reports what a stale list lacks. */
+  async function list(mayBeStale: boolean): Promise<void> {
     if (isCancelled) return;
     try {
-      const { items, revision } = await store.list(prefix);
+      const listStale = mayBeStale ? store.listPossiblyStale : undefined;
+      const listing = await (listStale ?? store.list).call(store, prefix);
       if (isCancelled) return;
       setReachable(true);
-      opts.onSnapshot(items, revision);
-      confirm();
-      watch(revision);
+      opts.onSnapshot(listing.items, listing.revision);
+      if (!listStale) confirm();
+      watch(listing.revision);
     } catch (err) {
       log.debug(`cannot list ${prefix}: ${String(err)}`);
       setReachable(false);
-      retry(list);
+      retry(() => list(mayBeStale));
     }
   }
 
@@ -99,7 +101,11 @@
             log.info(
               `history of ${prefix} after revision ${revision} is compacted, listing again`,
             );
-            list();
+            list(false);
+            return;
+          }
+          if (reason === "outdated") {
+            list(true);
             return;
           }
           setReachable(false);
@@ -109,7 +115,7 @@
     });
   }
 
-  list();
+  list(true);
   return {
     cancel() {
       isCancelled = true;
--- a/packages/config_store/src/store.ts
+++ b/packages/config_store/src/store.ts
@@ -59,10 +59,11 @@
   | { kind: "delete"; key: string; revision: number };
 
 /**
- * Why a watch has ended: the connection was lost, or the store has compacted
- * the history from which the watch would continue.
+ * Why a watch has ended: the connection was lost, the store has compacted the
+ * history from which the watch would continue, or its last change is so long
+ * ago that the store may have done so.
  */
-export type WatchEndReason = "lost" | "compacted";
+export type WatchEndReason = "lost" | "compacted" | "outdated";
 
 /** Callbacks of a watch. */
 export interface WatchHandlers {
@@ -70,7 +71,7 @@
   onEvents(events: StoreEvent[], revision: number): void;
   /**
    * Called once when the watch has ended. It does not restart by itself. After
-   * `compacted`, list the keys again before starting a new watch.
+   * `compacted` or `outdated`, list the keys again before a new watch.
    */
   onEnd(reason?: WatchEndReason): void;
 }
@@ -81,6 +82,12 @@
   get(key: string): Promise<StoreItem | undefined>;
   /** Lists the keys below a prefix, starting at the key `from` if given. */
   list(prefix: string, from?: string): Promise<Listing>;
+  /**
+   * Lists the keys below a prefix as they were up to some seconds ago, which
+   * costs the service less. A watch from that revision reports what changed
+   * since.
+   */
+  listPossiblyStale?(prefix: string): Promise<Listing>;
   /** Runs a transaction. */
   txn(txn: Txn): Promise<TxnResult>;
   /** Grants a lease and returns its id. */
--- a/packages/front/src/collectors.ts
+++ b/packages/front/src/collectors.ts
@@ -46,7 +46,15 @@
     const now = this.#opts.timer.monotonicNow();
     if (now - this.#refreshedAt < REFRESH_INTERVAL_MS) return;
     this.#refreshedAt = now;
-    this.#siblings = this.#opts.siblings.connectedHosts;
+    const siblings = this.#opts.siblings.connectedHosts;
+    if (hasSameMembers(siblings, this.#siblings)) return;
+    this.#siblings = siblings;
     this.#collectors.clear();
   }
 }
+
+function hasSameMembers(a: string[], b: string[]): boolean {
+  if (a.length !== b.length) return false;
+  const members = new Set(a);
+  return b.every((it) => members.has(it));
+}
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -38,6 +38,8 @@
 const EXIT_MARGIN_MS = 800;
 const DRAIN_POLL_INTERVAL_MS = 50;
 const SWEEP_INTERVAL_MS = 10_000;
+/** Siblings learn within this time that this front has become ready. */
+const REPORT_INTERVAL_MS = 100;
 
 /**
  * Front daemon: serves callers, answers readiness and directory queries, and
@@ -91,6 +93,7 @@
     await listen(this.#callerServer, this.#opts.callerAddress);
     await this.#listenAuxiliary(this.#opts.readyAddress);
     await this.#listenAuxiliary(this.#opts.directoryAddress);
+    timer.every(REPORT_INTERVAL_MS, () => this.#siblings.reportNow());
     timer.every(SWEEP_INTERVAL_MS, () => this.#sweep());
   }
 
@@ -186,7 +189,7 @@
 
   get #isReady(): boolean {
     const canPersistTurns = this.#turnStore.isQuorumReachable ||
-      this.#siblings.canRelay;
+      this.#siblings.requests.canRelay;
     return !this.#isStopping && canPersistTurns &&
       this.#configWatcher.config !== undefined;
   }
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -109,11 +109,11 @@
     timer,
     log: loggers("turns"),
     onView: (view) => fleet.applyView(view),
-    canRelay: () => siblings.canRelay,
+    canRelay: () => siblings.requests.canRelay,
     relay: ((memberId, name, args) =>
-      siblings.relay({ memberId, name, args })) as Relay,
+      siblings.requests.relay({ memberId, name, args })) as Relay,
     relaySettle: (memberId, notice) =>
-      siblings.relaySettle({ memberId, notice }),
+      siblings.requests.relaySettle({ memberId, notice }),
   });
   const siblings = new Siblings({
     self: host,
@@ -160,7 +160,7 @@
     self: host,
     timer,
     upstreamRegistry,
-    siblings,
+    siblings: siblings.requests,
     collectors,
     isEnabled: !opts.disabled.has("shared_loads"),
     log: loggers("sibling"),
@@ -176,7 +176,7 @@
       connectedSiblings: () => collectors.siblings,
       registeredFronts: () => fleet.fronts,
     }),
-    links: siblings,
+    links: siblings.requests,
     log: loggers("sibling"),
   });
   const serveOptions: ServeOptions = {
@@ -198,7 +198,8 @@
     paths: new UpstreamPaths({
       pools,
       directPath,
-      chooseRelay: (dataCentre) => siblings.chooseExchangeRelay(dataCentre),
+      chooseRelay: (dataCentre) =>
+        siblings.requests.chooseExchangeRelay(dataCentre),
     }),
     turnStore,
     chooser: opts.chooser,
--- /dev/null
+++ b/packages/front/src/siblings/sibling_requests.ts
@@ -0,0 +1,158 @@
+import type { Fleet } from "@toucantrestle/fleet";
+import type { Logger } from "@toucantrestle/log";
+import type { Gossip } from "@toucantrestle/overlay";
+import type { OpenRelay } from "../exchange_relay.ts";
+import type {
+  FrontMethods,
+  FrontNews,
+  FrontNotices,
+  FrontReport,
+  LoadReport,
+} from "../protocol.ts";
+import type { FrontLink, SiblingLinks } from "./sibling_links.ts";
+
+/** Options of `SiblingRequests`. */
+export interface SiblingRequestsOptions {
+  self: string;
+  dataCentre: string;
+  fleet: Fleet;
+  links: SiblingLinks;
+  gossip: Pick<Gossip<FrontReport, FrontNews>, "connectedHosts" | "stateOf">;
+  log: Logger;
+}
+
+const LINK_TIMEOUT_MS = 700;
+const RELAY_TIMEOUT_MS = 1_000;
+
+/** Requests and notices to single siblings. */
+export class SiblingRequests {
+  readonly #opts: SiblingRequestsOptions;
+
+  constructor(opts: SiblingRequestsOptions) {
+    this.#opts = opts;
+  }
+
+  /** Whether a sibling can forward requests to turn stores. */
+  get canRelay(): boolean {
+    return this.#chooseRelayLink() !== undefined;
+  }
+
+  /**
+   * Sends a request to a turn store through a sibling.
+   *
+   * @throws {Error} when no linked sibling reaches the turn stores
+   */
+  async relay(it: FrontMethods["relay"]["args"]): Promise<unknown> {
+    const link = this.#chooseRelayLink();
+    if (!link) throw new Error("no linked sibling reaches the turn stores");
+    return await link.request("relay", it, RELAY_TIMEOUT_MS);
+  }
+
+  relaySettle(it: FrontNotices["settle"]): void {
+    this.#chooseRelayLink()?.notify("settle", it);
+  }
+
+  #chooseRelayLink(): FrontLink | undefined {
+    const host = pickRandom(this.#linkedHosts((it) => it.reachesTurnStores));
+    return host === undefined ? undefined : this.#opts.links.open(host);
+  }
+
+  /**
+   * Chooses a sibling that reaches upstreams itself, with the fewest changes of
+   * data centre on the way to the upstreams of one. Returns undefined if there
+   * is none.
+   */
+  chooseExchangeRelay(dataCentre: string | undefined): OpenRelay | undefined {
+    const { fleet, dataCentre: own } = this.#opts;
+    const crossings = (host: string) => {
+      const location = fleet.front(host)?.dataCentre;
+      return Number(location !== own) + Number(location !== dataCentre);
+    };
+    const candidates = this.#linkedHosts((it) => it.reachesUpstreams);
+    const least = Math.min(...candidates.map(crossings));
+    const host = pickRandom(
+      candidates.filter((it) => crossings(it) === least),
+    );
+    const link = host === undefined ? undefined : this.#opts.links.open(host);
+    return link &&
+      ((args, handlers) => link.open("exchange", args, handlers));
+  }
+
+  /**
+   * Returns the siblings with an open link whose report fits. If there are
+   * none, dials another one for later.
+   */
+  #linkedHosts(fits: (report: FrontReport) => boolean): string[] {
+    const isFit = (host: string) => {
+      const report = this.#opts.gossip.stateOf(host);
+      return report !== undefined && fits(report);
+    };
+    const linked = this.#opts.links.openHosts().filter(isFit);
+    if (linked.length > 0) return linked;
+    const host = pickRandom(
+      [...this.#opts.gossip.connectedHosts].filter(isFit),
+    );
+    if (host !== undefined) this.#dialAhead(host);
+    return [];
+  }
+
+  #dialAhead(host: string): void {
+    this.#opts.links.reach(host, LINK_TIMEOUT_MS).catch((err) =>
+      this.#opts.log.debug(`front ${host} is not linked: ${String(err)}`)
+    );
+  }
+
+  /** Sends a load report to one sibling. */
+  sendLoads(host: string, report: LoadReport): void {
+    this.notify(host, "loads", report);
+  }
+
+  /**
+   * Asks a sibling for the load of all other fronts.
+   *
+   * @throws {Error} when the sibling does not answer in time
+   */
+  async queryLoads(
+    host: string,
+    upstreams: string[],
+    timeoutMs: number,
+  ): Promise<FrontMethods["loads"]["result"]["loads"]> {
+    const link = await this.#opts.links.reach(host, timeoutMs);
+    const args = { host: this.#opts.self, upstreams };
+    return (await link.request("loads", args, timeoutMs)).loads;
+  }
+
+  /**
+   * Asks the collector of an upstream for a permit.
+   *
+   * @throws {Error} when the sibling does not answer in time
+   */
+  async queryPermit(
+    host: string,
+    query: FrontMethods["permit"]["args"],
+    timeoutMs: number,
+  ): Promise<FrontMethods["permit"]["result"]> {
+    const link = await this.#opts.links.reach(host, timeoutMs);
+    return await link.request("permit", query, timeoutMs);
+  }
+
+  /** Sends a notice to one sibling; dials it if there is no link. */
+  notify<K extends keyof FrontNotices & string>(
+    host: string,
+    name: K,
+    body: FrontNotices[K],
+  ): void {
+    const open = this.#opts.links.open(host);
+    if (open) return open.notify(name, body);
+    this.#opts.links.reach(host, LINK_TIMEOUT_MS).then(
+      (link) => link.notify(name, body),
+      (err) =>
+        this.#opts.log.debug(`cannot send ${name} to ${host}: ${String(err)}`),
+    );
+  }
+}
+
+/** Returns one of the values; undefined if there are none. */
+export function pickRandom<T>(values: T[]): T | undefined {
+  return values[Math.floor(Math.random() * values.length)];
+}
--- a/packages/front/src/siblings/siblings.ts
+++ b/packages/front/src/siblings/siblings.ts
@@ -11,7 +11,6 @@
 import type { ConfigWatcher } from "../config_watcher.ts";
 import type {
   FrontStreams,
-  OpenRelay,
   RelayControl,
   RelayedRequest,
   RelayPart,
@@ -25,8 +24,11 @@
   FrontState,
   LoadReport,
 } from "../protocol.ts";
+import { ConfigFetcher } from "./config_fetcher.ts";
+import { createDigest, readDigest } from "./earlier_build.ts";
 import { toGossipMessage } from "./read_gossip.ts";
-import { type FrontLink, SiblingLinks } from "./sibling_links.ts";
+import { SiblingLinks } from "./sibling_links.ts";
+import { pickRandom, SiblingRequests } from "./sibling_requests.ts";
 
 /** Options of `Siblings`. */
 export interface SiblingsOptions {
@@ -67,11 +69,8 @@
 
 /** Hosts that register within this time change the neighbours together. */
 const RECONCILE_DELAY_MS = 100;
-/** Delay before a newer configuration is fetched from a sibling. */
-const CONFIG_FETCH_DELAY_MS = 150;
 const REQUEST_TIMEOUT_MS = 700;
 const SYNC_INTERVAL_MS = 1_000;
-const RELAY_TIMEOUT_MS = 1_000;
 /**
  * A front of an earlier build that sent no digest for this long is not counted
  * any more. It sends one every 45 ms for each of its siblings.
@@ -80,20 +79,21 @@
 const MIN_DIGEST_TTL_MS = 1_200;
 
 /**
- * The sibling fronts: who is connected, what they report, news to and from all
- * of them, and requests to one of them.
+ * The sibling fronts: who is connected, what they report, and news to and from
+ * all of them.
  */
 export class Siblings {
   readonly #opts: SiblingsOptions;
   readonly #links: SiblingLinks;
   readonly #gossip: Gossip<FrontReport, FrontNews>;
+  readonly #configFetcher: ConfigFetcher;
+  /** Requests to one sibling. */
+  readonly requests: SiblingRequests;
   readonly #server: LinkServer<FrontMethods, FrontNotices, FrontStreams>;
   #seeds: string[];
   #rings: Rings | undefined;
-  /** The newest configuration that a sibling has announced. */
-  #announcedConfig: { version: number; host: string } | undefined;
-  #isFetchingConfig = false;
   #isReconcileScheduled = false;
+  #reconciledAt = -Infinity;
 
   constructor(opts: SiblingsOptions) {
     this.#opts = opts;
@@ -111,6 +111,12 @@
         this.#links.open(host)?.notify("gossip", message),
       onNeighboursHeard: () => this.#scheduleReconcile(),
     });
+    this.#configFetcher = new ConfigFetcher({ ...opts, links: this.#links });
+    this.requests = new SiblingRequests({
+      ...opts,
+      links: this.#links,
+      gossip: this.#gossip,
+    });
     this.#server = this.#createServer();
   }
 
@@ -130,7 +136,7 @@
     timer.every(SYNC_INTERVAL_MS, () => {
       this.#reconcile();
       this.#syncFromSibling();
-      this.#scheduleConfigFetch();
+      this.#configFetcher.retry();
     });
   }
 
@@ -173,122 +179,6 @@
     this.#gossip.flush();
   }
 
-  /** Whether a sibling can forward requests to turn stores. */
-  get canRelay(): boolean {
-    return this.#chooseRelayLink() !== undefined;
-  }
-
-  /**
-   * Sends a request to a turn store through a sibling.
-   *
-   * @throws {Error} when no linked sibling reaches the turn stores
-   */
-  async relay(it: FrontMethods["relay"]["args"]): Promise<unknown> {
-    const link = this.#chooseRelayLink();
-    if (!link) throw new Error("no linked sibling reaches the turn stores");
-    return await link.request("relay", it, RELAY_TIMEOUT_MS);
-  }
-
-  relaySettle(it: FrontNotices["settle"]): void {
-    this.#chooseRelayLink()?.notify("settle", it);
-  }
-
-  #chooseRelayLink(): FrontLink | undefined {
-    const host = pickRandom(this.#linkedHosts((it) => it.reachesTurnStores));
-    return host === undefined ? undefined : this.#links.open(host);
-  }
-
-  /**
-   * Chooses a sibling that reaches upstreams itself, with the fewest changes of
-   * data centre on the way to the upstreams of one. Returns undefined if there
-   * is none.
-   */
-  chooseExchangeRelay(dataCentre: string | undefined): OpenRelay | undefined {
-    const { fleet, dataCentre: own } = this.#opts;
-    const crossings = (host: string) => {
-      const location = fleet.front(host)?.dataCentre;
-      return Number(location !== own) + Number(location !== dataCentre);
-    };
-    const candidates = this.#linkedHosts((it) => it.reachesUpstreams);
-    const least = Math.min(...candidates.map(crossings));
-    const host = pickRandom(
-      candidates.filter((it) => crossings(it) === least),
-    );
-    const link = host === undefined ? undefined : this.#links.open(host);
-    return link &&
-      ((args, handlers) => link.open("exchange", args, handlers));
-  }
-
-  /**
-   * Returns the siblings with an open link whose report fits. If there are
-   * none, dials another one for later.
-   */
-  #linkedHosts(fits: (report: FrontReport) => boolean): string[] {
-    const isFit = (host: string) => {
-      const report = this.#gossip.stateOf(host);
-      return report !== undefined && fits(report);
-    };
-    const linked = this.#links.openHosts().filter(isFit);
-    if (linked.length > 0) return linked;
-    const host = pickRandom(this.connectedHosts.filter(isFit));
-    if (host !== undefined) this.#dialAhead(host);
-    return [];
-  }
-
-  #dialAhead(host: string): void {
-    this.#links.reach(host, REQUEST_TIMEOUT_MS).catch((err) =>
-      this.#opts.log.debug(`front ${host} is not linked: ${String(err)}`)
-    );
-  }
-
-  /** Sends a load report to one sibling. */
-  sendLoads(host: string, report: LoadReport): void {
-    this.#notify(host, "loads", report);
-  }
-
-  /**
-   * Asks a sibling for the load of all other fronts.
-   *
-   * @throws {Error} when the sibling does not answer in time
-   */
-  async queryLoads(
-    host: string,
-    upstreams: string[],
-    timeoutMs: number,
-  ): Promise<FrontMethods["loads"]["result"]["loads"]> {
-    const link = await this.#links.reach(host, timeoutMs);
-    const args = { host: this.#opts.self, upstreams };
-    return (await link.request("loads", args, timeoutMs)).loads;
-  }
-
-  /**
-   * Asks the collector of an upstream for a permit.
-   *
-   * @throws {Error} when the sibling does not answer in time
-   */
-  async queryPermit(
-    host: string,
-    query: FrontMethods["permit"]["args"],
-    timeoutMs: number,
-  ): Promise<FrontMethods["permit"]["result"]> {
-    const link = await this.#links.reach(host, timeoutMs);
-    return await link.request("permit", query, timeoutMs);
-  }
-
-  #notify<K extends keyof FrontNotices & string>(
-    host: string,
-    name: K,
-    body: FrontNotices[K],
-  ): void {
-    const open = this.#links.open(host);
-    if (open) return open.notify(name, body);
-    this.#links.reach(host, REQUEST_TIMEOUT_MS).then(
-      (link) => link.notify(name, body),
-      (err) =>
-        this.#opts.log.debug(`cannot send ${name} to ${host}: ${String(err)}`),
-    );
-  }
-
   #createServer(): LinkServer<FrontMethods, FrontNotices, FrontStreams> {
     const opts = this.#opts;
     return new LinkServer<FrontMethods, FrontNotices, FrontStreams>({
@@ -323,85 +213,21 @@
       MIN_DIGEST_TTL_MS,
       DIGEST_TTL_PER_SIBLING_MS * this.#opts.fleet.fronts.length,
     );
-    const { host, crashes, notices = [], configVersion, ...report } = digest;
-    this.#gossip.recordGuest(
-      host,
-      { reachesUpstreams: true, ...report, reachesStore: false },
-      ttlMs,
-    );
-    const news: FrontNews[] = [
-      { kind: "config", version: configVersion },
-      ...notices.map((notice) => ({ kind: "notice" as const, notice })),
-      ...crashes.flatMap(({ fingerprint, upstreams }) =>
-        upstreams.map((upstream) => ({
-          kind: "crash" as const,
-          fingerprint,
-          upstream,
-        }))
-      ),
-    ];
+    const { host, report, news } = readDigest(digest);
+    this.#gossip.recordGuest(host, report, ttlMs);
     this.#gossip.receive(host, { reports: [], news });
-    this.#notify(host, "digest", this.#createDigest());
-  }
-
-  /** Returns the digest that fronts of an earlier build expect. */
-  #createDigest(): Digest {
-    const { self, report, configWatcher, recentNews } = this.#opts;
-    const { state, reachesTurnStores, reachesUpstreams } = report();
-    const news = recentNews();
-    return {
-      host: self,
-      state,
-      reachesTurnStores,
-      reachesUpstreams,
+    const { self, report: ownReport, recentNews, configWatcher } = this.#opts;
+    const answer = createDigest(self, {
+      report: ownReport(),
+      news: recentNews(),
       configVersion: configWatcher.config?.version ?? -1,
-      crashes: news.filter((it) => it.kind === "crash")
-        .map(({ fingerprint, upstream }) => ({
-          fingerprint,
-          upstreams: [upstream],
-        })),
-      notices: news.filter((it) => it.kind === "notice")
-        .map(({ notice }) => notice),
-    };
+    });
+    this.requests.notify(host, "digest", answer);
   }
 
   /** A sibling has announced a newer configuration. */
   announceConfig(version: number, host: string): void {
-    if (version <= (this.#announcedConfig?.version ?? -1)) return;
-    this.#announcedConfig = { version, host };
-    this.#scheduleConfigFetch();
-  }
-
-  /** Fetches a newer configuration unless the store delivers it meanwhile. */
-  #scheduleConfigFetch(): void {
-    if (this.#isFetchingConfig || !this.#lacksAnnouncedConfig) return;
-    this.#isFetchingConfig = true;
-    this.#opts.timer.after(CONFIG_FETCH_DELAY_MS, async () => {
-      this.#isFetchingConfig = false;
-      if (this.#lacksAnnouncedConfig) await this.#fetchConfig();
-    });
-  }
-
-  get #lacksAnnouncedConfig(): boolean {
-    const { configWatcher } = this.#opts;
-    const current = configWatcher.config?.version ?? -1;
-    return (this.#announcedConfig?.version ?? -1) > current;
-  }
-
-  async #fetchConfig(): Promise<void> {
-    const { configWatcher, log } = this.#opts;
-    const { version, host } = this.#announcedConfig ?? {};
-    if (host === undefined) return;
-    try {
-      const link = await this.#links.reach(host, REQUEST_TIMEOUT_MS);
-      const { text } = await link.request("config", {}, REQUEST_TIMEOUT_MS);
-      if (text) configWatcher.apply(text, host);
-    } catch (err) {
-      log.warn(
-        `fetching configuration version ${version} from ${host} failed: ` +
-          String(err),
-      );
-    }
+    this.#configFetcher.announce(version, host);
   }
 
   /** Fetches hosts and upstreams from a sibling if the store is unreachable. */
@@ -427,8 +253,11 @@
     }
   }
 
+  /** Reconciles at once, or together with what changes a short time after. */
   #scheduleReconcile(): void {
     if (this.#isReconcileScheduled) return;
+    const sinceLastMs = this.#opts.timer.monotonicNow() - this.#reconciledAt;
+    if (sinceLastMs >= RECONCILE_DELAY_MS) return this.#reconcile();
     this.#isReconcileScheduled = true;
     this.#opts.timer.after(RECONCILE_DELAY_MS, () => {
       this.#isReconcileScheduled = false;
@@ -438,7 +267,8 @@
 
   /** Chooses the neighbours anew and links them. */
   #reconcile(): void {
-    const { fleet, self, dataCentre } = this.#opts;
+    const { fleet, self, dataCentre, timer } = this.#opts;
+    this.#reconciledAt = timer.monotonicNow();
     const siblings = fleet.hosts.filter((it) =>
       it.role === "front" && it.host !== self
     );
@@ -470,7 +300,3 @@
     return this.#seeds.filter((it) => !known.has(it));
   }
 }
-
-function pickRandom<T>(values: T[]): T | undefined {
-  return values[Math.floor(Math.random() * values.length)];
-}
