Fronts: a front that stops stays in touch with its siblings until its end

Cause: a front that stops leaves the registry at once and serves for some more seconds. The others dropped it as a neighbour then, so it heard nobody after 1.3 s, took itself for alone and named only itself in the directory. Ruled out: late reports of its state (it names itself, not the others it). Change: a neighbour that has left the registry stays one while its link is open.

--- a/packages/front/src/siblings/siblings.ts
+++ b/packages/front/src/siblings/siblings.ts
@@ -280,6 +280,11 @@
       rings: this.#rings,
       isSilent: (host) => this.#gossip.isSilent(host),
     });
+    // A front that stops leaves the registry and is still in touch for a time.
+    for (const host of this.#gossip.neighbours) {
+      const isRegistered = fleet.front(host) !== undefined;
+      if (!isRegistered && this.#links.open(host)) neighbours.add(host);
+    }
     this.#gossip.setNeighbours(neighbours);
     this.#gossip.retain((host) => fleet.front(host) !== undefined);
     const addresses = new Map<string, string>();
--- a/packages/overlay/src/gossip.ts
+++ b/packages/overlay/src/gossip.ts
@@ -91,6 +91,11 @@
     return this.#now - neighbour.since >= FIRST_CONTACT_MS;
   }
 
+  /** Names of the hosts that messages are exchanged with. */
+  get neighbours(): string[] {
+    return [...this.#neighbours.keys()];
+  }
+
   /** Sets the hosts to exchange messages with. */
   setNeighbours(hosts: ReadonlySet<string>): void {
     for (const host of this.#neighbours.keys()) {
