Fronts: signals of the overlay; a long directory names fronts of all data centres

Cause: nothing told an operator which neighbours a front hears and who reads the store. Beyond 64 ready fronts the directory named the first 64 in the order of the registry, which are the fronts of two or three data centres. Change: lines `heard`, `silent` and `store_reading`, gauges `fronts_connected`, `neighbours_heard` and `reads_store_often`; the 64 come from rendezvous hashing, the same at all fronts, so that no more fronts open connections than before. Test: directory_test, 168 fronts in six data centres.

--- a/packages/front/src/directory.ts
+++ b/packages/front/src/directory.ts
@@ -1,4 +1,5 @@
 import type { Fleet } from "@toucantrestle/fleet";
+import { rankByRendezvous } from "@toucantrestle/membership";
 import type { FrontState } from "./protocol.ts";
 import type { Siblings } from "./siblings/siblings.ts";
 
@@ -39,8 +40,14 @@
   }
   const { ready, stopping } = byState;
   const addresses = ready.length > 0 ? ready : stopping;
-  return {
-    addresses: addresses.slice(0, MAX_ADDRESSES),
-    ttlMs: RESPONSE_TTL_MS,
-  };
+  return { addresses: selectAddresses(addresses), ttlMs: RESPONSE_TTL_MS };
+}
+
+/**
+ * Returns as many addresses as a response may have. All fronts select the same
+ * ones, from all data centres, so that fewer fronts connect to the upstreams.
+ */
+function selectAddresses(addresses: string[]): string[] {
+  if (addresses.length <= MAX_ADDRESSES) return addresses;
+  return rankByRendezvous("directory", addresses).slice(0, MAX_ADDRESSES);
 }
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -163,6 +163,9 @@
       reaches_upstreams: Number(!this.#serveOptions.directPath.isCut),
       upstreams_known: this.#serveOptions.upstreamRegistry.all().length,
       upstream_connections_opened: this.#serveOptions.pools.openedCount,
+      fronts_connected: this.#siblings.connectedHosts.length,
+      neighbours_heard: this.#siblings.heardNeighbourCount,
+      reads_store_often: Number(this.#storeReaders.isReader),
       turn_view: this.#turnStore.view?.number ?? 0,
       reaches_turn_stores: Number(this.#turnStore.isQuorumReachable),
     };
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -150,6 +150,7 @@
     self: host,
     timer,
     candidates: () => siblings.storeReaderCandidates,
+    log: loggers("sibling"),
   });
   const collectors = new Collectors({
     self: host,
--- a/packages/front/src/siblings/siblings.ts
+++ b/packages/front/src/siblings/siblings.ts
@@ -109,7 +109,16 @@
       state: opts.report,
       send: (host, message) =>
         this.#links.open(host)?.notify("gossip", message),
-      onNeighboursHeard: () => this.#scheduleReconcile(),
+      onNeighbourChange: (host, isHeard) => {
+        opts.log.info(
+          `neighbour ${host} is ${isHeard ? "heard" : "not heard any more"}`,
+          {
+            event: isHeard ? "heard" : "silent",
+            connected: this.connectedHosts.length,
+          },
+        );
+        this.#scheduleReconcile();
+      },
     });
     this.#configFetcher = new ConfigFetcher({ ...opts, links: this.#links });
     this.requests = new SiblingRequests({
@@ -161,6 +170,11 @@
     return [...this.#gossip.connectedHosts];
   }
 
+  /** Number of neighbours that this front hears. */
+  get heardNeighbourCount(): number {
+    return this.#gossip.heardCount;
+  }
+
   /** Names of the connected siblings that reach the platform's store. */
   get storeReaderCandidates(): string[] {
     return this.connectedHosts.filter((it) =>
--- a/packages/front/src/siblings/store_readers.ts
+++ b/packages/front/src/siblings/store_readers.ts
@@ -1,4 +1,5 @@
 import { rankByRendezvous } from "@toucantrestle/membership";
+import type { Logger } from "@toucantrestle/log";
 import type { Timer } from "@toucantrestle/timer";
 
 /**
@@ -13,6 +14,7 @@
   timer: Timer;
   /** Names of the connected siblings that reach the store. */
   candidates: () => string[];
+  log: Logger;
 }
 
 /** In a fleet of up to this many fronts all are readers. */
@@ -53,11 +55,20 @@
     const now = this.#opts.timer.monotonicNow();
     if (now - this.#refreshedAt >= REFRESH_INTERVAL_MS) {
       this.#refreshedAt = now;
-      this.#reading = this.#choose();
+      this.#change(this.#choose());
     }
     return this.#reading;
   }
 
+  #change(reading: StoreReading): void {
+    if (reading === this.#reading) return;
+    this.#reading = reading;
+    this.#opts.log.info(`reading the store as ${reading}`, {
+      event: "store_reading",
+      reading,
+    });
+  }
+
   #choose(): StoreReading {
     const { self, candidates } = this.#opts;
     const fronts = [self, ...candidates()];
--- a/packages/front/test/directory_test.ts
+++ b/packages/front/test/directory_test.ts
@@ -18,6 +18,8 @@
   };
 }
 
+const DATA_CENTRES = ["east", "north", "south", "west", "centre", "spare"];
+
 /** Returns the addresses that front `a` lists for the given states. */
 function addressesFor(states: Record<string, FrontState | undefined>) {
   const fleet = new Fleet({
@@ -56,4 +58,19 @@
   it("is empty while all fronts are starting", () => {
     expect(addressesFor({ a: "starting", b: "starting" })).toEqual([]);
   });
+
+  it("of a large fleet has the same 64 fronts everywhere, of all data centres", () => {
+    const states: Record<string, FrontState> = {};
+    for (const dataCentre of DATA_CENTRES) {
+      for (let i = 0; i < 28; i++) states[`${dataCentre}-${i}`] = "ready";
+    }
+    const listed = addressesFor({ a: "starting", ...states });
+    expect(listed.length).toEqual(64);
+    const reversed = Object.fromEntries(Object.entries(states).reverse());
+    expect(addressesFor({ a: "starting", ...reversed })).toEqual(listed);
+    for (const dataCentre of DATA_CENTRES) {
+      const own = listed.filter((it) => it.startsWith(`${dataCentre}-`));
+      expect(own.length).toBeGreaterThanOrEqual(4);
+    }
+  });
 });
--- a/packages/front/test/store_readers_test.ts
+++ b/packages/front/test/store_readers_test.ts
@@ -1,3 +1,4 @@
+import { createNoopLoggers } from "@toucantrestle/log";
 import { createManualTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
 import { describe, it } from "node:test";
@@ -14,6 +15,7 @@
     readers: new StoreReaders({
       self,
       timer,
+      log: createNoopLoggers()("sibling"),
       candidates: () =>
         isolated.has(self)
           ? []
--- a/packages/overlay/src/gossip.ts
+++ b/packages/overlay/src/gossip.ts
@@ -21,8 +21,8 @@
   applyNews: (news: News, from: string) => boolean;
   /** Returns the news for a neighbour that has just been linked. */
   recentNews: () => News[];
-  /** Called when a neighbour is heard again, or not any more. */
-  onNeighboursHeard?: () => void;
+  /** Called when a neighbour is heard, or is not heard any more. */
+  onNeighbourChange?: (neighbour: string, isHeard: boolean) => void;
 }
 
 /** A neighbour with the messages that wait for it. */
@@ -91,6 +91,11 @@
     return this.#now - neighbour.since >= FIRST_CONTACT_MS;
   }
 
+  /** Number of neighbours that were heard recently. */
+  get heardCount(): number {
+    return this.#own?.neighbours.length ?? 0;
+  }
+
   /** Names of the hosts that messages are exchanged with. */
   get neighbours(): string[] {
     return [...this.#neighbours.keys()];
@@ -250,9 +255,20 @@
     const isSameState = isDeepStrictEqual(state, this.#own.state);
     const isSameHeard = isDeepStrictEqual(neighbours, this.#own.neighbours);
     if (isSameState && isSameHeard) return;
+    const before = this.#own.neighbours;
     const version = this.#own.version + 1;
     this.#setOwn({ host: this.#opts.self, version, neighbours, state });
-    if (!isSameHeard) this.#opts.onNeighboursHeard?.();
+    if (!isSameHeard) this.#notifyChanges(before, neighbours);
+  }
+
+  #notifyChanges(before: string[], after: string[]): void {
+    const { onNeighbourChange } = this.#opts;
+    for (const host of after) {
+      if (!before.includes(host)) onNeighbourChange?.(host, true);
+    }
+    for (const host of before) {
+      if (!after.includes(host)) onNeighbourChange?.(host, false);
+    }
   }
 
   #setOwn(report: Report<State>): void {
