Fronts: the time to return of a lapsed entry counts from the end of the outage

Ruled out: silent polls at that moment (the log has the deletion 5 ms after it). Test: upstream_watcher_test, fails without the change.

--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -160,15 +160,16 @@
     const { upstreamRegistry, isStoreReader, log, timer } = this.#opts;
     if (!upstreamRegistry.get(id)) return;
     const now = timer.monotonicNow();
+    const isAfterOutage = now - this.#reconnectedAt < LEASE_EXPIRY_WINDOW_MS;
     // A front that reads seldom does not see every outage of the store.
-    const mayHaveLapsed = !isStoreReader() ||
-      now - this.#reconnectedAt < LEASE_EXPIRY_WINDOW_MS;
+    const mayHaveLapsed = isAfterOutage || !isStoreReader();
     log.info(`upstream ${id} was removed from the store`, {
       event: "gone",
       mayHaveLapsed,
     });
     // An expired entry is removed unless it reappears soon after the outage.
-    if (mayHaveLapsed) upstreamRegistry.markMissing(id, now);
+    const missingSince = isAfterOutage ? this.#reconnectedAt : now;
+    if (mayHaveLapsed) upstreamRegistry.markMissing(id, missingSince);
     else this.#announceRemoval(id);
   }
 
--- a/packages/front/test/upstream_watcher_test.ts
+++ b/packages/front/test/upstream_watcher_test.ts
@@ -73,6 +73,19 @@
     expect(candidateIds()).toEqual(["u2", "u3"]);
   });
 
+  // Guards against DRAIN: an upstream that left got requests for too long.
+  it("counts the time to return from the end of the outage", async () => {
+    store.startOutage();
+    await pause(2_300);
+    store.isUnavailable = false;
+    await pause(1_000);
+    store.put("upstreams/u3", createEntry("u3"));
+    await pause(1_700);
+    store.delete("upstreams/u1");
+    await pause(1_200);
+    expect(candidateIds()).toEqual(["u2", "u3"]);
+  });
+
   it("drops a deleted entry at once, even right after the start", () => {
     store.delete("upstreams/u1");
     expect(candidateIds()).toEqual(["u2"]);
