Fronts: readiness is checked, not reported, every 100 ms; readers ranked on change

Fronts computed their whole report ten times a second, and ranked all fronts four times a second to choose the readers. Change: the report is sent when readiness has changed; readers are ranked anew when the fronts that reach the store change.

--- a/packages/front/src/collectors.ts
+++ b/packages/front/src/collectors.ts
@@ -1,5 +1,6 @@
 import { rankByRendezvous } from "@toucantrestle/membership";
 import type { Timer } from "@toucantrestle/timer";
+import { hasSameMembers } from "./same_members.ts";
 
 /** Options of `Collectors`. */
 export interface CollectorsOptions {
@@ -52,9 +53,3 @@
     this.#collectors.clear();
   }
 }
-
-function hasSameMembers(a: string[], b: string[]): boolean {
-  if (a.length !== b.length) return false;
-  const members = new Set(a);
-  return b.every((it) => members.has(it));
-}
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -38,8 +38,8 @@
 const EXIT_MARGIN_MS = 800;
 const DRAIN_POLL_INTERVAL_MS = 50;
 const SWEEP_INTERVAL_MS = 10_000;
-/** Siblings learn within this time that this front has become ready. */
-const REPORT_INTERVAL_MS = 100;
+/** Siblings learn within this time that this front is ready, or not any more. */
+const READY_CHECK_INTERVAL_MS = 100;
 
 /**
  * Front daemon: serves callers, answers readiness and directory queries, and
@@ -59,6 +59,8 @@
   readonly #activeCalls = new Set<Call>();
   #graceMs: number;
   #isStopping = false;
+  /** Readiness as the siblings know it. */
+  #wasReady = false;
 
   constructor(opts: FrontOptions) {
     this.#opts = opts;
@@ -93,7 +95,7 @@
     await listen(this.#callerServer, this.#opts.callerAddress);
     await this.#listenAuxiliary(this.#opts.readyAddress);
     await this.#listenAuxiliary(this.#opts.directoryAddress);
-    timer.every(REPORT_INTERVAL_MS, () => this.#siblings.reportNow());
+    timer.every(READY_CHECK_INTERVAL_MS, () => this.#reportReadiness());
     timer.every(SWEEP_INTERVAL_MS, () => this.#sweep());
   }
 
@@ -197,6 +199,13 @@
       this.#configWatcher.config !== undefined;
   }
 
+  #reportReadiness(): void {
+    const isReady = this.#isReady;
+    if (isReady === this.#wasReady) return;
+    this.#wasReady = isReady;
+    this.#siblings.reportNow();
+  }
+
   /** Makes requests take the way through siblings. */
   #onPathCut({ isSilent }: PathCut): void {
     this.#serveOptions.upstreamRegistry.clearBackoffs();
--- a/packages/front/src/siblings/store_readers.ts
+++ b/packages/front/src/siblings/store_readers.ts
@@ -1,6 +1,7 @@
 import { rankByRendezvous } from "@toucantrestle/membership";
 import type { Logger } from "@toucantrestle/log";
 import type { Timer } from "@toucantrestle/timer";
+import { hasSameMembers } from "../same_members.ts";
 
 /**
  * How a front reads the platform's store: like `all` others in a small fleet,
@@ -34,6 +35,8 @@
 export class StoreReaders {
   readonly #opts: StoreReadersOptions;
   #reading: StoreReading = "all";
+  /** Fronts from which the readers were chosen last. */
+  #rankedFronts: string[] = [];
   #refreshedAt = -Infinity;
 
   constructor(opts: StoreReadersOptions) {
@@ -72,7 +75,12 @@
   #choose(): StoreReading {
     const { self, candidates } = this.#opts;
     const fronts = [self, ...candidates()];
-    if (fronts.length <= MAX_COMPLETE_FLEET) return "all";
+    if (fronts.length <= MAX_COMPLETE_FLEET) {
+      this.#rankedFronts = [];
+      return "all";
+    }
+    if (hasSameMembers(fronts, this.#rankedFronts)) return this.#reading;
+    this.#rankedFronts = fronts;
     const readers = rankByRendezvous("store-reader", fronts)
       .slice(0, READER_COUNT);
     return readers.includes(self) ? "reader" : "seldom";
