--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -215,7 +215,7 @@
     return isKnown;
   }
 
-  /** Adds or updates an upstream. Returns whether more than a beat changed. */
+  /** Adds or updates an upstream. Returns whether more than a heartbeat changed. */
   #upsert(entry: UpstreamEntry): boolean {
     const { upstreamRegistry, log } = this.#opts;
     const known = upstreamRegistry.get(entry.id);
--- a/packages/front/test/upstream_changes_test.ts
+++ b/packages/front/test/upstream_changes_test.ts
@@ -59,7 +59,7 @@
 }
 
 describe("changes of upstreams between fronts", () => {
-  it("a reader announces what changed and no beats", async () => {
+  it("a reader announces what changed and no heartbeats", async () => {
     await startWatcher();
     store.put(KEY, createEntry({ coldLeftMs: 500 }));
     store.put(KEY, createEntry({ coldLeftMs: 300 }));
--- a/packages/overlay/src/gossip.ts
+++ b/packages/overlay/src/gossip.ts
@@ -27,13 +27,16 @@
 
 /** A neighbour with the messages that wait for it. */
 interface Neighbour<State, News> {
+  /** When it was chosen, in ms. */
   since: number;
+  /** When its last message was received, in ms. */
   heardAt: number;
+  /** Undefined while the link to it is down. */
   outbox: Outbox<State, News> | undefined;
 }
 
 /** Each neighbour gets a message this often. */
-const BEAT_INTERVAL_MS = 400;
+const HEARTBEAT_INTERVAL_MS = 400;
 /** A neighbour that was not heard for this long is not reported. */
 const HEARD_TTL_MS = 1_300;
 /**
@@ -48,7 +51,7 @@
  * Link-state gossip between neighbours. Every host reports its state and the
  * neighbours that it hears; reports and news pass from neighbour to neighbour
  * whenever they change something, so that an idle fleet exchanges nothing but
- * beats between neighbours, however large it is.
+ * heartbeats between neighbours, however large it is.
  */
 export class Gossip<State, News> {
   readonly #opts: GossipOptions<State, News>;
@@ -60,7 +63,7 @@
   #own: Report<State> | undefined;
   #connected: Set<string> | undefined;
   #isFlushScheduled = false;
-  #beatAt = 0;
+  #heartbeatAt = 0;
 
   constructor(opts: GossipOptions<State, News>) {
     this.#opts = opts;
@@ -71,9 +74,9 @@
     const { self, timer, state } = this.#opts;
     // The time exceeds the versions of earlier processes on this host.
     const version = timer.now();
-    this.#beatAt = this.#now;
+    this.#heartbeatAt = this.#now;
     this.#setOwn({ host: self, version, neighbours: [], state: state() });
-    timer.every(BEAT_INTERVAL_MS, () => this.#beat());
+    timer.every(HEARTBEAT_INTERVAL_MS, () => this.#sendHeartbeats());
   }
 
   /** Names of the hosts that are connected, directly or over others. */
@@ -242,7 +245,7 @@
     });
   }
 
-  #beat(): void {
+  #sendHeartbeats(): void {
     this.#excuseSilence();
     this.#dropGuests();
     this.#updateOwn();
@@ -253,9 +256,9 @@
 
   /** A process that did not run itself heard nobody; that is no silence. */
   #excuseSilence(): void {
-    const pauseMs = this.#now - this.#beatAt - BEAT_INTERVAL_MS;
-    this.#beatAt = this.#now;
-    if (pauseMs < BEAT_INTERVAL_MS) return;
+    const pauseMs = this.#now - this.#heartbeatAt - HEARTBEAT_INTERVAL_MS;
+    this.#heartbeatAt = this.#now;
+    if (pauseMs < HEARTBEAT_INTERVAL_MS) return;
     for (const neighbour of this.#neighbours.values()) {
       neighbour.heardAt += pauseMs;
     }
--- a/packages/overlay/test/gossip_test.ts
+++ b/packages/overlay/test/gossip_test.ts
@@ -78,7 +78,7 @@
 /** Gossip of one host with a neighbour, on a clock that can jump. */
 function createSleeper() {
   let now = 1_000;
-  let beat = () => {};
+  let heartbeat = () => {};
   const subscription = { cancel: () => {} };
   const gossip = new Gossip<string, string>({
     self: "a",
@@ -87,7 +87,7 @@
       monotonicNow: () => now,
       after: () => subscription,
       every(_intervalMs, fn) {
-        beat = fn;
+        heartbeat = fn;
         return subscription;
       },
     },
@@ -102,24 +102,24 @@
   gossip.receive("b", { reports: [], news: [] });
   return {
     gossip,
-    beatAfter(ms: number) {
+    heartbeatAfter(ms: number) {
       now += ms;
-      beat();
+      heartbeat();
     },
   };
 }
 
 describe("gossip of a host that was frozen", () => {
   it("does not take its own silence for that of its neighbours", () => {
-    const { gossip, beatAfter } = createSleeper();
-    beatAfter(4_000);
+    const { gossip, heartbeatAfter } = createSleeper();
+    heartbeatAfter(4_000);
     expect([...gossip.connectedHosts]).toEqual(["b"]);
   });
 
   it("takes a neighbour for silent that is not heard after that", () => {
-    const { gossip, beatAfter } = createSleeper();
-    beatAfter(4_000);
-    for (let i = 0; i < 4; i++) beatAfter(400);
+    const { gossip, heartbeatAfter } = createSleeper();
+    heartbeatAfter(4_000);
+    for (let i = 0; i < 4; i++) heartbeatAfter(400);
     expect([...gossip.connectedHosts]).toEqual([]);
   });
 });
