Organisations: requests carry an API key if the configuration lists organisations

The configuration may list organisations with their API keys. A request then needs a key unless its route is public; an unknown or missing key gets 401, and 503 before the first configuration.

- RoutingConfig.organisations is undefined if the configuration has no list.
- An invalid list rejects the configuration as a whole.
The log line names the reason, is written once per text, and contains no values.
- The key is checked against the configuration in force after the body has arrived.

--- a/packages/front/src/call.ts
+++ b/packages/front/src/call.ts
@@ -1,3 +1,4 @@
+import type { Organisation } from "@toucantrestle/organisations";
 import type { Route, RoutingConfig } from "@toucantrestle/routing";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallHead } from "./protocol.ts";
@@ -12,6 +13,8 @@
   route: Route;
   service: string;
   config: RoutingConfig;
+  /** Organisation that sends the request; undefined if that is not known. */
+  organisation?: Organisation | undefined;
   arrivedAt: number;
   /** Deadline of the response, in ms on the monotonic clock. */
   deadlineAt: number;
--- a/packages/front/src/config_watcher.ts
+++ b/packages/front/src/config_watcher.ts
@@ -14,6 +14,8 @@
   readonly #listeners: ((config: RoutingConfig) => void)[] = [];
   #config: RoutingConfig | undefined;
   #text = "";
+  /** Text of the last invalid configuration, which is logged once. */
+  #rejectedText: string | undefined;
   #now: () => number = () => 0;
   /** When the store last confirmed that no newer version exists. */
   #confirmedAt: number | undefined;
@@ -72,9 +74,14 @@
 
   /** Applies a configuration if its version is newer than the current one. */
   apply(text: string, source: string): void {
-    const config = this.#protocol.parseConfig(text);
+    if (text === this.#text || text === this.#rejectedText) return;
+    let reason = "it cannot be parsed";
+    const config = this.#protocol.parseConfig(text, (it) => reason = it);
     if (!config) {
-      this.#log.error(`configuration from ${source} is invalid and is ignored`);
+      this.#rejectedText = text;
+      this.#log.error(
+        `configuration from ${source} is invalid and is ignored: ${reason}`,
+      );
       return;
     }
     if (this.#config && config.version <= this.#config.version) return;
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -14,6 +14,7 @@
 import { buildDirectoryResponse } from "./directory.ts";
 import type { FrontReport, FrontState } from "./protocol.ts";
 import type { PathCut } from "./direct_path.ts";
+import { KeyRefusals } from "./key_refusals.ts";
 import { listen, MAX_HEADER_BYTES } from "./listen.ts";
 import type { FrontOptions } from "./front_options.ts";
 import { createFrontParts } from "./front_parts.ts";
@@ -54,6 +55,7 @@
   readonly #contact: UpstreamContact;
   readonly #turnStore: TurnStoreClient;
   readonly #serveOptions: ServeOptions;
+  readonly #keyRefusals: KeyRefusals;
   readonly #callerServer: Server;
   readonly #auxiliaryServers: Server[] = [];
   readonly #activeCalls = new Set<Call>();
@@ -75,6 +77,10 @@
     this.#contact = parts.contact;
     this.#turnStore = parts.turnStore;
     this.#serveOptions = parts.serveOptions;
+    this.#keyRefusals = new KeyRefusals({
+      ...opts,
+      log: opts.loggers("call"),
+    });
     this.#callerServer = this.#createServer((req, res) =>
       this.#onCall(req, res)
     );
@@ -270,7 +276,8 @@
     try {
       const call = await readCall(req, res, {
         ...this.#opts,
-        config: this.#configWatcher.config,
+        config: () => this.#configWatcher.config,
+        keyRefusals: this.#keyRefusals,
         log: this.#opts.loggers("call"),
       });
       if (!call || res.closed) return;
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -60,6 +60,8 @@
   readyPath: string;
   /** Parses the request headers; undefined if the request id is missing. */
   parseHead(headers: IncomingHttpHeaders): CallHead | undefined;
+  /** Returns the caller's API key; undefined if it is missing. */
+  parseKey(headers: IncomingHttpHeaders): string | undefined;
   /** Whether a header, in lower case, must not be forwarded from a caller. */
   isReservedHeader(name: string): boolean;
   /** Returns the headers for these values, as alternating names and values. */
@@ -76,8 +78,14 @@
   formatDirectoryResponse(
     response: { addresses: string[]; ttlMs: number },
   ): string;
-  /** Parses the operators' configuration; undefined if it is invalid. */
-  parseConfig(text: string): RoutingConfig | undefined;
+  /**
+   * Parses the operators' configuration. Returns undefined if it is invalid and
+   * passes the reason, which contains no keys, to `onInvalid`.
+   */
+  parseConfig(
+    text: string,
+    onInvalid?: (reason: string) => void,
+  ): RoutingConfig | undefined;
   /** Parses the entry of an upstream; undefined if it is invalid. */
   parseUpstream(key: string, text: string): UpstreamEntry | undefined;
   /** Store key of the configuration. */
--- a/packages/front/src/read_call.ts
+++ b/packages/front/src/read_call.ts
@@ -4,14 +4,17 @@
 import {
   chooseService,
   findRoute,
+  type Route,
   type RoutingConfig,
 } from "@toucantrestle/routing";
+import type { Organisation } from "@toucantrestle/organisations";
 import type { Timer } from "@toucantrestle/timer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { refuse, sendText } from "./responses.ts";
 import type { Call } from "./call.ts";
 import { MAX_HEADER_BYTES } from "./listen.ts";
 import type { Protocol } from "./protocol.ts";
+import type { KeyRefusals } from "./key_refusals.ts";
 import { readBody } from "./read_body.ts";
 import { CallRecorder } from "./call_recorder.ts";
 
@@ -20,8 +23,9 @@
 
 /** Options of `readCall`. */
 export interface ReadCallOptions {
-  /** Configuration in effect; undefined until the first one is applied. */
-  config: RoutingConfig | undefined;
+  /** Returns the configuration in effect; undefined before the first one. */
+  config: () => RoutingConfig | undefined;
+  keyRefusals: KeyRefusals;
   protocol: Protocol;
   log: Logger;
   metrics: Metrics;
@@ -38,30 +42,29 @@
   opts: ReadCallOptions,
 ): Promise<Call | undefined> {
   const arrivedAt = opts.timer.monotonicNow();
-  const { config } = opts;
-  if (config && headerSize(req) > config.limits.headerBytes) {
-    res.setHeader("connection", "close");
-    sendText(
-      res,
-      431,
-      `request header exceeds ${config.limits.headerBytes} bytes`,
-    );
-    return undefined;
-  }
-  const limit = config?.limits.bodyBytes ?? MAX_HEADER_BYTES;
-  const result = await readBody(req, limit);
-  if (result.kind === "cut") return undefined;
-  if (result.kind === "too_large") {
-    res.setHeader("connection", "close");
-    sendText(res, 413, `request body exceeds ${limit} bytes`);
-    return undefined;
-  }
+  const body = await readLimited(req, res, opts.config()?.limits);
+  if (!body) return undefined;
+  // The configuration may have changed while the body arrived.
+  const config = opts.config();
   if (!config) {
     refuse(res, "no_config");
     return undefined;
   }
   const path = req.url ?? "/";
   const route = findRoute(config, req.headers.host ?? "", path);
+  const organisation = identify(req, {
+    config,
+    route,
+    protocol: opts.protocol,
+  });
+  if (organisation === "unknown") {
+    const id = opts.protocol.parseHead(req.headers)?.id;
+    opts.keyRefusals.refuse(res, {
+      key: opts.protocol.parseKey(req.headers),
+      id,
+    });
+    return undefined;
+  }
   const service = route && chooseService(route, Math.random());
   if (!route || !service) {
     sendText(res, 404, "no route matches the host and path");
@@ -77,13 +80,14 @@
     req,
     res,
     head,
-    body: result.body,
+    body,
     route,
     service,
     config,
+    organisation,
     arrivedAt,
     deadlineAt: arrivedAt + timeLimitMs,
-    fingerprint: fingerprintOf(req, result.body, head.previousTurn),
+    fingerprint: fingerprintOf(req, body, head.previousTurn),
     recorder: new CallRecorder({
       head,
       route,
@@ -96,6 +100,47 @@
   };
 }
 
+/**
+ * Reads the body of a request. Sends an error response and returns undefined if
+ * the request is larger than the limits allow.
+ */
+async function readLimited(
+  req: IncomingMessage,
+  res: ServerResponse,
+  limits: RoutingConfig["limits"] | undefined,
+): Promise<Buffer | undefined> {
+  if (limits && headerSize(req) > limits.headerBytes) {
+    res.setHeader("connection", "close");
+    sendText(res, 431, `request header exceeds ${limits.headerBytes} bytes`);
+    return undefined;
+  }
+  const limit = limits?.bodyBytes ?? MAX_HEADER_BYTES;
+  const result = await readBody(req, limit);
+  if (result.kind === "whole") return result.body;
+  if (result.kind === "too_large") {
+    res.setHeader("connection", "close");
+    sendText(res, 413, `request body exceeds ${limit} bytes`);
+  }
+  return undefined;
+}
+
+/**
+ * Returns the organisation that sends a request. Returns undefined if none is
+ * required, and `unknown` if one is required and the key is missing or unknown.
+ */
+function identify(
+  req: IncomingMessage,
+  { config, route, protocol }: {
+    config: RoutingConfig;
+    route: Route | undefined;
+    protocol: Protocol;
+  },
+): Organisation | "unknown" | undefined {
+  if (!config.organisations || route?.isPublic) return undefined;
+  const key = protocol.parseKey(req.headers);
+  return (key && config.organisations.findByKey(key)) || "unknown";
+}
+
 /** Returns the size of the header lines of a request, in bytes. */
 function headerSize(req: IncomingMessage): number {
   const textBytes = req.rawHeaders.reduce((sum, it) => sum + it.length, 0);
--- a/packages/front/test/test_protocol.ts
+++ b/packages/front/test/test_protocol.ts
@@ -1,3 +1,7 @@
+import {
+  type OrganisationEntry,
+  OrganisationIndex,
+} from "@toucantrestle/organisations";
 import type { RoutingConfig, UpstreamEntry } from "@toucantrestle/routing";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Protocol } from "../src/mod.ts";
@@ -28,6 +32,7 @@
       affinityKey: undefined,
     };
   },
+  parseKey: (headers) => text(headers, "x-key"),
   isReservedHeader: (name) => name === "x-time-left" || name === "x-upstream",
   formatUpstreamHeaders: ({ timeLeftMs, upstreamId }) => [
     "x-time-left",
@@ -43,7 +48,14 @@
     isLeaving: headers.has("x-leaving"),
   }),
   formatDirectoryResponse: (response) => JSON.stringify(response),
-  parseConfig: (value) => JSON.parse(value) as RoutingConfig,
+  parseConfig(value) {
+    const raw = JSON.parse(value);
+    const { organisations } = (raw ?? {}) as {
+      organisations?: OrganisationEntry[];
+    };
+    if (!organisations) return raw as RoutingConfig;
+    return { ...raw, organisations: new OrganisationIndex(organisations) };
+  },
   parseUpstream: (_key, value) => JSON.parse(value) as UpstreamEntry,
 };
 
--- /dev/null
+++ b/packages/organisations/src/key_digest.ts
@@ -0,0 +1,18 @@
+import { createHash } from "node:crypto";
+
+/** Length of a short digest, in hexadecimal digits. */
+const SHORT_LENGTH = 8;
+
+/** Returns the SHA-256 digest of an API key. */
+export function keyDigest(key: string): string {
+  return createHash("sha256").update(key).digest("base64");
+}
+
+/**
+ * Returns a short digest that stands for a key in logs. It identifies the key
+ * to those who hold it, and the key cannot be derived from it.
+ */
+export function shortKeyDigest(key: string): string {
+  const digest = createHash("sha256").update(key).digest("hex");
+  return digest.slice(0, SHORT_LENGTH);
+}
--- a/packages/routing/src/config.ts
+++ b/packages/routing/src/config.ts
@@ -1,3 +1,5 @@
+import type { OrganisationIndex } from "@toucantrestle/organisations";
+
 /** How a request whose outcome is unknown may be handled. */
 export type RouteKind = "idempotent" | "non_idempotent" | "streaming";
 
@@ -26,6 +28,8 @@
    * last event that was received.
    */
   isResumable: boolean;
+  /** Whether requests need no API key although organisations are configured. */
+  isPublic?: boolean | undefined;
 }
 
 /** Properties of the engines of a service. */
@@ -48,6 +52,8 @@
   version: number;
   routes: Route[];
   services: ServiceInfo[];
+  /** Undefined if no organisations are configured; requests need no key then. */
+  organisations?: OrganisationIndex | undefined;
   limits: {
     headerBytes: number;
     bodyBytes: number;
