Organisations: headers to upstreams, urgency and ownership of turns

With organisations configured, a caller's key and claimed organisation are removed from each upstream request, and the header of the organisation is set from the key. Its rank, if given, replaces the route's in the urgency.

Turns, programs and stream origins are stored under ids scoped by the organisation, so a request of another organisation finds nothing, with the same lookups as for an unknown id. The record of a turn names its owner, which is compared as well. Without organisations, headers and record ids are unchanged.

The fingerprint of a request and its log lines contain the organisation.

--- a/packages/front/src/call_recorder.ts
+++ b/packages/front/src/call_recorder.ts
@@ -41,6 +41,7 @@
 export class CallRecorder {
   readonly #head: CallHead;
   readonly #route: Route;
+  readonly #organisation: string | undefined;
   readonly #log: Logger;
   readonly #metrics: Metrics;
   readonly #timer: Timer;
@@ -51,6 +52,8 @@
     opts: {
       head: CallHead;
       route: Route;
+      /** Name of the organisation that sends the request, if it is known. */
+      organisation?: string | undefined;
       log: Logger;
       metrics: Metrics;
       timer: Timer;
@@ -58,6 +61,7 @@
   ) {
     this.#head = opts.head;
     this.#route = opts.route;
+    this.#organisation = opts.organisation;
     this.#log = opts.log;
     this.#metrics = opts.metrics;
     this.#timer = opts.timer;
@@ -71,6 +75,7 @@
       req: this.#head.id,
       program: this.#head.program,
       route: this.#route.name,
+      organisation: this.#organisation,
       ms: Math.round(this.#timer.monotonicNow() - this.#arrivedAt),
       ...details,
     };
--- a/packages/front/src/headers.ts
+++ b/packages/front/src/headers.ts
@@ -37,17 +37,20 @@
     method: string;
     bodyBytes: number;
     attributes: UpstreamRequestAttributes;
+    /** Whether the caller's key and claimed organisation are removed. */
+    hidesIdentity: boolean;
     /** Id of the event after which to resume the stream. */
     resumeAfter: string | undefined;
   },
 ): string[] {
-  const { rawHeaders, protocol, resumeAfter } = opts;
+  const { rawHeaders, protocol, hidesIdentity, resumeAfter } = opts;
   const connectionNames = connectionHeaderNames(rawHeaders);
   const headers: string[] = [];
   for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
     const name = (rawHeaders[i] as string).toLowerCase();
     if (HOP_BY_HOP.has(name) || name === "content-length") continue;
     if (connectionNames.has(name) || protocol.isReservedHeader(name)) continue;
+    if (hidesIdentity && protocol.isIdentityHeader(name)) continue;
     if (name === LAST_EVENT_ID && resumeAfter !== undefined) continue;
     headers.push(rawHeaders[i] as string, rawHeaders[i + 1] as string);
   }
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -47,6 +47,8 @@
   upstreamId: string;
   /** Scheduling priority: 0 is served first, 9 last. */
   urgency: number | undefined;
+  /** Name of the organisation that sends the request, if it is known. */
+  organisation: string | undefined;
 }
 
 /**
@@ -64,6 +66,11 @@
   parseKey(headers: IncomingHttpHeaders): string | undefined;
   /** Whether a header, in lower case, must not be forwarded from a caller. */
   isReservedHeader(name: string): boolean;
+  /**
+   * Whether a header, in lower case, holds the caller's key or says which
+   * organisation it belongs to. Not forwarded if organisations are configured.
+   */
+  isIdentityHeader(name: string): boolean;
   /** Returns the headers for these values, as alternating names and values. */
   formatUpstreamHeaders(attributes: UpstreamRequestAttributes): string[];
   /** Returns the request id that a response echoes. */
--- a/packages/front/src/read_call.ts
+++ b/packages/front/src/read_call.ts
@@ -87,10 +87,14 @@
     organisation,
     arrivedAt,
     deadlineAt: arrivedAt + timeLimitMs,
-    fingerprint: fingerprintOf(req, body, head.previousTurn),
+    fingerprint: fingerprintOf(req, body, {
+      previousTurn: head.previousTurn,
+      organisation: organisation?.name,
+    }),
     recorder: new CallRecorder({
       head,
       route,
+      organisation: organisation?.name,
       log: opts.log,
       metrics: opts.metrics,
       timer: opts.timer,
@@ -149,15 +153,19 @@
 }
 
 /**
- * Returns a hash of method, path, previous turn and body. Repetitions of a
- * request have the same hash.
+ * Returns a hash of organisation, method, path, previous turn and body.
+ * Repetitions of a request have the same hash.
  */
 function fingerprintOf(
   req: IncomingMessage,
   body: Buffer,
-  previousTurn: string | undefined,
+  opts: { previousTurn: string | undefined; organisation: string | undefined },
 ): string {
+  const { previousTurn, organisation } = opts;
   const content = `${req.method} ${req.url} ${previousTurn ?? ""} ` +
     body.toString("latin1");
-  return hash64(content).toString(36);
+  const owned = organisation === undefined
+    ? content
+    : `${JSON.stringify(organisation)} ${content}`;
+  return hash64(owned).toString(36);
 }
--- a/packages/front/src/turn_state.ts
+++ b/packages/front/src/turn_state.ts
@@ -1,9 +1,10 @@
 import type { SpeedEstimate } from "@toucantrestle/policy";
 import type { UpstreamEntry } from "@toucantrestle/routing";
-import type {
-  LookupVerdict,
-  PromptHint,
-  StreamOrigin,
+import {
+  type LookupVerdict,
+  type PromptHint,
+  scopedId,
+  type StreamOrigin,
 } from "@toucantrestle/turn_log";
 import type { Reservation, TurnStoreClient } from "@toucantrestle/turn_store";
 import type { Call } from "./call.ts";
@@ -151,7 +152,13 @@
     const tokens = (head.promptTokens ?? 0) +
       this.outputTokens;
     return await this.#store.put(
-      { id: head.id, prompt, upstream, tokens },
+      {
+        id: this.#scoped(head.id),
+        ...this.#ownership,
+        prompt,
+        upstream,
+        tokens,
+      },
       { keepMs: route.keepMs, deadlineMs: deadlineAt },
     );
   }
@@ -189,7 +196,19 @@
   /** Key of the turn's record; a stream outside a program has its own. */
   get #recordKey(): string {
     const { head } = this.#call;
-    return head.program ?? `stream/${head.resumedRequest ?? head.id}`;
+    return this.#scoped(
+      head.program ?? `stream/${head.resumedRequest ?? head.id}`,
+    );
+  }
+
+  /** Field of the turn's record that names its owner, if it has one. */
+  get #ownership(): { owner?: string } {
+    const { organisation } = this.#call;
+    return organisation ? { owner: organisation.name } : {};
+  }
+
+  #scoped(id: string): string {
+    return scopedId(this.#call.organisation?.name, id);
   }
 
   async #reserve(origin: StreamOrigin | undefined): Promise<Reservation> {
@@ -218,6 +237,10 @@
   async #findPrevious(): Promise<LookupVerdict | undefined> {
     const { head, route, deadlineAt } = this.#call;
     if (!route.keepsTurns || !head.previousTurn) return undefined;
-    return await this.#store.find(head.previousTurn, deadlineAt);
+    const id = this.#scoped(head.previousTurn);
+    const verdict = await this.#store.find(id, deadlineAt);
+    const isForeign = verdict.kind === "found" &&
+      verdict.turn.owner !== this.#ownership.owner;
+    return isForeign ? { kind: "absent" } : verdict;
   }
 }
--- a/packages/front/src/upstream_choice.ts
+++ b/packages/front/src/upstream_choice.ts
@@ -144,8 +144,9 @@
   /** Returns the urgency of the turn at an engine, if it has one. */
   urgency(now: number): number | undefined {
     if (!this.#turn || this.#opts.disabled.has("urgency")) return undefined;
+    const { organisation, route } = this.#call;
     return urgencyOf({
-      rank: this.#call.route.rank,
+      rank: organisation?.rank ?? route.rank,
       programLeftMs: this.programLeftMs(now),
       minDurationMs: this.#outputTokens * this.speed.idleDecodeMsPerToken,
     });
--- a/packages/front/test/test_protocol.ts
+++ b/packages/front/test/test_protocol.ts
@@ -34,11 +34,13 @@
   },
   parseKey: (headers) => text(headers, "x-key"),
   isReservedHeader: (name) => name === "x-time-left" || name === "x-upstream",
-  formatUpstreamHeaders: ({ timeLeftMs, upstreamId }) => [
+  isIdentityHeader: (name) => name === "x-key" || name === "x-organisation",
+  formatUpstreamHeaders: ({ timeLeftMs, upstreamId, organisation }) => [
     "x-time-left",
     String(timeLeftMs),
     "x-upstream",
     upstreamId,
+    ...(organisation === undefined ? [] : ["x-organisation", organisation]),
   ],
   echoedRequestId: (head) => head.headers.get("x-id"),
   isDeclined: (head) => head.headers.has("x-not-run"),
--- a/packages/organisations/src/organisation_index.ts
+++ b/packages/organisations/src/organisation_index.ts
@@ -1,5 +1,8 @@
 import { keyDigest } from "./key_digest.ts";
 
+/** Names are sent in headers, whose total size upstreams limit. */
+const MAX_NAME_BYTES = 1_024;
+
 /** Limit on the requests of an organisation over all fronts. */
 export interface Quota {
   /** Requests per second. */
@@ -96,12 +99,14 @@
   }
 }
 
-/** Rejects names that cannot be sent in a header. */
+/** Rejects names that cannot be sent in a header or stored with a record. */
 function requireValidName(name: string): void {
   if (name.trim() === "") fail("an organisation has an empty name");
-  // deno-lint-ignore no-control-regex
-  if (/[\u0000-\u001f\u007f]/.test(name)) {
-    fail("the name of an organisation contains a control character");
+  if (Buffer.byteLength(name) > MAX_NAME_BYTES) {
+    fail(`the name of an organisation is longer than ${MAX_NAME_BYTES} bytes`);
+  }
+  if (/[\p{Cc}\p{Cs}]/u.test(name)) {
+    fail("the name of an organisation contains an unprintable character");
   }
 }
 
--- a/packages/routing/src/urgency.ts
+++ b/packages/routing/src/urgency.ts
@@ -1,6 +1,6 @@
 /** Input of {@link urgencyOf}. */
 export interface UrgencyInput {
-  /** Priority rank of the route; 0 is the highest. */
+  /** Priority rank of the organisation or else the route; 0 is the highest. */
   rank: number;
   /** Time left until the program's target finish time, in ms, if it has one. */
   programLeftMs: number | undefined;
--- a/packages/turn_log/src/mod.ts
+++ b/packages/turn_log/src/mod.ts
@@ -28,6 +28,7 @@
   keyOfTurn,
   laterOrigin,
   type PromptHint,
+  scopedId,
   type Spending,
   type SpendRecord,
   type StreamOrigin,
--- a/packages/turn_log/src/record.ts
+++ b/packages/turn_log/src/record.ts
@@ -1,8 +1,10 @@
 /** Completed turn. The record is immutable. */
 export interface TurnRecord {
   kind: "turn";
-  /** Request id of the turn. */
+  /** Request id of the turn, scoped by its owner: see {@link scopedId}. */
   id: string;
+  /** Organisation that the turn belongs to; undefined if it belongs to none. */
+  owner?: string | undefined;
   /** Prompt and output so far, to which the next turn's input is appended. */
   prompt: Uint8Array;
   /** Upstream that ran the turn and has cached its prompt. */
@@ -16,6 +18,7 @@
 /** Output tokens that a turn of a program has reserved or used. */
 export interface SpendRecord {
   kind: "spend";
+  /** Program id, scoped by its owner: see {@link scopedId}. */
   program: string;
   turn: string;
   /** Maximum number of output tokens of the turn. */
@@ -90,6 +93,17 @@
 export type Spending = Record<string, { reserved: number; settled?: number }>;
 
 const TURN_PREFIX = "turn/";
+/** Occurs in no header value, and therefore in no id that a caller chooses. */
+const OWNER_SEPARATOR = "\u0000";
+
+/**
+ * Returns the id under which a turn or program of an organisation is stored.
+ * Callers choose ids, so those of different organisations may be equal. An id
+ * without an owner stays as it is.
+ */
+export function scopedId(owner: string | undefined, id: string): string {
+  return owner === undefined ? id : owner + OWNER_SEPARATOR + id;
+}
 
 /** Returns the key of a turn's record. */
 export function keyOfTurn(id: string): string {
