Platform: a bundle and a code cache per role

Loading the program compiled 1.25 MB of JavaScript at each start. The build now bundles each role alone and stores the code that V8 compiled while loading it, under the flags of deploy/system.toml. A process that V8 refuses the cache to logs one line and starts without it.

--- a/deploy/build.js
+++ b/deploy/build.js
@@ -1,37 +1,52 @@
 /**
- * Bundles the entry point of the platform's roles into one file under
- * `target/`, directly from the TypeScript sources.
+ * Builds the program of the platform's roles under `target/`: a bundle for each
+ * role, its code cache, and the loader that `deploy/system.toml` runs.
  *
  * @module
  */
-import { readdirSync } from "node:fs";
-import { build } from "esbuild";
+import { spawnSync } from "node:child_process";
+import {
+  copyFileSync,
+  existsSync,
+  mkdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
+import process from "node:process";
+import { bundleRole } from "./bundle.js";
 
-const alias = Object.fromEntries(
-  readdirSync("packages").map((name) => [
-    `@toucantrestle/${name}`,
-    `./packages/${name}/src/mod.ts`,
-  ]),
+const ROLES = ["front", "turn_store"];
+const CACHE_TIMEOUT_MS = 20_000;
+
+rmSync("target", { recursive: true, force: true });
+mkdirSync("target");
+writeFileSync("target/package.json", '{ "type": "commonjs" }\n');
+copyFileSync("deploy/loader.cjs", "target/toucantrestle.js");
+await Promise.all(
+  ROLES.map((role) => bundleRole(role, `target/${role}.cjs`)),
 );
+for (const role of ROLES) createCache(role);
 
-// The whole library would lengthen each start of a process.
-alias.undici = "./deploy/undici_dispatchers.cjs";
+/**
+ * Compiles a bundle with the flags of its role, since V8 accepts a cache only
+ * under the flags that it was made with.
+ */
+function createCache(role) {
+  const args = [...readFlags(role), "deploy/make_cache.cjs", role];
+  spawnSync(process.execPath, args, {
+    env: {},
+    stdio: "ignore",
+    timeout: CACHE_TIMEOUT_MS,
+  });
+  if (!existsSync(`target/${role}.cache`)) {
+    process.stderr.write(`no code cache for role ${role}\n`);
+  }
+}
 
-await build({
-  entryPoints: ["platform/src/main.ts"],
-  outfile: "target/toucantrestle.js",
-  alias,
-  bundle: true,
-  platform: "node",
-  target: "node20",
-  format: "esm",
-  // CommonJS dependencies call `require`, which ES modules do not define.
-  banner: {
-    js: 'import { createRequire as requireFrom } from "node:module";' +
-      "const require = requireFrom(import.meta.url);",
-  },
-  sourcemap: false,
-  minifySyntax: true,
-  minifyWhitespace: true,
-  legalComments: "none",
-});
+/** Returns the Node.js flags of a role in `deploy/system.toml`. */
+function readFlags(role) {
+  const text = readFileSync("deploy/system.toml", "utf8");
+  const pattern = new RegExp(`run = "node (.*) target/\\S+ ${role}"`);
+  return pattern.exec(text)?.[1]?.split(" ") ?? [];
+}
--- /dev/null
+++ b/deploy/loader.cjs
@@ -0,0 +1,53 @@
+/**
+ * Starts the program of a role: `node FLAGS target/toucantrestle.js ROLE`.
+ * Takes its compiled code from the cache that the build has made, if V8 accepts
+ * it.
+ *
+ * @module
+ */
+"use strict";
+const { readFileSync } = require("node:fs");
+const { join } = require("node:path");
+const { Script } = require("node:vm");
+
+const ROLES = ["front", "turn_store"];
+const BAD_USAGE_STATUS = 2;
+
+const role = process.argv[2] ?? "";
+if (ROLES.includes(role)) {
+  run(join(__dirname, `${role}.cjs`), readCache());
+} else {
+  process.stderr.write(`toucantrestle: unknown role "${role}"\n`);
+  process.exit(BAD_USAGE_STATUS);
+}
+
+function readCache() {
+  try {
+    return readFileSync(join(__dirname, `${role}.cache`));
+  } catch {
+    warn("there is no code cache");
+    return undefined;
+  }
+}
+
+function run(filename, cachedData) {
+  const script = new Script(readFileSync(filename, "latin1"), {
+    filename,
+    cachedData,
+  });
+  if (script.cachedDataRejected) {
+    warn("the code cache does not fit this version or these flags of Node.js");
+  }
+  script.runInThisContext()(exports, require, module, filename, __dirname);
+}
+
+function warn(message) {
+  const line = {
+    time: new Date().toISOString(),
+    level: "warn",
+    part: "loader",
+    message: `${message}; starting without it`,
+    event: "no_code_cache",
+  };
+  process.stdout.write(`${JSON.stringify(line)}\n`);
+}
