--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -1,7 +1,8 @@
-import { MemoryStore } from "@toucantrestle/config_store";
+import { type ConfigStore, MemoryStore } from "@toucantrestle/config_store";
 import { Fleet, type HostEntry } from "@toucantrestle/fleet";
 import { createNoopLoggers, type LoggerFactory } from "@toucantrestle/log";
-import { createNoopMetrics } from "@toucantrestle/metrics";
+import { createNoopMetrics, type Metrics } from "@toucantrestle/metrics";
+import type { OrganisationEntry } from "@toucantrestle/organisations";
 import type { Route, UpstreamEntry } from "@toucantrestle/routing";
 import { createSystemTimer, createTimerScope } from "@toucantrestle/timer";
 import { writeState } from "@toucantrestle/turn_journal";
@@ -67,7 +68,10 @@
   }
 
   /** Stores a new version of the configuration with these routes. */
-  configure(routes: Partial<Route>[]): void {
+  configure(
+    routes: Partial<Route>[],
+    opts: { organisations?: OrganisationEntry[] } = {},
+  ): void {
     this.#version += 1;
     this.store.put(testProtocol.configKey, {
       version: this.#version,
@@ -83,6 +87,7 @@
         headerTimeoutMs: 3_000,
         idleTimeoutMs: 5_000,
       },
+      ...opts,
     });
   }
 
@@ -104,7 +109,9 @@
     for (const { host } of stopped) await this.#startTurnStore(host);
   }
 
-  async addFront(opts: { dial?: Dial } = {}): Promise<Front> {
+  async addFront(
+    opts: { dial?: Dial; store?: ConfigStore; metrics?: Metrics } = {},
+  ): Promise<Front> {
     const [callerAddress, readyAddress, directoryAddress, linkAddress] =
       await Promise.all([0, 1, 2, 3].map(freeAddress)) as [
         string,
--- a/packages/front/test/test_protocol.ts
+++ b/packages/front/test/test_protocol.ts
@@ -35,11 +35,14 @@
   parseKey: (headers) => text(headers, "x-key"),
   isReservedHeader: (name) => name === "x-time-left" || name === "x-upstream",
   isIdentityHeader: (name) => name === "x-key" || name === "x-organisation",
-  formatUpstreamHeaders: ({ timeLeftMs, upstreamId, organisation }) => [
+  formatUpstreamHeaders: (
+    { timeLeftMs, upstreamId, urgency, organisation },
+  ) => [
     "x-time-left",
     String(timeLeftMs),
     "x-upstream",
     upstreamId,
+    ...(urgency === undefined ? [] : ["x-urgency", String(urgency)]),
     ...(organisation === undefined ? [] : ["x-organisation", organisation]),
   ],
   echoedRequestId: (head) => head.headers.get("x-id"),
@@ -50,13 +53,18 @@
     isLeaving: headers.has("x-leaving"),
   }),
   formatDirectoryResponse: (response) => JSON.stringify(response),
-  parseConfig(value) {
+  parseConfig(value, onInvalid) {
     const raw = JSON.parse(value);
     const { organisations } = (raw ?? {}) as {
       organisations?: OrganisationEntry[];
     };
     if (!organisations) return raw as RoutingConfig;
-    return { ...raw, organisations: new OrganisationIndex(organisations) };
+    try {
+      return { ...raw, organisations: new OrganisationIndex(organisations) };
+    } catch (err) {
+      onInvalid?.(String(err));
+      return undefined;
+    }
   },
   parseUpstream: (_key, value) => JSON.parse(value) as UpstreamEntry,
 };
