Upstreams: state of a process does not pass to the next one

Cause: a restarted upstream keeps its id, and load, load reports, failures, durations, permits, denials, prompt hints, origins without a version, relayed requests, crashes and kept-alive connections were known by the id alone.

Change: what is recorded names the process (id and start time) from the entry read before the attempt. Load reports, hints, origins and relayed requests carry the start time; fronts of earlier builds leave it out. A sibling's list carries the store's revisions.

--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -1,4 +1,9 @@
-import { isRetrySafe, type TrackedUpstream } from "@toucantrestle/routing";
+import {
+  isRetrySafe,
+  processKey,
+  type TrackedUpstream,
+  type UpstreamEntry,
+} from "@toucantrestle/routing";
 import { abortResponse, refuseCall, respond } from "./responses.ts";
 import { type Attempt, type AttemptResult, startAttempt } from "./attempt.ts";
 import type { Call } from "./call.ts";
@@ -62,12 +67,15 @@
       const choice = upstream ?? await this.#chooseOutOfReach();
       if (this.#call.isAbandoned) return;
       if (!choice) return this.#respondWithoutUpstream();
-      if (!await this.#recordOrigin(choice)) return;
+      const { entry } = choice;
+      if (!await this.#recordOrigin(entry)) return;
+      // A process that has replaced the chosen one may run other software.
+      if (!this.#opts.upstreamRegistry.isCurrent(entry)) continue;
       const avoidsDirect = upstream === undefined;
       const path = this.#opts.paths.pathTo(choice, { avoidsDirect });
       if (!path) return this.#respondWithoutUpstream();
       const result = await this.#attempt(choice, path);
-      const isFinished = await this.#handleResult(choice, {
+      const isFinished = await this.#handleResult(entry, {
         result,
         path: path.kind,
       });
@@ -79,9 +87,9 @@
    * Records which software begins the stream, before it can write an event.
    * Returns false if the call is finished.
    */
-  async #recordOrigin(upstream: TrackedUpstream): Promise<boolean> {
+  async #recordOrigin(entry: UpstreamEntry): Promise<boolean> {
     if (this.#choice.hasEvents || !this.#turn) return true;
-    if (await this.#turn.recordOrigin(upstream.entry)) {
+    if (await this.#turn.recordOrigin(entry)) {
       return !this.#call.isAbandoned;
     }
     if (this.#count.runs > 0) this.#respondFailed("origin cannot be recorded");
@@ -122,7 +130,7 @@
       },
       onHead: (head) => {
         start.load.endPrefill();
-        this.#opts.noticeReader.read(upstream.entry, head);
+        this.#opts.noticeReader.read(start.entry, head);
       },
     });
     const stopWatching = this.#watchPath(attempt, path.kind);
@@ -133,7 +141,7 @@
       call.recorder.countBody(result.received, result.kind);
     }
     if (result.kind === "complete") {
-      this.#choice.recordComplete(upstream, start);
+      this.#choice.recordComplete(start);
     }
     return result;
   }
@@ -156,6 +164,7 @@
       tries: this.#count.runs + this.#count.declines,
     }, this.#opts);
     return {
+      entry: upstream.entry,
       startedAt,
       uncachedTokens,
       isLightlyLoaded: this.#choice.isLightlyLoaded(upstream, startedAt),
@@ -217,14 +226,14 @@
 
   /** Handles the result of an attempt; returns true if the call is finished. */
   async #handleResult(
-    upstream: TrackedUpstream,
+    entry: UpstreamEntry,
     { result, path }: { result: AttemptResult; path: PathKind },
   ): Promise<boolean> {
-    const { id } = upstream.entry;
+    const { id } = entry;
     switch (result.kind) {
       case "complete":
-        this.#opts.upstreamRegistry.recordSuccess(id);
-        this.#turn?.recordPrefill(id);
+        this.#opts.upstreamRegistry.recordSuccess(entry);
+        this.#turn?.recordPrefill(entry);
         await finishCall({
           call: this.#call,
           turn: this.#turn,
@@ -234,13 +243,13 @@
         });
         return true;
       case "declined":
-        this.#recordDeclined(id, result.status);
+        this.#recordDeclined(entry, result.status);
         return this.#retryOrRespond("not_run");
       case "failed":
         // An upstream that declined the initial stream may accept the rest.
         if (result.failure.hasDeliveredHead) this.#choice.excluded.clear();
-        this.#recordFailure(id, { ...result, path });
-        await this.#count.discountLostRun(upstream, result.failure);
+        this.#recordFailure(entry, { ...result, path });
+        await this.#count.discountLostRun(entry, result.failure);
         return this.#retryOrRespond(result.failure.verdict);
       case "stopped":
         return this.#handleStopped(id, result);
@@ -271,7 +280,8 @@
     return true;
   }
 
-  #recordDeclined(id: string, status: number): void {
+  #recordDeclined(entry: UpstreamEntry, status: number): void {
+    const { id } = entry;
     this.#choice.excluded.add(id);
     this.#count.count("not_run");
     this.#call.recorder.record(
@@ -286,19 +296,20 @@
     const isMisrouted = status === 421;
     if (isMisrouted) {
       this.#opts.upstreamRegistry.recordFailure(
-        id,
+        entry,
         this.#opts.timer.monotonicNow(),
       );
     }
   }
 
   #recordFailure(
-    id: string,
+    entry: UpstreamEntry,
     { failure, received, path }:
       & Extract<AttemptResult, { kind: "failed" }>
       & { path: PathKind },
   ): void {
     const { upstreamRegistry, timer, recordCrash } = this.#opts;
+    const { id } = entry;
     const now = timer.monotonicNow();
     const isUnreachable = isConnectFailure(failure);
     const mayReachOtherwise = isOwnPathFailure(failure) ||
@@ -315,9 +326,9 @@
         ...received,
       },
     );
-    if (isUnreachable) upstreamRegistry.recordFailure(id, now);
+    if (isUnreachable) upstreamRegistry.recordFailure(entry, now);
     if (mayHaveCrashed(failure)) {
-      recordCrash(this.#call.fingerprint, id);
+      recordCrash(this.#call.fingerprint, processKey(entry));
     }
   }
 
--- a/packages/front/src/exchange_relay.ts
+++ b/packages/front/src/exchange_relay.ts
@@ -1,5 +1,5 @@
 import type { StreamReceiver, StreamServerHandlers } from "@toucantrestle/link";
-import type { UpstreamRegistry } from "@toucantrestle/routing";
+import type { UpstreamProcess, UpstreamRegistry } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
 import {
   createResponseHead,
@@ -21,6 +21,11 @@
 /** A request that a sibling forwards to an upstream. */
 export interface RelayedRequest {
   upstream: string;
+  /**
+   * Start time of the only process that may get the request, in ms since the
+   * epoch; missing from fronts of earlier builds.
+   */
+  startedAt?: number;
   req: OutgoingRequest;
 }
 
@@ -69,7 +74,7 @@
 /** Sends a request to an upstream through a sibling. */
 export function sendThroughSibling(
   open: OpenRelay,
-  upstream: string,
+  { id: upstream, startedAt }: UpstreamProcess,
   { req, handlers }: {
     req: OutgoingRequest;
     handlers: ResponseHandlers<PathFailureReason>;
@@ -106,7 +111,11 @@
 
   const onLost = () =>
     fail({ reason: "relay_lost", verdict: "may_have_run", hasDeliveredHead });
-  const stream = open({ upstream, req }, { onPart, onEnd: onLost, onLost });
+  const stream = open({ upstream, startedAt, req }, {
+    onPart,
+    onEnd: onLost,
+    onLost,
+  });
   if (!stream) queueMicrotask(() => fail(REFUSED));
   return {
     cancel() {
@@ -121,22 +130,24 @@
 
 /** Forwards a sibling's request to an upstream and the response back. */
 export function serveRelayedExchange(
-  { upstream: id, req }: RelayedRequest,
+  { upstream: id, startedAt, req }: RelayedRequest,
   receiver: StreamReceiver<RelayPart>,
   opts: RelayServerOptions,
 ): StreamServerHandlers<RelayControl> {
   const { upstreamRegistry, noticeReader, pools, timer } = opts;
   const upstream = upstreamRegistry.get(id);
   const isUsable = upstream && upstreamRegistry.acceptsRequests(upstream) &&
+    (startedAt ?? upstream.entry.startedAt) === upstream.entry.startedAt &&
     timer.monotonicNow() >= upstream.backoffUntil;
   if (!isUsable || !opts.canReachUpstreams()) {
     receiver.send({ kind: "failure", failure: REFUSED });
     receiver.end();
     return { onControl() {}, onLost() {} };
   }
+  const { entry } = upstream;
   const exchange = pools.poolOf(upstream).send(req, {
     onHead(head) {
-      noticeReader.read(upstream.entry, head);
+      noticeReader.read(entry, head);
       receiver.send({ kind: "head", head: toRawHead(head) });
     },
     onData(chunk) {
@@ -151,7 +162,7 @@
     onFailure(failure) {
       flow.end();
       if (isConnectFailure(failure)) {
-        upstreamRegistry.recordFailure(id, timer.monotonicNow());
+        upstreamRegistry.recordFailure(entry, timer.monotonicNow());
       }
       receiver.send({ kind: "failure", failure });
       receiver.end();
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -64,6 +64,7 @@
     onInstanceGone: (id) => {
       prefixIndex.removeUpstream(id);
       pools.remove(id);
+      contact.remove(id);
     },
   });
   const noticeReader = new NoticeReader({
@@ -141,8 +142,8 @@
         canReachUpstreams: () => !directPath.isCut,
         timer,
       }),
-    upstreams: () => upstreamRegistry.all().map((it) => it.entry),
-    onUpstreams: (entries) => upstreamWatcher.mergeFromSibling(entries),
+    upstreams: () => upstreamWatcher.list(),
+    onUpstreams: (list) => upstreamWatcher.mergeFromSibling(list),
     timer,
     log: loggers("sibling"),
   });
--- a/packages/front/src/load_sharing.ts
+++ b/packages/front/src/load_sharing.ts
@@ -1,7 +1,7 @@
 import type { Logger } from "@toucantrestle/log";
 import type {
+  ReportedLoad,
   TrackedUpstream,
-  UpstreamLoad,
   UpstreamRegistry,
 } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
@@ -16,7 +16,7 @@
     host: string,
     upstreams: string[],
     timeoutMs: number,
-  ): Promise<Record<string, UpstreamLoad>>;
+  ): Promise<Record<string, ReportedLoad>>;
 }
 
 /** Options of `LoadSharing`. */
@@ -89,13 +89,14 @@
   /** Returns the loads of all fronts but the one that asks. */
   answerQuery(
     { host, upstreams }: FrontMethods["loads"]["args"],
-  ): Record<string, UpstreamLoad> {
+  ): Record<string, ReportedLoad> {
     const { timer, upstreamRegistry } = this.#opts;
     const now = timer.monotonicNow();
-    const loads: Record<string, UpstreamLoad> = {};
+    const loads: Record<string, ReportedLoad> = {};
     for (const id of upstreams) {
       const load = upstreamRegistry.loadWithout(host, id, now);
-      if (load) loads[id] = load;
+      const startedAt = upstreamRegistry.get(id)?.entry.startedAt;
+      if (load && startedAt !== undefined) loads[id] = { ...load, startedAt };
     }
     return loads;
   }
@@ -164,7 +165,8 @@
     const loads: LoadReport["loads"] = {};
     for (const id of ids) {
       const known = upstreamRegistry.get(id);
-      if (known) loads[id] = { ...known.localLoad };
+      if (!known) continue;
+      loads[id] = { ...known.localLoad, startedAt: known.entry.startedAt };
     }
     siblings.sendLoads(host, { host: self, loads });
   }
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -3,9 +3,9 @@
 import type {
   PermitRequest,
   PromptPart,
+  ReportedLoad,
   RoutingConfig,
   UpstreamEntry,
-  UpstreamLoad,
   UpstreamNotice,
 } from "@toucantrestle/routing";
 import type { RecordMethod, SettleNotice } from "@toucantrestle/turn_store";
@@ -129,6 +129,16 @@
   | { kind: "put"; entry: UpstreamEntry; revision: number }
   | { kind: "remove"; id: string; revision: number };
 
+/** Registered upstreams as a front knows them. */
+export interface UpstreamList {
+  entries: UpstreamEntry[];
+  /**
+   * The store's revision of each entry, in the same order; missing from fronts
+   * of earlier builds.
+   */
+  revisions?: number[];
+}
+
 /** State and news that fronts of earlier builds send to all siblings. */
 export interface Digest {
   host: string;
@@ -145,7 +155,7 @@
 /** Load that a front puts on upstreams, by upstream id; zero if it ended. */
 export interface LoadReport {
   host: string;
-  loads: Record<string, UpstreamLoad>;
+  loads: Record<string, ReportedLoad>;
 }
 
 /** Request methods between fronts. */
@@ -153,7 +163,7 @@
   /** Returns the load of all fronts but the sender, by upstream id. */
   loads: {
     args: { host: string; upstreams: string[] };
-    result: { loads: Record<string, UpstreamLoad> };
+    result: { loads: Record<string, ReportedLoad> };
   };
   /** Asks the collector of an upstream for a permit to send one request. */
   permit: {
@@ -175,7 +185,7 @@
   fleet: { args: Record<string, never>; result: FleetSnapshot };
   upstreams: {
     args: Record<string, never>;
-    result: { entries: UpstreamEntry[] };
+    result: UpstreamList;
   };
 };
 
--- a/packages/front/src/request_permits.ts
+++ b/packages/front/src/request_permits.ts
@@ -16,10 +16,18 @@
 
 /** The last denial of a permit; it holds for no greater weight. */
 interface Denial {
+  /** Start time of the process that it concerns, in ms since the epoch. */
+  startedAt: number;
   until: number;
   weight: number;
 }
 
+/** Limiter of the newest known process of an upstream. */
+interface ProcessLimiter {
+  startedAt: number;
+  limiter: RateLimiter;
+}
+
 /** Links to the siblings that `RequestPermits` needs. */
 export interface PermitLinks {
   queryPermit(
@@ -61,9 +69,9 @@
 export class RequestPermits {
   readonly #opts: RequestPermitsOptions;
   /** Limiters of the upstreams that this front collects, for all its askers. */
-  readonly #collected = new Map<string, RateLimiter>();
+  readonly #collected = new Map<string, ProcessLimiter>();
   /** Limiters of upstreams whose collector does not answer. */
-  readonly #unanswered = new Map<string, RateLimiter>();
+  readonly #unanswered = new Map<string, ProcessLimiter>();
   /** Denials by upstream. */
   readonly #denials = new Map<string, Denial>();
 
@@ -85,7 +93,8 @@
     if (waitMs === 0) return true;
     const now = this.#opts.timer.monotonicNow();
     const until = now + Math.min(MAX_DENIAL_MS, waitMs);
-    this.#denials.set(upstream.id, { until, weight: request.weight });
+    const { id, startedAt } = upstream;
+    this.#denials.set(id, { startedAt, until, weight: request.weight });
     return false;
   }
 
@@ -105,7 +114,8 @@
     const denial = this.#denials.get(upstream.id);
     const isLimited =
       this.#opts.notices.maxRequestsPerS(upstream) !== undefined;
-    if (!isLimited || !denial || weight > denial.weight) return 0;
+    const isDenied = denial?.startedAt === upstream.startedAt;
+    if (!isLimited || !isDenied || weight > denial.weight) return 0;
     return Math.max(0, denial.until - this.#opts.timer.monotonicNow());
   }
 
@@ -147,15 +157,14 @@
 
   /** Takes a token from the limiter of an upstream; returns the wait in ms. */
   #take(
-    limiters: Map<string, RateLimiter>,
+    limiters: Map<string, ProcessLimiter>,
     { upstream, request }: { upstream: UpstreamEntry; request: PermitRequest },
   ): number {
     const { notices, share, timer } = this.#opts;
     const limitPerS = notices.maxRequestsPerS(upstream);
     if (limitPerS === undefined) return 0;
     const now = timer.monotonicNow();
-    const limiter = limiters.get(upstream.id) ?? new RateLimiter(now);
-    limiters.set(upstream.id, limiter);
+    const limiter = limiterOf(limiters, upstream, now);
     const fraction = limiters === this.#unanswered
       ? UNANSWERED_FRACTION * share.own
       : share.connected;
@@ -168,3 +177,19 @@
     return notice && toSharedNotice(notice, this.#opts.timer.monotonicNow());
   }
 }
+
+/**
+ * Returns the limiter of an upstream. A later process gets a new one; a front
+ * that has not heard of it yet takes from the new one too.
+ */
+function limiterOf(
+  limiters: Map<string, ProcessLimiter>,
+  { id, startedAt }: UpstreamEntry,
+  now: number,
+): RateLimiter {
+  const known = limiters.get(id);
+  if (known && known.startedAt >= startedAt) return known.limiter;
+  const limiter = new RateLimiter(now);
+  limiters.set(id, { startedAt, limiter });
+  return limiter;
+}
--- a/packages/front/src/run_count.ts
+++ b/packages/front/src/run_count.ts
@@ -3,7 +3,7 @@
   decideFailureAction,
   type FailureAction,
   isRetrySafe,
-  type TrackedUpstream,
+  type UpstreamEntry,
 } from "@toucantrestle/routing";
 import { isListening } from "@toucantrestle/upstream_channel";
 import type { Call } from "./call.ts";
@@ -17,17 +17,23 @@
  */
 const MAX_DISCOUNTED_RUNS = 1;
 
+/** Dependencies of `RunCount`. */
+export type RunCountOptions = Pick<
+  ServeOptions,
+  "directPath" | "dial" | "timer" | "upstreamRegistry"
+>;
+
 /** Counts the runs of a call on upstreams, and decides whether it may go on. */
 export class RunCount {
   readonly #call: Call;
-  readonly #opts: Pick<ServeOptions, "directPath" | "dial" | "timer">;
+  readonly #opts: RunCountOptions;
   #runs = 0;
   #declines = 0;
   #discountedRuns = 0;
 
   constructor(
     call: Call,
-    opts: Pick<ServeOptions, "directPath" | "dial" | "timer">,
+    opts: RunCountOptions,
   ) {
     this.#call = call;
     this.#opts = opts;
@@ -59,7 +65,7 @@
    * cut off from this front.
    */
   async discountLostRun(
-    upstream: TrackedUpstream,
+    entry: UpstreamEntry,
     failure: PathFailure,
   ): Promise<void> {
     const { route } = this.#call;
@@ -67,7 +73,7 @@
     if (!isLost || !isRetrySafe(route)) return;
     if (this.#runs < route.maxRuns) return;
     if (this.#discountedRuns >= MAX_DISCOUNTED_RUNS) return;
-    if (!await this.#isOutOfReach(upstream, failure)) return;
+    if (!await this.#isOutOfReach(entry, failure)) return;
     this.#discountedRuns += 1;
     this.#runs -= 1;
   }
@@ -92,10 +98,12 @@
   }
 
   async #isOutOfReach(
-    { entry }: TrackedUpstream,
+    entry: UpstreamEntry,
     failure: PathFailure,
   ): Promise<boolean> {
     if (failure.reason === "path_lost") return true;
+    // What listens there now is another process.
+    if (!this.#opts.upstreamRegistry.isCurrent(entry)) return true;
     if (this.#opts.directPath.isCut) return false;
     return !await isListening(entry.address, this.#opts.dial);
   }
--- a/packages/front/src/serve_call.ts
+++ b/packages/front/src/serve_call.ts
@@ -3,6 +3,7 @@
 import { CallRunner } from "./call_runner.ts";
 import type { ServeOptions } from "./serve_options.ts";
 import { isResumption } from "./stream_origin.ts";
+import { currentHints } from "./turn_hints.ts";
 import { type TurnStartFailure, TurnState } from "./turn_state.ts";
 import { UpstreamChoice } from "./upstream_choice.ts";
 
@@ -59,9 +60,7 @@
     call.route.isResumable ? choice.likely() : undefined,
   );
   if (!opts.disabled.has("prompt_hints")) {
-    for (const { parts, upstream } of turn?.hints ?? []) {
-      opts.prefixIndex.recordPrefill(upstream, parts);
-    }
+    applyHints(turn, opts);
   }
   if (call.isAbandoned) return false;
   if (!startFailure) {
@@ -84,6 +83,15 @@
   return false;
 }
 
+/** Learns from the hints which processes have cached prompts of the program. */
+function applyHints(turn: TurnState | undefined, opts: ServeOptions): void {
+  if (!turn) return;
+  turn.hints = currentHints(turn.hints, opts.upstreamRegistry);
+  for (const { parts, upstream } of turn.hints) {
+    opts.prefixIndex.recordPrefill(upstream, parts);
+  }
+}
+
 /** Sends a resumed stream to the service that began it, if its route may. */
 function continueAtOrigin(call: Call, turn: TurnState | undefined): void {
   const service = turn?.origin?.service;
--- a/packages/front/src/siblings/siblings.ts
+++ b/packages/front/src/siblings/siblings.ts
@@ -6,7 +6,6 @@
 } from "@toucantrestle/link";
 import type { Logger } from "@toucantrestle/log";
 import { chooseNeighbours, Gossip, Rings } from "@toucantrestle/overlay";
-import type { UpstreamEntry } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
 import type { ConfigWatcher } from "../config_watcher.ts";
 import type {
@@ -23,6 +22,7 @@
   FrontReport,
   FrontState,
   LoadReport,
+  UpstreamList,
 } from "../protocol.ts";
 import { ConfigFetcher } from "./config_fetcher.ts";
 import { createDigest, readDigest } from "./earlier_build.ts";
@@ -61,8 +61,8 @@
     args: RelayedRequest,
     receiver: StreamReceiver<RelayPart>,
   ) => StreamServerHandlers<RelayControl>;
-  upstreams: () => UpstreamEntry[];
-  onUpstreams: (entries: UpstreamEntry[]) => void;
+  upstreams: () => UpstreamList;
+  onUpstreams: (list: UpstreamList) => void;
   timer: Timer;
   log: Logger;
 }
@@ -200,7 +200,7 @@
       methods: {
         config: () => ({ text: opts.configWatcher.text }),
         fleet: () => opts.fleet.snapshot(),
-        upstreams: () => ({ entries: opts.upstreams() }),
+        upstreams: () => opts.upstreams(),
         loads: (query) => ({ loads: opts.answerLoads(query) }),
         permit: (query) => opts.answerPermit(query),
         relay: (it) => opts.forward(it),
@@ -253,12 +253,9 @@
     if (!link) return;
     try {
       fleet.merge(await link.request("fleet", {}, REQUEST_TIMEOUT_MS));
-      const { entries } = await link.request(
-        "upstreams",
-        {},
-        REQUEST_TIMEOUT_MS,
+      this.#opts.onUpstreams(
+        await link.request("upstreams", {}, REQUEST_TIMEOUT_MS),
       );
-      this.#opts.onUpstreams(entries);
       if (configWatcher.config) return;
       const { text } = await link.request("config", {}, REQUEST_TIMEOUT_MS);
       if (text) configWatcher.apply(text, link.address);
--- a/packages/front/src/stream_origin.ts
+++ b/packages/front/src/stream_origin.ts
@@ -7,20 +7,22 @@
   entry: UpstreamEntry,
   ordinal: number,
 ): StreamOrigin {
-  const { service, softwareVersion, id } = entry;
-  return { service, softwareVersion, upstream: id, ordinal };
+  const { service, softwareVersion, id, startedAt } = entry;
+  return { service, softwareVersion, upstream: id, startedAt, ordinal };
 }
 
 /**
  * Returns whether an upstream runs the software that began a stream. Without a
- * version only the upstream itself is certain to.
+ * version only the process that began it is certain to.
  */
 export function runsSameSoftware(
   entry: UpstreamEntry,
   origin: StreamOrigin,
 ): boolean {
   if (entry.service !== origin.service) return false;
-  if (origin.softwareVersion === undefined) return entry.id === origin.upstream;
+  if (origin.softwareVersion === undefined) {
+    return entry.id === origin.upstream && entry.startedAt === origin.startedAt;
+  }
   return entry.softwareVersion === origin.softwareVersion;
 }
 
--- a/packages/front/src/turn_state.ts
+++ b/packages/front/src/turn_state.ts
@@ -1,5 +1,5 @@
 import type { SpeedEstimate } from "@toucantrestle/policy";
-import type { UpstreamEntry } from "@toucantrestle/routing";
+import type { UpstreamEntry, UpstreamProcess } from "@toucantrestle/routing";
 import {
   type LookupVerdict,
   type PromptHint,
@@ -39,8 +39,8 @@
   /** Which upstreams have prefilled prompts of this program. */
   hints: PromptHint[] = [];
   #origin: StreamOrigin | undefined;
-  /** Id of the upstream that prefilled the prompt of this turn. */
-  #prefilledBy: string | undefined;
+  /** Process that prefilled the prompt of this turn. */
+  #prefilledBy: UpstreamProcess | undefined;
 
   constructor(opts: { store: TurnStoreClient; call: Call }) {
     this.#store = opts.store;
@@ -140,7 +140,7 @@
   }
 
   /** Records the upstream that prefilled the prompt and completed the turn. */
-  recordPrefill(upstream: string): void {
+  recordPrefill(upstream: UpstreamProcess): void {
     this.#prefilledBy = upstream;
   }
 
@@ -185,7 +185,8 @@
     const lastPart = parts.at(-1);
     if (!lastPart || this.#prefilledBy === undefined) return undefined;
     lastPart.tokens += this.outputTokens;
-    return { parts, upstream: this.#prefilledBy };
+    const { id, startedAt } = this.#prefilledBy;
+    return { parts, upstream: id, startedAt };
   }
 
   /** Whether a later request may resume the stream that this call begins. */
--- a/packages/front/src/upstream_choice.ts
+++ b/packages/front/src/upstream_choice.ts
@@ -25,6 +25,8 @@
 
 /** Start of an attempt, for measuring the speed of its upstream. */
 export interface AttemptStart {
+  /** Entry of the process to which the attempt is sent. */
+  entry: UpstreamEntry;
   startedAt: number;
   uncachedTokens: number;
   /** Whether few other requests ran when the attempt started. */
@@ -104,8 +106,12 @@
       if (candidates.length === 0) return undefined;
       const upstream = CHOOSERS[chooser](this.#createInput(candidates));
       if (!upstream) return undefined;
-      if (await permits.ask(upstream.entry, { kind, weight })) return upstream;
-      denied.add(upstream.entry.id);
+      const { entry } = upstream;
+      const isGranted = await permits.ask(entry, { kind, weight });
+      // A process that has replaced the chosen one was not considered.
+      if (!this.#opts.upstreamRegistry.isCurrent(entry)) continue;
+      if (isGranted) return upstream;
+      denied.add(entry.id);
     }
     return undefined;
   }
@@ -160,8 +166,8 @@
   }
 
   /** Learns from an attempt that completed the call. */
-  recordComplete(upstream: TrackedUpstream, start: AttemptStart): void {
-    this.#recordDuration(upstream, start);
+  recordComplete(start: AttemptStart): void {
+    this.#recordDuration(start);
     const mayLearn = start.isLightlyLoaded &&
       !this.#opts.disabled.has("learned_speeds");
     if (mayLearn) this.#turn?.updateSpeed(this.speed, start);
@@ -171,19 +177,20 @@
    * Records the duration of a complete call. The duration of a turn is divided
    * by that on an idle engine, so that turns of different sizes compare.
    */
-  #recordDuration(upstream: TrackedUpstream, start: AttemptStart): void {
+  #recordDuration(start: AttemptStart): void {
     const { upstreamRegistry, timer } = this.#opts;
     const now = timer.monotonicNow();
     const ms = now - start.startedAt;
-    const { id, service } = upstream.entry;
+    const { entry } = start;
     if (!this.#turn) {
-      upstreamRegistry.recordDuration(id, this.#call.route.name, ms, now);
+      upstreamRegistry.recordDuration(entry, this.#call.route.name, ms, now);
       return;
     }
     const { idleDecodeMsPerToken, prefillMsPerToken } = this.speed;
     const idleMs = this.#turn.outputTokens * idleDecodeMsPerToken +
       start.uncachedTokens * prefillMsPerToken;
-    upstreamRegistry.recordDuration(id, service, ms / (idleMs + 1), now);
+    const { service } = entry;
+    upstreamRegistry.recordDuration(entry, service, ms / (idleMs + 1), now);
   }
 
   /** Upstreams that may take the call, apart from limits. */
--- a/packages/front/src/upstream_contact.ts
+++ b/packages/front/src/upstream_contact.ts
@@ -8,6 +8,8 @@
   readonly #metrics: Metrics;
   /** Upstreams that were not connected since the last connection to any. */
   readonly #failedSinceConnect = new Set<string>();
+  /** Listener of the connections to the newest process, by upstream. */
+  readonly #listeners = new Map<string, ContactListener>();
   #receivedAt = 0;
 
   constructor(opts: { timer: Timer; metrics: Metrics }) {
@@ -30,21 +32,30 @@
     this.#failedSinceConnect.clear();
   }
 
-  /** Returns the listener for the connections to one upstream. */
+  /** Forgets an upstream whose process has ended. */
+  remove(id: string): void {
+    this.#listeners.delete(id);
+    this.#failedSinceConnect.delete(id);
+  }
+
+  /** Returns the listener for the connections to one process of an upstream. */
   listenerOf(id: string): ContactListener {
-    return {
+    const listener: ContactListener = {
       onConnected: () => {
         this.#failedSinceConnect.clear();
         this.#count("connected");
       },
       onConnectFailed: () => {
-        this.#failedSinceConnect.add(id);
+        const isCurrent = this.#listeners.get(id) === listener;
+        if (isCurrent) this.#failedSinceConnect.add(id);
         this.#count("failed");
       },
       onReceived: () => {
         this.#receivedAt = this.#timer.monotonicNow();
       },
     };
+    this.#listeners.set(id, listener);
+    return listener;
   }
 
   #count(result: "connected" | "failed"): void {
--- a/packages/front/src/upstream_paths.ts
+++ b/packages/front/src/upstream_paths.ts
@@ -51,7 +51,8 @@
     { avoidsDirect }: { avoidsDirect: boolean },
   ): UpstreamPath | undefined {
     const { pools, directPath, chooseRelay } = this.#opts;
-    const { id, dataCentre } = upstream.entry;
+    const { entry } = upstream;
+    const { id, dataCentre } = entry;
     // Connections that were open before the cut and are idle now have worked.
     const isDirect = !avoidsDirect &&
       (!directPath.isCut || pools.hasIdle(id));
@@ -59,7 +60,8 @@
     const open = chooseRelay(dataCentre);
     return open && {
       kind: "sibling",
-      send: (req, handlers) => sendThroughSibling(open, id, { req, handlers }),
+      send: (req, handlers) =>
+        sendThroughSibling(open, entry, { req, handlers }),
     };
   }
 
--- a/packages/front/src/upstream_pools.ts
+++ b/packages/front/src/upstream_pools.ts
@@ -17,9 +17,16 @@
   echoedRequestId: (head: ResponseHead) => string | undefined;
 }
 
+/** Connections to one process of an upstream. */
+interface ProcessPool {
+  address: string;
+  startedAt: number;
+  pool: ChannelPool;
+}
+
 /** Connection pools of all upstreams, by upstream id. */
 export class UpstreamPools {
-  readonly #pools = new Map<string, { address: string; pool: ChannelPool }>();
+  readonly #pools = new Map<string, ProcessPool>();
   readonly #opts: UpstreamPoolsOptions;
   #openedByRemovedPools = 0;
 
@@ -39,18 +46,21 @@
     return this.#pools.get(id)?.pool.hasIdle ?? false;
   }
 
-  /** Returns the pool for the current address of an upstream. */
+  /** Returns the pool for the current process and address of an upstream. */
   poolOf(upstream: TrackedUpstream): ChannelPool {
-    const { id, address } = upstream.entry;
+    const { id, address, startedAt } = upstream.entry;
     const known = this.#pools.get(id);
-    if (known?.address === address) return known.pool;
+    const isCurrent = known?.address === address &&
+      known.startedAt === startedAt;
+    if (isCurrent) return known.pool;
+    this.remove(id);
     const { contact, ...opts } = this.#opts;
     const pool = new ChannelPool({
       address,
       ...opts,
       contact: contact.listenerOf(id),
     });
-    this.#pools.set(id, { address, pool });
+    this.#pools.set(id, { address, startedAt, pool });
     return pool;
   }
 
@@ -74,5 +84,6 @@
     if (!known) return;
     this.#openedByRemovedPools += known.pool.openedCount;
     this.#pools.delete(id);
+    known.pool.retire();
   }
 }
--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -8,7 +8,7 @@
 import type { UpstreamEntry, UpstreamRegistry } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
 import { isDeepStrictEqual } from "node:util";
-import type { Protocol, UpstreamChange } from "./protocol.ts";
+import type { Protocol, UpstreamChange, UpstreamList } from "./protocol.ts";
 
 const SWEEP_INTERVAL_MS = 200;
 /** Entries removed this soon after an outage may have expired leases. */
@@ -85,9 +85,23 @@
   }
 
   /** Merges a sibling's upstreams; ignored while the store is reachable. */
-  mergeFromSibling(entries: UpstreamEntry[]): void {
+  mergeFromSibling({ entries, revisions = [] }: UpstreamList): void {
     if (this.#isReachable) return;
-    for (const entry of entries) this.#upsert(entry);
+    entries.forEach((entry, i) => {
+      const known = this.#revisions.get(entry.id) ?? 0;
+      const revision = revisions[i] ?? known;
+      // Neither a removal nor a restart that is known here is undone.
+      if (revision < known) return;
+      this.#revisions.set(entry.id, revision);
+      this.#upsert(entry);
+    });
+  }
+
+  /** Returns the upstreams for a sibling that cannot reach the store. */
+  list(): UpstreamList {
+    const entries = this.#opts.upstreamRegistry.all().map((it) => it.entry);
+    const revisions = entries.map((it) => this.#revisions.get(it.id) ?? 0);
+    return { entries, revisions };
   }
 
   /** Applies a sibling's change. Returns whether it was new here. */
@@ -221,6 +235,7 @@
     const known = upstreamRegistry.get(entry.id);
     const before = known?.entry;
     const wasMissing = known?.missingSince !== undefined;
+    if (before && entry.startedAt < before.startedAt) return false;
     const change = upstreamRegistry.put(entry);
     if (change) {
       log.info(
--- a/packages/routing/src/crash_tracker.ts
+++ b/packages/routing/src/crash_tracker.ts
@@ -13,8 +13,9 @@
   readonly #records = new Map<string, CrashRecord>();
 
   /**
-   * Records that an upstream crashed while it ran the request. Returns whether
-   * this was not known yet.
+   * Records that an upstream crashed while it ran the request. `upstream` is the
+   * key of its process, so that crashes of a restarted upstream count apart.
+   * Returns whether this was not known yet.
    */
   recordCrash(fingerprint: string, upstream: string, now: number): boolean {
     const known = this.#records.get(fingerprint);
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -13,8 +13,14 @@
   ServiceInfo,
 } from "./config.ts";
 export { chooseService, findRoute, type RouteMatch } from "./route_table.ts";
-export type { UpstreamEntry } from "./upstream_entry.ts";
 export {
+  isSameProcess,
+  processKey,
+  type UpstreamEntry,
+  type UpstreamProcess,
+} from "./upstream_entry.ts";
+export {
+  type ReportedLoad,
   type TrackedUpstream,
   type UpstreamLoad,
   UpstreamRegistry,
--- a/packages/routing/src/upstream_entry.ts
+++ b/packages/routing/src/upstream_entry.ts
@@ -15,3 +15,19 @@
   /** Start time of the process, in ms since the epoch; 0 if unknown. */
   startedAt: number;
 }
+
+/**
+ * One process of an upstream. A restarted upstream has the same id and a later
+ * start time, and knows nothing of what the process before it did.
+ */
+export type UpstreamProcess = Pick<UpstreamEntry, "id" | "startedAt">;
+
+/** Whether two entries name the same process of an upstream. */
+export function isSameProcess(a: UpstreamProcess, b: UpstreamProcess): boolean {
+  return a.id === b.id && a.startedAt === b.startedAt;
+}
+
+/** Returns a text that is different for each process of each upstream. */
+export function processKey({ id, startedAt }: UpstreamProcess): string {
+  return `${id}@${startedAt}`;
+}
--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -1,4 +1,8 @@
-import type { UpstreamEntry } from "./upstream_entry.ts";
+import {
+  isSameProcess,
+  type UpstreamEntry,
+  type UpstreamProcess,
+} from "./upstream_entry.ts";
 import { UpstreamNotices } from "./upstream_notices.ts";
 
 /** Running requests of an upstream and prompt tokens waiting for prefill. */
@@ -7,6 +11,22 @@
   prefillTokens: number;
 }
 
+/** Load as a front reports it. */
+export interface ReportedLoad extends UpstreamLoad {
+  /**
+   * Start time of the upstream's process, in ms since the epoch; missing from
+   * fronts of earlier builds.
+   */
+  startedAt?: number;
+}
+
+/** A load that a sibling has reported, and for which process of an upstream. */
+interface ReceivedLoad {
+  load: UpstreamLoad;
+  startedAt: number;
+  at: number;
+}
+
 /** State that this process tracks for an upstream. */
 export interface TrackedUpstream {
   entry: UpstreamEntry;
@@ -18,9 +38,9 @@
   /** Load of the in-flight requests that this process has sent. */
   localLoad: UpstreamLoad;
   /** Loads reported by siblings, by host. */
-  siblingLoads: Map<string, { load: UpstreamLoad; at: number }>;
+  siblingLoads: Map<string, ReceivedLoad>;
   /** Total load of all siblings, as one of them returned it. */
-  queriedLoad: { load: UpstreamLoad; at: number } | undefined;
+  queriedLoad: ReceivedLoad | undefined;
   /** Smoothed ratio of its durations to the mean of all; 1 if equal. */
   latencyRatio: number;
   latencyRatioAt: number;
@@ -62,6 +82,12 @@
     return this.#upstreams.get(id);
   }
 
+  /** Whether a process of an upstream is the one that its entry names. */
+  isCurrent(process: UpstreamProcess): boolean {
+    const known = this.#upstreams.get(process.id);
+    return known !== undefined && isSameProcess(known.entry, process);
+  }
+
   all(): TrackedUpstream[] {
     return [...this.#upstreams.values()];
   }
@@ -87,9 +113,10 @@
     }
     if (entry.startedAt > before.startedAt) {
       this.#onInstanceGone(entry.id);
-      known.backoffUntil = 0;
-      known.consecutiveFailures = 0;
-      known.latencyRatio = 1;
+      Object.assign(known, {
+        ...createState(),
+        siblingLoads: known.siblingLoads,
+      });
       return "restarted";
     }
     return entry.isDraining && !before.isDraining ? "draining" : undefined;
@@ -175,8 +202,8 @@
    * Records a failure of an upstream that is likely to affect other requests,
    * and starts a backoff that doubles with each consecutive failure.
    */
-  recordFailure(id: string, now: number): void {
-    const known = this.#upstreams.get(id);
+  recordFailure(process: UpstreamProcess, now: number): void {
+    const known = this.#current(process);
     if (!known) return;
     known.consecutiveFailures += 1;
     const backoffMs = INITIAL_BACKOFF_MS * 2 ** (known.consecutiveFailures - 1);
@@ -184,16 +211,21 @@
   }
 
   /** Resets the failure count of an upstream. */
-  recordSuccess(id: string): void {
-    const known = this.#upstreams.get(id);
+  recordSuccess(process: UpstreamProcess): void {
+    const known = this.#current(process);
     if (known) known.consecutiveFailures = 0;
   }
 
   /** Records the duration of one kind of work on an upstream, in ms. */
-  recordDuration(id: string, kind: string, ms: number, now: number): void {
+  recordDuration(
+    process: UpstreamProcess,
+    kind: string,
+    ms: number,
+    now: number,
+  ): void {
     const mean = this.#meanMs.get(kind) ?? ms;
     this.#meanMs.set(kind, mean + MEAN_SMOOTHING * (ms - mean));
-    const known = this.#upstreams.get(id);
+    const known = this.#current(process);
     if (!known || mean <= 0) return;
     const ratio = Math.min(MAX_LATENCY_RATIO, ms / mean);
     const before = this.latencyRatioOf(known, now);
@@ -217,24 +249,32 @@
   recordSiblingLoad(
     host: string,
     id: string,
-    load: UpstreamLoad,
+    load: ReportedLoad,
     now: number,
   ): void {
-    const loads = this.#upstreams.get(id)?.siblingLoads;
-    if (load.running > 0) loads?.set(host, { load, at: now });
-    else loads?.delete(host);
+    const known = this.#upstreams.get(id);
+    const received = known && toReceived(known, load, now);
+    if (!received) return;
+    // A load of a later process is kept until its entry arrives.
+    const before = known.siblingLoads.get(host);
+    if (before && before.startedAt > received.startedAt) return;
+    if (load.running > 0) known.siblingLoads.set(host, received);
+    else known.siblingLoads.delete(host);
   }
 
   /** Records the total load of all siblings for one upstream. */
-  recordQueriedLoad(id: string, load: UpstreamLoad, now: number): void {
+  recordQueriedLoad(id: string, load: ReportedLoad, now: number): void {
     const known = this.#upstreams.get(id);
-    if (known) known.queriedLoad = { load, at: now };
+    const received = known && toReceived(known, load, now);
+    if (received) known.queriedLoad = received;
   }
 
   /** Returns the load from this process and all siblings, as far as known. */
   loadOf(known: TrackedUpstream, now: number): UpstreamLoad {
     const queried = known.queriedLoad;
-    const isQueryRecent = queried && now - queried.at <= QUERIED_LOAD_TTL_MS;
+    const isQueryRecent = queried &&
+      queried.startedAt === known.entry.startedAt &&
+      now - queried.at <= QUERIED_LOAD_TTL_MS;
     if (!isQueryRecent) return this.#sumLoads(known, now, undefined);
     return {
       running: known.localLoad.running + queried.load.running,
@@ -253,13 +293,20 @@
     return known && this.#sumLoads(known, now, host);
   }
 
+  /** Returns the state of a process, unless a later one has replaced it. */
+  #current(process: UpstreamProcess): TrackedUpstream | undefined {
+    const known = this.#upstreams.get(process.id);
+    return known && isSameProcess(known.entry, process) ? known : undefined;
+  }
+
   #sumLoads(
     known: TrackedUpstream,
     now: number,
     excludedHost: string | undefined,
   ): UpstreamLoad {
     let { running, prefillTokens } = known.localLoad;
-    for (const [host, { load, at }] of known.siblingLoads) {
+    for (const [host, { load, startedAt, at }] of known.siblingLoads) {
+      if (startedAt !== known.entry.startedAt) continue;
       if (host === excludedHost || now - at > LOAD_REPORT_TTL_MS) continue;
       running += load.running;
       prefillTokens += load.prefillTokens;
@@ -268,9 +315,22 @@
   }
 }
 
+/** Returns a reported load; undefined if it is of an earlier process. */
+function toReceived(
+  { entry }: TrackedUpstream,
+  { startedAt = entry.startedAt, ...load }: ReportedLoad,
+  at: number,
+): ReceivedLoad | undefined {
+  return startedAt < entry.startedAt ? undefined : { load, startedAt, at };
+}
+
 function createUpstream(entry: UpstreamEntry): TrackedUpstream {
+  return { entry, ...createState() };
+}
+
+/** State of an upstream of whose process nothing is known yet. */
+function createState(): Omit<TrackedUpstream, "entry"> {
   return {
-    entry,
     missingSince: undefined,
     backoffUntil: 0,
     consecutiveFailures: 0,
--- a/packages/routing/test/upstream_registry_test.ts
+++ b/packages/routing/test/upstream_registry_test.ts
@@ -84,10 +84,10 @@
   it("backs off from a failed upstream, longer after each failure", () => {
     const { registry } = createRegistry();
     registry.put(createEntry("u1"));
-    registry.recordFailure("u1", 0);
+    registry.recordFailure({ id: "u1", startedAt: 0 }, 0);
     expect(idsOf(registry, 100)).toEqual([]);
     expect(idsOf(registry, 300)).toEqual(["u1"]);
-    registry.recordFailure("u1", 300);
+    registry.recordFailure({ id: "u1", startedAt: 0 }, 300);
     expect(idsOf(registry, 600)).toEqual([]);
   });
 
@@ -108,8 +108,8 @@
     registry.put(createEntry("u1"));
     registry.put(createEntry("u2"));
     for (let i = 0; i < 20; i++) {
-      registry.recordDuration("u2", "k", 100, 0);
-      registry.recordDuration("u1", "k", 500, 0);
+      registry.recordDuration({ id: "u2", startedAt: 0 }, "k", 100, 0);
+      registry.recordDuration({ id: "u1", startedAt: 0 }, "k", 500, 0);
     }
     const slow = registry.get("u1")!;
     expect(registry.latencyRatioOf(slow, 0) > 1.8).toEqual(true);
@@ -165,8 +165,8 @@
     const { registry } = createRegistry();
     for (const id of ["u1", "u2", "u3"]) registry.put(createEntry(id));
     for (let i = 0; i < 20; i++) {
-      registry.recordDuration("u2", "k", 100, 0);
-      registry.recordDuration("u1", "k", 500, 0);
+      registry.recordDuration({ id: "u2", startedAt: 0 }, "k", 100, 0);
+      registry.recordDuration({ id: "u1", startedAt: 0 }, "k", 500, 0);
     }
     const chosen = choose(registry, new PrefixIndex(), []);
     expect(chosen === "u1").toEqual(false);
--- a/packages/turn_log/src/record.ts
+++ b/packages/turn_log/src/record.ts
@@ -41,6 +41,11 @@
   /** Version of the software; undefined if it is not known. */
   softwareVersion: string | undefined;
   upstream: string;
+  /**
+   * Start time of the upstream's process, in ms since the epoch; missing from
+   * records of earlier builds.
+   */
+  startedAt?: number;
   /**
    * Position among the upstreams that were asked to begin the stream. Only the
    * last one can have written events.
@@ -71,9 +76,13 @@
 
 /** Identifies the software of an origin. */
 function softwareOf(origin: StreamOrigin | undefined): string {
-  const { service, softwareVersion, upstream } = origin ?? {};
-  const isKnown = softwareVersion !== undefined;
-  return JSON.stringify([service, isKnown, softwareVersion ?? upstream]);
+  const { service, softwareVersion, upstream, startedAt } = origin ?? {};
+  // A restarted upstream may run other software.
+  return JSON.stringify(
+    softwareVersion === undefined
+      ? [service, false, upstream, startedAt]
+      : [service, true, softwareVersion],
+  );
 }
 
 /** Records which upstream last prefilled the prompt of a conversation. */
@@ -84,6 +93,11 @@
    */
   parts: { id: string; tokens: number }[];
   upstream: string;
+  /**
+   * Start time of the upstream's process, in ms since the epoch; missing from
+   * records of earlier builds.
+   */
+  startedAt?: number;
 }
 
 /** Any record that a replica stores. */
--- a/packages/upstream_channel/src/channel_pool.ts
+++ b/packages/upstream_channel/src/channel_pool.ts
@@ -37,6 +37,7 @@
   readonly #channels = new Set<Channel>();
   #idle: Channel[] = [];
   #openedCount = 0;
+  #isRetired = false;
 
   constructor(opts: ChannelPoolOptions) {
     this.#opts = opts;
@@ -79,6 +80,15 @@
     for (const channel of [...this.#idle]) channel.close();
   }
 
+  /**
+   * Closes the connections without a request, and each other one after its
+   * request. A retired pool gets no more requests.
+   */
+  retire(): void {
+    this.#isRetired = true;
+    this.closeIdle();
+  }
+
   /** Closes all connections, which cancels the requests in flight. */
   close(): void {
     for (const channel of [...this.#channels]) channel.close();
@@ -104,7 +114,7 @@
       dial: this.#opts.dial ?? dialTcp,
       contact: this.#opts.contact ?? NO_LISTENER,
       echoedRequestId: this.#opts.echoedRequestId,
-      onIdle: (it) => this.#idle.push(it),
+      onIdle: (it) => this.#isRetired ? it.close() : this.#idle.push(it),
       onClosed: (it) => this.#remove(it),
     });
     this.#channels.add(channel);
