Upstreams: an entry that is replaced by an invalid one is suspended

Addresses that cannot be connected to, ids that no header can carry and entries without a start time counted as valid; each invalid entry was parsed, up to 1 MB, and logged.

Change: the registry suspends the upstream until its next usable entry and keeps its state; siblings hear of it as news of a kind of its own, which earlier builds skip. One check for entries from the store and from siblings (isUpstreamEntry). Upstreams of unknown services are no targets of probes.

--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -14,7 +14,7 @@
 import { LoadSharing } from "./load_sharing.ts";
 import { NoticeReader } from "./notice_reader.ts";
 import { PermitWeights } from "./permit_weights.ts";
-import type { FrontReport } from "./protocol.ts";
+import { type FrontReport, toNews } from "./protocol.ts";
 import { RequestPermits } from "./request_permits.ts";
 import type { ServeOptions } from "./serve_options.ts";
 import { FleetNews } from "./siblings/fleet_news.ts";
@@ -77,7 +77,11 @@
   const directPath = new DirectPath({
     timer,
     contact,
-    addresses: () => upstreamRegistry.acceptingAddresses(),
+    // An entry of an unknown service may come from another system.
+    addresses: () =>
+      upstreamRegistry.acceptingAddresses((service) =>
+        configWatcher.config?.services.some((it) => it.name === service) ?? true
+      ),
     probe: (address) => isListening(address, dial),
     random: Math.random,
     log: loggers("upstream"),
@@ -90,7 +94,7 @@
     protocol,
     upstreamRegistry,
     isStoreReader: () => storeReaders.isReader,
-    onChange: (change) => siblings.publish({ kind: "upstream", change }),
+    onChange: (change) => siblings.publish(toNews(change)),
     maxRetryMs: () => storeReaders.maxRetryMs,
     timer,
     log: loggers("upstream"),
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -122,12 +122,29 @@
   | { kind: "notice"; notice: SharedNotice }
   /** A request has crashed an upstream. */
   | { kind: "crash"; fingerprint: string; upstream: string }
-  | { kind: "upstream"; change: UpstreamChange };
+  | { kind: "upstream"; change: Exclude<UpstreamChange, SuspendChange> }
+  /** Sent apart: earlier builds would take the change for a removal. */
+  | { kind: "suspended_upstream"; change: SuspendChange };
 
 /** Change of a registered upstream, as the platform's store reported it. */
 export type UpstreamChange =
   | { kind: "put"; entry: UpstreamEntry; revision: number }
-  | { kind: "remove"; id: string; revision: number };
+  | { kind: "remove"; id: string; revision: number }
+  | SuspendChange;
+
+/** The entry of an upstream was replaced by one that is not usable. */
+export interface SuspendChange {
+  kind: "suspend";
+  id: string;
+  revision: number;
+}
+
+/** Returns the news of a change. */
+export function toNews(change: UpstreamChange): FrontNews {
+  return change.kind === "suspend"
+    ? { kind: "suspended_upstream", change }
+    : { kind: "upstream", change };
+}
 
 /** Registered upstreams as a front knows them. */
 export interface UpstreamList {
--- a/packages/front/src/siblings/fleet_news.ts
+++ b/packages/front/src/siblings/fleet_news.ts
@@ -4,7 +4,7 @@
 import type { ConfigWatcher } from "../config_watcher.ts";
 import type { NoticeReader } from "../notice_reader.ts";
 import type { UpstreamWatcher } from "../upstream_watcher.ts";
-import type { FrontNews } from "../protocol.ts";
+import { type FrontNews, toNews } from "../protocol.ts";
 
 /** Options of `FleetNews`. */
 export interface FleetNewsOptions {
@@ -49,6 +49,8 @@
           opts.timer.monotonicNow(),
         ),
       upstream: ({ change }) => opts.upstreamWatcher.applyChange(change),
+      suspended_upstream: ({ change }) =>
+        opts.upstreamWatcher.applyChange(change),
     };
   }
 
@@ -86,10 +88,7 @@
             upstream,
           })),
       ),
-      ...upstreamWatcher.recentChanges().map((change) => ({
-        kind: "upstream" as const,
-        change,
-      })),
+      ...upstreamWatcher.recentChanges().map(toNews),
     ];
   }
 
--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -5,9 +5,14 @@
   type StoreItem,
 } from "@toucantrestle/config_store";
 import type { Logger } from "@toucantrestle/log";
-import type { UpstreamEntry, UpstreamRegistry } from "@toucantrestle/routing";
+import {
+  isUpstreamEntry,
+  type UpstreamEntry,
+  type UpstreamRegistry,
+} from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
 import { isDeepStrictEqual } from "node:util";
+import { InvalidEntryLog } from "./invalid_entry_log.ts";
 import type { Protocol, UpstreamChange, UpstreamList } from "./protocol.ts";
 
 const SWEEP_INTERVAL_MS = 200;
@@ -38,6 +43,7 @@
  */
 export class UpstreamWatcher {
   readonly #opts: UpstreamWatcherOptions;
+  readonly #invalidEntries: InvalidEntryLog;
   /** Revision of the newest change, by upstream id. */
   readonly #revisions = new Map<string, number>();
   /** Recent changes and when they became known here, by upstream id. */
@@ -51,6 +57,7 @@
 
   constructor(opts: UpstreamWatcherOptions) {
     this.#opts = opts;
+    this.#invalidEntries = new InvalidEntryLog(opts);
   }
 
   /** Time since the last snapshot or event from the store, in ms. */
@@ -88,6 +95,7 @@
   mergeFromSibling({ entries, revisions = [] }: UpstreamList): void {
     if (this.#isReachable) return;
     entries.forEach((entry, i) => {
+      if (!isUpstreamEntry(entry)) return;
       const known = this.#revisions.get(entry.id) ?? 0;
       const revision = revisions[i] ?? known;
       // Neither a removal nor a restart that is known here is undone.
@@ -99,19 +107,19 @@
 
   /** Returns the upstreams for a sibling that cannot reach the store. */
   list(): UpstreamList {
-    const entries = this.#opts.upstreamRegistry.all().map((it) => it.entry);
+    const entries = this.#opts.upstreamRegistry.all()
+      .filter((it) => !it.isSuspended).map((it) => it.entry);
     const revisions = entries.map((it) => this.#revisions.get(it.id) ?? 0);
     return { entries, revisions };
   }
 
   /** Applies a sibling's change. Returns whether it was new here. */
   applyChange(change: UpstreamChange): boolean {
-    const id = change.kind === "put" ? change.entry.id : change.id;
+    if (change.kind === "put" && !isUpstreamEntry(change.entry)) return false;
+    const id = idOf(change);
     if (!this.#advance(id, change.revision)) return false;
     this.#lastUpdateAt = this.#opts.timer.monotonicNow();
-    const isNew = change.kind === "put"
-      ? this.#upsert(change.entry)
-      : this.#remove(id);
+    const isNew = this.#apply(change);
     if (isNew) this.#remember(change);
     return isNew;
   }
@@ -125,6 +133,12 @@
     return [...this.#recent.values()].map((it) => it.change);
   }
 
+  #apply(change: UpstreamChange): boolean {
+    if (change.kind === "put") return this.#upsert(change.entry);
+    if (change.kind === "suspend") return this.#suspend(change.id);
+    return change.kind === "remove" && this.#remove(change.id);
+  }
+
   #trackOutage(isReachable: boolean): void {
     const now = this.#opts.timer.monotonicNow();
     if (!isReachable) {
@@ -140,11 +154,13 @@
   #applySnapshot(items: StoreItem[], revision: number): void {
     const { upstreamRegistry, timer, log } = this.#opts;
     const entries: UpstreamEntry[] = [];
+    const invalid: string[] = [];
     for (const { key, value, modRevision } of items) {
       const entry = this.#parseEntry(key, value);
-      if (!entry) continue;
-      entries.push(entry);
-      this.#advance(entry.id, modRevision);
+      const id = this.#idOfKey(key);
+      if (entry) entries.push(entry);
+      else invalid.push(id);
+      this.#advance(id, modRevision);
     }
     this.#lastUpdateAt = timer.monotonicNow();
     // A sibling may have read later changes already.
@@ -152,22 +168,29 @@
     const newer = upstreamRegistry.all().map((it) => it.entry)
       .filter((it) => isNewer(it.id));
     const older = entries.filter((it) => !isNewer(it.id));
-    upstreamRegistry.reconcile([...older, ...newer], this.#lastUpdateAt);
+    const suspended = invalid.filter((id) => !isNewer(id));
+    upstreamRegistry.reconcile(
+      [...older, ...newer],
+      this.#lastUpdateAt,
+      suspended,
+    );
     log.info(`${entries.length} upstreams registered`);
   }
 
   #applyEvent(event: StoreEvent): void {
-    const { protocol } = this.#opts;
     if (event.kind === "delete") {
-      const id = event.key.slice(protocol.upstreamPrefix.length);
+      const id = this.#idOfKey(event.key);
       if (this.#advance(id, event.revision)) this.#applyDeletion(id);
       return;
     }
     const { key, value, modRevision } = event.item;
     const entry = this.#parseEntry(key, value);
-    if (!entry || !this.#advance(entry.id, modRevision)) return;
-    if (!this.#upsert(entry)) return;
-    this.#announce({ kind: "put", entry, revision: modRevision });
+    const id = this.#idOfKey(key);
+    if (!this.#advance(id, modRevision)) return;
+    const change: UpstreamChange = entry
+      ? { kind: "put", entry, revision: modRevision }
+      : { kind: "suspend", id, revision: modRevision };
+    if (this.#apply(change)) this.#announce(change);
   }
 
   #applyDeletion(id: string): void {
@@ -211,18 +234,23 @@
   }
 
   #remember(change: UpstreamChange): void {
-    const id = change.kind === "put" ? change.entry.id : change.id;
+    const id = idOf(change);
     this.#recent.set(id, { change, at: this.#opts.timer.monotonicNow() });
   }
 
   /** Records the revision of a change. Returns whether it is the newest. */
   #advance(id: string, revision: number): boolean {
     const known = this.#revisions.get(id) ?? 0;
-    if (revision <= known) return false;
+    if (!Number.isSafeInteger(revision) || revision <= known) return false;
     this.#revisions.set(id, revision);
     return true;
   }
 
+  #suspend(id: string): boolean {
+    this.#invalidEntries.report(this.#opts.protocol.upstreamPrefix + id);
+    return this.#opts.upstreamRegistry.suspend(id);
+  }
+
   #remove(id: string): boolean {
     const isKnown = this.#opts.upstreamRegistry.get(id) !== undefined;
     this.#opts.upstreamRegistry.remove(id);
@@ -234,7 +262,7 @@
     const { upstreamRegistry, log } = this.#opts;
     const known = upstreamRegistry.get(entry.id);
     const before = known?.entry;
-    const wasMissing = known?.missingSince !== undefined;
+    const wasMissing = known?.missingSince !== undefined || known?.isSuspended;
     if (before && entry.startedAt < before.startedAt) return false;
     const change = upstreamRegistry.put(entry);
     if (change) {
@@ -242,14 +270,24 @@
         `upstream ${entry.id} of ${entry.service} at ${entry.address}: ${change}`,
       );
     }
-    return change !== undefined || wasMissing || !isSameEntry(before, entry);
+    return change !== undefined || wasMissing === true ||
+      !isSameEntry(before, entry);
   }
 
   #parseEntry(key: string, text: string): UpstreamEntry | undefined {
     const entry = this.#opts.protocol.parseUpstream(key, text);
-    if (!entry) this.#opts.log.warn(`invalid upstream entry ${key} ignored`);
-    return entry;
+    if (isUpstreamEntry(entry)) return entry;
+    this.#invalidEntries.report(key);
+    return undefined;
   }
+
+  #idOfKey(key: string): string {
+    return key.slice(this.#opts.protocol.upstreamPrefix.length);
+  }
+}
+
+function idOf(change: UpstreamChange): string {
+  return change.kind === "put" ? change.entry.id : change.id;
 }
 
 /** Returns the last event of each key, in the order of these events. */
--- a/packages/front/test/test_protocol.ts
+++ b/packages/front/test/test_protocol.ts
@@ -66,7 +66,13 @@
       return undefined;
     }
   },
-  parseUpstream: (_key, value) => JSON.parse(value) as UpstreamEntry,
+  parseUpstream(_key, value) {
+    try {
+      return JSON.parse(value) as UpstreamEntry;
+    } catch {
+      return undefined;
+    }
+  },
 };
 
 function text(headers: IncomingHttpHeaders, name: string): string | undefined {
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -15,6 +15,7 @@
 export { chooseService, findRoute, type RouteMatch } from "./route_table.ts";
 export {
   isSameProcess,
+  isUpstreamEntry,
   processKey,
   type UpstreamEntry,
   type UpstreamProcess,
--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -32,6 +32,8 @@
   entry: UpstreamEntry;
   /** Time since which the entry is missing; undefined while it is present. */
   missingSince: number | undefined;
+  /** Whether the entry was replaced by one that names no usable upstream. */
+  isSuspended: boolean;
   /** End of the backoff after a failure; the upstream gets no work before. */
   backoffUntil: number;
   consecutiveFailures: number;
@@ -106,6 +108,7 @@
     if (entry.startedAt < before.startedAt) return undefined;
     known.entry = entry;
     known.missingSince = undefined;
+    known.isSuspended = false;
     if (entry.startedAt === before.startedAt) {
       // The software of a process does not change while it runs.
       const softwareVersion = entry.softwareVersion ?? before.softwareVersion;
@@ -128,6 +131,18 @@
     this.#onInstanceGone(id);
   }
 
+  /**
+   * Offers an upstream no new requests until its next usable entry, but keeps
+   * its state. Returns whether that is new.
+   */
+  suspend(id: string): boolean {
+    const known = this.#upstreams.get(id);
+    if (!known || known.isSuspended) return false;
+    known.isSuspended = true;
+    known.missingSince = undefined;
+    return true;
+  }
+
   /**
    * Marks an upstream as missing whose entry may only have expired. It stays in
    * use for a grace period.
@@ -140,11 +155,17 @@
   /**
    * Applies the full list of entries after a store outage. Upstreams that are
    * not listed stay in use for a grace period, because their entries may only
-   * have expired during the outage.
+   * have expired during the outage. `suspended` are the ids of entries that
+   * name no usable upstream.
    */
-  reconcile(entries: UpstreamEntry[], now: number): void {
-    const present = new Set(entries.map((it) => it.id));
+  reconcile(
+    entries: UpstreamEntry[],
+    now: number,
+    suspended: readonly string[] = [],
+  ): void {
+    const present = new Set([...entries.map((it) => it.id), ...suspended]);
     for (const entry of entries) this.put(entry);
+    for (const id of suspended) this.suspend(id);
     for (const known of this.#upstreams.values()) {
       if (present.has(known.entry.id)) continue;
       known.missingSince ??= now;
@@ -180,13 +201,14 @@
   }
 
   /** Whether an upstream takes new requests as far as it and its entry say. */
-  acceptsRequests({ entry }: TrackedUpstream): boolean {
-    return !entry.isDraining && !this.notices.isLeaving(entry);
+  acceptsRequests({ entry, isSuspended }: TrackedUpstream): boolean {
+    return !isSuspended && !entry.isDraining && !this.notices.isLeaving(entry);
   }
 
-  /** Addresses of the upstreams that take new requests. */
-  acceptingAddresses(): string[] {
-    return this.all().filter((it) => this.acceptsRequests(it))
+  /** Addresses of the upstreams of these services that take new requests. */
+  acceptingAddresses(hasService: (service: string) => boolean): string[] {
+    return this.all()
+      .filter((it) => this.acceptsRequests(it) && hasService(it.entry.service))
       .map((it) => it.entry.address);
   }
 
@@ -332,6 +354,7 @@
 function createState(): Omit<TrackedUpstream, "entry"> {
   return {
     missingSince: undefined,
+    isSuspended: false,
     backoffUntil: 0,
     consecutiveFailures: 0,
     localLoad: { running: 0, prefillTokens: 0 },
