Fronts: a directory response names the fronts that can carry the load

Cause: a large fleet names up to 64 fronts, whatever they can carry (0.24 to 1.35 cores, 15 to 140 Mbit/s); each then has few requests, its own connections to the upstreams and code that never gets warm. Ruled out: a fixed small number of addresses, which overloads small hosts in a burst. Change: fleets of more than 13 fronts name the ones that have 60% of the capacity, the largest first, each in proportion to its capacity. Fronts report their capacity.

--- a/packages/front/src/directory.ts
+++ b/packages/front/src/directory.ts
@@ -1,11 +1,10 @@
 import type { Fleet } from "@toucantrestle/fleet";
-import { rankByRendezvous } from "@toucantrestle/membership";
 import type { FrontState } from "./protocol.ts";
+import { type FrontCandidate, selectFronts } from "./select_fronts.ts";
 import type { Siblings } from "./siblings/siblings.ts";
 
 /** How long a caller may cache the response, in ms. */
 const RESPONSE_TTL_MS = 2_000;
-const MAX_ADDRESSES = 64;
 
 /** Addresses that callers should connect to. */
 export interface DirectoryResponse {
@@ -20,34 +19,35 @@
 export function buildDirectoryResponse(
   opts: {
     fleet: Fleet;
-    siblings: Pick<Siblings, "stateOf">;
+    siblings: Pick<Siblings, "stateOf" | "capacityOf">;
     self: string;
     /** Caller address of this front. */
     ownAddress: string;
     state: FrontState;
+    /** Load that this host can carry, in cores, if it is known. */
+    capacity: number | undefined;
   },
 ): DirectoryResponse {
-  const byState: Record<FrontState, string[]> = {
+  const byState: Record<FrontState, FrontCandidate[]> = {
     ready: [],
     stopping: [],
     starting: [],
   };
-  byState[opts.state].push(opts.ownAddress);
+  byState[opts.state].push({
+    address: opts.ownAddress,
+    capacity: opts.capacity,
+  });
   for (const it of opts.fleet.hosts) {
     if (it.host === opts.self || !it.callerAddress) continue;
     const state = opts.siblings.stateOf(it.host);
-    if (state) byState[state].push(it.callerAddress);
+    if (!state) continue;
+    const capacity = opts.siblings.capacityOf(it.host);
+    byState[state].push({ address: it.callerAddress, capacity });
   }
   const { ready, stopping } = byState;
-  const addresses = ready.length > 0 ? ready : stopping;
-  return { addresses: selectAddresses(addresses), ttlMs: RESPONSE_TTL_MS };
-}
-
-/**
- * Returns as many addresses as a response may have. All fronts select the same
- * ones, from all data centres, so that fewer fronts connect to the upstreams.
- */
-function selectAddresses(addresses: string[]): string[] {
-  if (addresses.length <= MAX_ADDRESSES) return addresses;
-  return rankByRendezvous("directory", addresses).slice(0, MAX_ADDRESSES);
+  const listed = ready.length > 0 ? ready : stopping;
+  return {
+    addresses: selectFronts(listed, Math.random),
+    ttlMs: RESPONSE_TTL_MS,
+  };
 }
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -267,6 +267,7 @@
           self: host,
           ownAddress: callerAddress,
           state: this.#state,
+          capacity: this.#opts.capacity,
         }),
     });
   }
@@ -312,6 +313,7 @@
       reachesUpstreams: !this.#serveOptions.directPath.isCut,
       reachesStore: this.#opts.fleet.isStoreReachable &&
         this.#upstreamWatcher.isReachable,
+      capacity: this.#opts.capacity,
     };
   }
 }
--- a/packages/front/src/front_options.ts
+++ b/packages/front/src/front_options.ts
@@ -21,6 +21,8 @@
   linkAddress: string;
   /** Link addresses of siblings, dialled even if the store is unreachable. */
   seeds: string[];
+  /** Load that this host can carry, in cores; all are equal if it is missing. */
+  capacity?: number | undefined;
   /** Time from the stop signal until the process is killed, in ms. */
   graceMs: number;
   chooser: ChooserName;
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -113,6 +113,8 @@
   reachesUpstreams: boolean;
   /** Whether this front reaches the platform's store. */
   reachesStore: boolean;
+  /** Load that its host can carry, in cores; missing from earlier builds. */
+  capacity?: number | undefined;
 }
 
 /** News that concern all fronts. */
--- a/packages/front/src/siblings/siblings.ts
+++ b/packages/front/src/siblings/siblings.ts
@@ -165,6 +165,12 @@
     return this.#gossip.stateOf(host)?.state;
   }
 
+  /** Load that a sibling's host can carry, in cores, if it reports it. */
+  capacityOf(host: string): number | undefined {
+    const capacity = this.#gossip.stateOf(host)?.capacity;
+    return typeof capacity === "number" ? capacity : undefined;
+  }
+
   /** Names of the siblings that are connected, directly or over others. */
   get connectedHosts(): string[] {
     return [...this.#gossip.connectedHosts];
--- a/packages/front/test/directory_test.ts
+++ b/packages/front/test/directory_test.ts
@@ -32,10 +32,11 @@
   fleet.merge({ hosts, view: undefined });
   return buildDirectoryResponse({
     fleet,
-    siblings: { stateOf: (host) => states[host] },
+    siblings: { stateOf: (host) => states[host], capacityOf: () => undefined },
     self: "a",
     ownAddress: "a:80",
     state: states["a"] ?? "starting",
+    capacity: undefined,
   }).addresses;
 }
 
