--- a/packages/front/src/event_splitter.ts
+++ b/packages/front/src/event_splitter.ts
@@ -32,9 +32,7 @@
     const events: StreamEvent[] = [];
     let rest = chunk;
     for (let end = this.#endIn(rest); end > 0; end = this.#endIn(rest)) {
-      const parts = [...this.#parts, rest.subarray(0, end)];
-      events.push(parseEvent(Buffer.concat(parts)));
-      this.#parts = [];
+      events.push(parseEvent(this.#joinParts(rest.subarray(0, end))));
       this.#pendingBytes = 0;
       rest = rest.subarray(end);
     }
@@ -44,12 +42,19 @@
     return events;
   }
 
+  /** Returns the event that `last` completes; most events are in one part. */
+  #joinParts(last: Buffer): Buffer {
+    if (this.#parts.length === 0) return last;
+    const event = Buffer.concat([...this.#parts, last]);
+    this.#parts = [];
+    return event;
+  }
+
   /** Returns the index in `rest` after the end of the current event, or 0. */
   #endIn(rest: Buffer): number {
+    if (this.#parts.length === 0) return eventEnd(rest);
     const before = this.#lastPendingBytes();
-    const end = eventEnd(
-      before.length > 0 ? Buffer.concat([before, rest]) : rest,
-    );
+    const end = eventEnd(Buffer.concat([before, rest]));
     return Math.max(0, end - before.length);
   }
 
@@ -75,15 +80,22 @@
 }
 
 function parseEvent(bytes: Buffer): StreamEvent {
+  const text = bytes.toString("utf8");
   let id: string | undefined;
-  const data: string[] = [];
-  for (const line of bytes.toString("utf8").split(/\r?\n/)) {
+  let data: string | undefined;
+  let start = 0;
+  while (start < text.length) {
+    const lf = text.indexOf("\n", start);
+    const end = lf < 0 ? text.length : lf;
+    const line = text.slice(start, text[end - 1] === "\r" ? end - 1 : end);
+    start = end + 1;
     const colon = line.indexOf(":");
     if (colon <= 0) continue;
+    const value = line.slice(line[colon + 1] === " " ? colon + 2 : colon + 1);
     const name = line.slice(0, colon);
-    const value = line.slice(colon + 1).replace(/^ /, "");
-    if (name === "data") data.push(value);
-    else if (name === "id") id = value;
+    if (name === "data") {
+      data = data === undefined ? value : `${data}\n${value}`;
+    } else if (name === "id") id = value;
   }
-  return { bytes, id, data: data.join("\n") };
+  return { bytes, id, data: data ?? "" };
 }
--- a/packages/front/src/load_share.ts
+++ b/packages/front/src/load_share.ts
@@ -21,14 +21,21 @@
 
   /** Subtracts the prompt, which the upstream has processed. */
   endPrefill(): void {
-    this.#load.prefillTokens -= this.#prefillTokens;
-    this.#prefillTokens = 0;
+    // Services prefill nothing, so nothing changes at their first byte.
+    if (this.#prefillTokens === 0) return;
+    this.#subtractPrefill();
     this.#onLoadChange();
   }
 
   /** Subtracts the attempt, which has ended; called once. */
   end(): void {
     this.#load.running -= 1;
-    this.endPrefill();
+    this.#subtractPrefill();
+    this.#onLoadChange();
+  }
+
+  #subtractPrefill(): void {
+    this.#load.prefillTokens -= this.#prefillTokens;
+    this.#prefillTokens = 0;
   }
 }
