Timers, links: periodic work of a process runs together; fewer pings

An idle front was woken 62 times a second by timers of its own, by heartbeats and by pings. A link to a neighbour is not pinged while that neighbour's report says that it hears this front. Heartbeats go out each 600 ms (a neighbour counts as silent after 1,300 ms as before); readiness and the way to the upstreams are checked each 200 ms.

--- a/packages/front/src/direct_path.ts
+++ b/packages/front/src/direct_path.ts
@@ -21,7 +21,7 @@
   isSilent: boolean;
 }
 
-const CHECK_INTERVAL_MS = 100;
+const CHECK_INTERVAL_MS = 200;
 /** Silence of all upstreams with requests in flight that calls for probes. */
 const SILENCE_MS = 400;
 /** Failed connections in a row, to different upstreams, that call for probes. */
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -27,6 +27,8 @@
 import type { UpstreamWatcher } from "./upstream_watcher.ts";
 
 const CONNECTION_CHECK_INTERVAL_MS = 500;
+/** Only the platform and callers that look for a front connect there. */
+const AUXILIARY_CHECK_INTERVAL_MS = 5_000;
 /** Idle connections outlive the configured timeout by this margin. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 /**
@@ -40,7 +42,7 @@
 const DRAIN_POLL_INTERVAL_MS = 50;
 const SWEEP_INTERVAL_MS = 10_000;
 /** Siblings learn within this time that this front is ready, or not any more. */
-const READY_CHECK_INTERVAL_MS = 100;
+const READY_CHECK_INTERVAL_MS = 200;
 
 /**
  * Front daemon: serves callers, answers readiness and directory queries, and
@@ -232,18 +234,20 @@
 
   #createServer(
     handler: (req: IncomingMessage, res: ServerResponse) => void,
+    connectionsCheckingInterval = CONNECTION_CHECK_INTERVAL_MS,
   ): Server {
     return createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
-      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+      connectionsCheckingInterval,
       requestTimeout: 0,
       noDelay: true,
     }, handler);
   }
 
   async #listenAuxiliary(address: string): Promise<void> {
-    const server = this.#createServer((req, res) =>
-      this.#onAuxiliaryRequest(req, res)
+    const server = this.#createServer(
+      (req, res) => this.#onAuxiliaryRequest(req, res),
+      AUXILIARY_CHECK_INTERVAL_MS,
     );
     this.#auxiliaryServers.push(server);
     await listen(server, address);
--- a/packages/front/src/siblings/sibling_links.ts
+++ b/packages/front/src/siblings/sibling_links.ts
@@ -14,6 +14,8 @@
   addressOf: (host: string) => string | undefined;
   onOpen: (host: string) => void;
   onLost: (host: string) => void;
+  /** Returns when a host was last known to hear this one, in ms. */
+  confirmedAt: (host: string) => number;
   timer: Timer;
   log: Logger;
 }
@@ -101,6 +103,7 @@
       timer,
       log,
       pingIntervalMs: () => PING_INTERVAL_MS,
+      confirmedAt: () => this.#opts.confirmedAt(host),
       onOpen: () => onOpen(host),
       onLost: () => onLost(host),
     });
--- a/packages/front/src/siblings/siblings.ts
+++ b/packages/front/src/siblings/siblings.ts
@@ -103,6 +103,7 @@
       addressOf: (host) => opts.fleet.front(host)?.linkAddress,
       onOpen: (host) => this.#gossip.openLink(host),
       onLost: (host) => this.#gossip.closeLink(host),
+      confirmedAt: (host) => this.#gossip.confirmedAt(host),
     });
     this.#gossip = new Gossip({
       ...opts,
--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -21,6 +21,11 @@
   log: Logger;
   /** Returns the time between pings; default 500 ms. */
   pingIntervalMs?: () => number;
+  /**
+   * Returns when something else has last shown that the remote process receives
+   * what is sent over this link, in ms on the monotonic clock.
+   */
+  confirmedAt?: () => number;
   onOpen?: () => void;
   onLost?: () => void;
 }
@@ -236,7 +241,7 @@
     const intervalMs = this.#opts.pingIntervalMs?.() ??
       DEFAULT_PING_INTERVAL_MS;
     const dueAt = this.#opts.timer.monotonicNow() + intervalMs;
-    this.#pingTimer = this.#opts.timer.after(intervalMs, () => {
+    this.#pingTimer = this.#opts.timer.afterAbout(intervalMs, () => {
       this.#excuseSilence(this.#opts.timer.monotonicNow() - dueAt, intervalMs);
       this.#pingOrClose(intervalMs);
     });
@@ -249,7 +254,10 @@
 
   #pingOrClose(intervalMs: number): void {
     if (!this.#socket) return;
-    const silentMs = this.#opts.timer.monotonicNow() - this.#lastReceivedAt;
+    const { timer, confirmedAt } = this.#opts;
+    const confirmed = confirmedAt?.() ?? -Infinity;
+    this.#lastReceivedAt = Math.max(this.#lastReceivedAt, confirmed);
+    const silentMs = timer.monotonicNow() - this.#lastReceivedAt;
     if (silentMs > SILENCE_FACTOR * intervalMs) {
       this.#socket.terminate();
       return;
--- a/packages/overlay/src/gossip.ts
+++ b/packages/overlay/src/gossip.ts
@@ -36,7 +36,7 @@
 }
 
 /** Each neighbour gets a message this often. */
-const HEARTBEAT_INTERVAL_MS = 400;
+const HEARTBEAT_INTERVAL_MS = 600;
 /** A neighbour that was not heard for this long is not reported. */
 const HEARD_TTL_MS = 1_300;
 /**
@@ -99,6 +99,17 @@
     return this.#now - neighbour.since >= FIRST_CONTACT_MS;
   }
 
+  /**
+   * When a neighbour was last heard whose report says that it hears this host,
+   * in ms; -Infinity if there is no such report.
+   */
+  confirmedAt(host: string): number {
+    const neighbour = this.#neighbours.get(host);
+    const isHeardThere = this.#reports.get(host)?.neighbours
+      .includes(this.#opts.self);
+    return neighbour && isHeardThere ? neighbour.heardAt : -Infinity;
+  }
+
   /** Number of neighbours that were heard recently. */
   get heardCount(): number {
     return this.#own?.neighbours.length ?? 0;
--- a/packages/overlay/test/gossip_test.ts
+++ b/packages/overlay/test/gossip_test.ts
@@ -86,6 +86,7 @@
       now: () => now,
       monotonicNow: () => now,
       after: () => subscription,
+      afterAbout: () => subscription,
       every(_intervalMs, fn) {
         heartbeat = fn;
         return subscription;
@@ -219,3 +220,17 @@
   };
   handlers[kind]?.();
 }
+
+describe("confirmation of a link", () => {
+  it("ends as soon as the neighbour reports not to hear this host", () => {
+    const { gossip } = createSleeper();
+    const report = { host: "b", state: "ready" };
+    expect(gossip.confirmedAt("b")).toEqual(-Infinity);
+    const heard = { ...report, version: 1, neighbours: ["a"] };
+    gossip.receive("b", { reports: [heard], news: [] });
+    expect(gossip.confirmedAt("b")).toEqual(1_000);
+    const unheard = { ...report, version: 2, neighbours: [] };
+    gossip.receive("b", { reports: [unheard], news: [] });
+    expect(gossip.confirmedAt("b")).toEqual(-Infinity);
+  });
+});
--- a/packages/timer/src/manual_timer.ts
+++ b/packages/timer/src/manual_timer.ts
@@ -41,6 +41,8 @@
     monotonicNow: () => now,
     after: (delayMs, fn) =>
       schedule({ dueAt: now + delayMs, intervalMs: undefined, fn }),
+    afterAbout: (delayMs, fn) =>
+      schedule({ dueAt: now + delayMs, intervalMs: undefined, fn }),
     every: (intervalMs, fn) =>
       schedule({ dueAt: now + intervalMs, intervalMs, fn }),
     advance(ms) {
--- a/packages/timer/src/timer.ts
+++ b/packages/timer/src/timer.ts
@@ -15,7 +15,15 @@
   monotonicNow(): number;
   /** Calls `fn` once after `delayMs`. */
   after(delayMs: number, fn: () => void): Subscription;
-  /** Calls `fn` every `intervalMs`, for the first time after one interval. */
+  /**
+   * Calls `fn` once after `delayMs`, or up to 200 ms later together with other
+   * callbacks of the process, which saves wake-ups.
+   */
+  afterAbout(delayMs: number, fn: () => void): Subscription;
+  /**
+   * Calls `fn` every `intervalMs`, for the first time after one interval. Calls
+   * may be up to 200 ms late to be together with other callbacks.
+   */
   every(intervalMs: number, fn: () => void): Subscription;
 }
 
--- a/packages/timer/src/timer_scope.ts
+++ b/packages/timer/src/timer_scope.ts
@@ -26,16 +26,20 @@
     return subscription;
   }
 
+  function once(name: "after" | "afterAbout", delayMs: number, fn: () => void) {
+    return schedule((onFired) =>
+      timer[name](delayMs, () => {
+        onFired();
+        fn();
+      })
+    );
+  }
+
   return {
     now: () => timer.now(),
     monotonicNow: () => timer.monotonicNow(),
-    after: (delayMs, fn) =>
-      schedule((onFired) =>
-        timer.after(delayMs, () => {
-          onFired();
-          fn();
-        })
-      ),
+    after: (delayMs, fn) => once("after", delayMs, fn),
+    afterAbout: (delayMs, fn) => once("afterAbout", delayMs, fn),
     every: (intervalMs, fn) => schedule(() => timer.every(intervalMs, fn)),
     end() {
       isEnded = true;
