Turn stores: status is queried by tolerate + 1 members in place of all

Each turn store queried the status of all others each 300 ms, so that messages grew with the square of their number. Only the first tolerate + 1 reachable members now query all others. A member hears these by their queries, and takes the place of one that it has not heard for a second. A lost member is detected by the same times as before, since the proposer has always been a watcher. A store of an earlier build sends no id with its queries and is queried in turn.

--- a/packages/turn_store/src/messages.ts
+++ b/packages/turn_store/src/messages.ts
@@ -102,7 +102,8 @@
   fetch: { args: { ids: string[] }; result: { turns: TurnRecord[] } };
   /** Returns the identity of the replica and the state of its view. */
   status: {
-    args: Record<string, never>;
+    /** Id of the store that asks; earlier builds do not send it. */
+    args: { id?: string };
     result: { id: string; viewNumber: number; isComplete: boolean };
   };
   /** Returns the registered hosts and the view that this store knows. */
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -178,11 +178,14 @@
         put: (args) => this.#put(args),
         inventory: ({ view, member }) => this.#inventory(view, member),
         fetch: ({ ids }) => ({ turns: this.#fetch(ids) }),
-        status: () => ({
-          id: this.#opts.self.id,
-          viewNumber: this.#replica.view?.number ?? 0,
-          isComplete: this.#replica.isComplete,
-        }),
+        status: ({ id }) => {
+          this.#viewManager.recordQuery(id);
+          return {
+            id: this.#opts.self.id,
+            viewNumber: this.#replica.view?.number ?? 0,
+            isComplete: this.#replica.isComplete,
+          };
+        },
         fleet: () => this.#opts.fleet.snapshot(),
       },
       notices: {
--- a/packages/turn_store/src/view_manager.ts
+++ b/packages/turn_store/src/view_manager.ts
@@ -12,6 +12,7 @@
 } from "@toucantrestle/turn_log";
 import { copyRecords } from "./copy_records.ts";
 import type { StoreMethods, StoreNotices } from "./messages.ts";
+import { chooseWatchers } from "./watchers.ts";
 
 /** Options of the view manager. */
 export interface ViewManagerOptions {
@@ -41,10 +42,18 @@
   status: { viewNumber: number; isComplete: boolean } | undefined;
   /** Monotonic time of the last status, in ms; 0 before the first. */
   lastSeenAt: number;
+  /** Monotonic time of its last query for the status here, in ms. */
+  heardAt: number;
 }
 
 const TICK_INTERVAL_MS = 300;
 const STATUS_TIMEOUT_MS = 250;
+const REACHABLE_TTL_MS = 2 * TICK_INTERVAL_MS + 400;
+/** A watcher that has not sent a query for this long is queried itself. */
+const QUERY_AFTER_MS = 1.5 * TICK_INTERVAL_MS;
+const PING_INTERVAL_MS = 500;
+/** Links that carry no queries are needed only to copy records. */
+const UNQUERIED_PING_INTERVAL_MS = 3_000;
 /** Delay of the first view, so that it includes hosts starting concurrently. */
 const FIRST_VIEW_DELAY_MS = 1_200;
 const COPY_RETRY_DELAY_MS = 150;
@@ -54,6 +63,10 @@
   readonly #opts: ViewManagerOptions;
   readonly #peers = new Map<string, Peer>();
   readonly #startedAt: number;
+  /** Whether this store queries all others. */
+  #isWatcher = true;
+  /** When it began to, in ms; 0 if since its start. */
+  #watcherSince = 0;
   #tickSubscription: Subscription | undefined;
   #isProposing = false;
   /** Number of the last view for which copying started; 0 before the first. */
@@ -143,12 +156,16 @@
     return Math.max(0, view.former.length - view.tolerate - ownCopies);
   }
 
-  /** Polls all peers, then proposes the next view if one is due. */
+  /** A peer has queried the status of this store. */
+  recordQuery(id: string | undefined): void {
+    const peer = this.#peers.get(id ?? "");
+    if (peer) peer.heardAt = this.#opts.timer.monotonicNow();
+  }
+
+  /** Polls the peers, then proposes the next view if one is due. */
   async #tick(): Promise<void> {
     this.#updatePeers();
-    await Promise.all(
-      [...this.#peers.values()].map((it) => this.#pollStatus(it)),
-    );
+    await Promise.all(this.#peersToQuery().map((it) => this.#pollStatus(it)));
     this.onViewChanged();
     this.#reportRetiredHosts();
     if (this.#isProposing || !this.#opts.fleet.isStoreReachable) return;
@@ -171,9 +188,36 @@
     }
   }
 
+  /**
+   * A watcher queries all peers. Another member hears the watchers by their
+   * queries, and becomes one when it is next in order and one is lost.
+   */
+  #peersToQuery(): Peer[] {
+    const { self, replica, timer } = this.#opts;
+    const peers = [...this.#peers.values()];
+    const { view } = replica;
+    const isMember = view?.members.some((it) => it.id === self.id);
+    const watchers = view && isMember
+      ? chooseWatchers(view, (id) => this.#isHeard(id))
+      : undefined;
+    const now = timer.monotonicNow();
+    const isWatcher = watchers?.has(self.id) ?? true;
+    if (isWatcher && !this.#isWatcher) this.#watcherSince = now;
+    this.#isWatcher = isWatcher;
+    if (isWatcher) return peers;
+    return peers.filter((it) =>
+      watchers?.has(it.host.id) && now - it.heardAt > QUERY_AFTER_MS
+    );
+  }
+
   async #pollStatus(peer: Peer): Promise<void> {
+    const { id } = this.#opts.self;
     try {
-      const status = await peer.link.request("status", {}, STATUS_TIMEOUT_MS);
+      const status = await peer.link.request(
+        "status",
+        { id },
+        STATUS_TIMEOUT_MS,
+      );
       // A host whose disk was emptied has a new id at the same address.
       if (status.id !== peer.host.id) return;
       peer.status = status;
@@ -217,13 +261,28 @@
 
   #isReachable(id: string): boolean {
     return id === this.#opts.self.id ||
-      this.#silentMs(id) < 2 * TICK_INTERVAL_MS + 400;
+      this.#silentMs(id) < REACHABLE_TTL_MS;
+  }
+
+  /** Whether a peer answered a query or sent one recently. */
+  #isHeard(id: string): boolean {
+    if (id === this.#opts.self.id) return true;
+    const { lastSeenAt = 0, heardAt = 0 } = this.#peers.get(id) ?? {};
+    const at = Math.max(lastSeenAt, heardAt);
+    return at > 0 && this.#opts.timer.monotonicNow() - at < REACHABLE_TTL_MS;
   }
 
-  /** Time since the last status of a peer; Infinity if there was none. */
+  /**
+   * Time since the last status of a peer; Infinity if there was none. A store
+   * that has just become a watcher counts from then.
+   */
   #silentMs(id: string): number {
-    const lastSeenAt = this.#peers.get(id)?.lastSeenAt;
-    return lastSeenAt ? this.#opts.timer.monotonicNow() - lastSeenAt : Infinity;
+    const peer = this.#peers.get(id);
+    if (!peer) return Infinity;
+    const { lastSeenAt, heardAt } = peer;
+    const alsoAt = this.#isWatcher ? this.#watcherSince : heardAt;
+    const seenAt = Math.max(lastSeenAt, alsoAt);
+    return seenAt ? this.#opts.timer.monotonicNow() - seenAt : Infinity;
   }
 
   #hostStates(current: View): HostState[] {
@@ -296,8 +355,16 @@
         address: host.address,
         timer,
         log,
+        pingIntervalMs: () =>
+          this.#isWatcher ? PING_INTERVAL_MS : UNQUERIED_PING_INTERVAL_MS,
+      });
+      this.#peers.set(id, {
+        host,
+        link,
+        status: undefined,
+        lastSeenAt: 0,
+        heardAt: 0,
       });
-      this.#peers.set(id, { host, link, status: undefined, lastSeenAt: 0 });
     }
   }
 }
