Bench: call-cost, CPU time of a call in a front and in a bare forwarder

Cause: the cost of a request in a front could only be compared between runs and machines.

Change: starts a front (40 upstreams, no siblings, no turn stores) and a forwarder that only uses node:http, each as a process of its own, and sends both the same calls, 8 at a time: streams of 8 events with 12 kB prompts and plain calls in turn.

Turns that are kept or have a budget are not covered.

--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -8,6 +8,7 @@
 import process from "node:process";
 import type { BenchCommand } from "./command.ts";
 import { ablation } from "./commands/ablation.ts";
+import { callCost } from "./commands/call_cost.ts";
 import { capacity } from "./commands/capacity.ts";
 import { choosers } from "./commands/choosers.ts";
 import { path } from "./commands/path.ts";
@@ -16,6 +17,7 @@
 
 const COMMANDS: Readonly<Record<string, BenchCommand>> = {
   ablation,
+  "call-cost": callCost,
   capacity,
   choosers,
   path,
