Refusals take a proof that the request has not run

Cause: Node.js answers 408 to an incomplete head although an earlier request on the connection is in progress, whose caller takes the 408 as its own response. A run on a crashed upstream that does not count against the limit of runs led to a 503 though the call may have run.

Change: AttemptLedger gives the proof that refuse() takes; other responses cannot have these statuses. The front answers client errors itself.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -1,5 +1,6 @@
 import type { TrackedUpstream } from "@toucantrestle/routing";
 import type { ResponseHead } from "@toucantrestle/upstream_channel";
+import type { Verdict } from "@toucantrestle/verdict";
 import type { Call } from "./call.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import { EventSplitter } from "./event_splitter.ts";
@@ -33,6 +34,13 @@
   /** This front stopped the attempt. */
   | { kind: "stopped"; reason: StopReason; hasDeliveredHead: boolean };
 
+/** Returns whether the upstream of an attempt may have run the request. */
+export function verdictOf(result: AttemptResult): Verdict {
+  if (result.kind === "complete") return "ran";
+  if (result.kind === "declined") return "not_run";
+  return result.kind === "failed" ? result.failure.verdict : "may_have_run";
+}
+
 /** Why this front stops an attempt. */
 export type StopReason = "deadline" | "abandoned" | "slow";
 
--- a/packages/front/src/auxiliary.ts
+++ b/packages/front/src/auxiliary.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { DirectoryResponse } from "./directory.ts";
 import type { Protocol } from "./protocol.ts";
-import { sendText } from "./responses.ts";
+import { sendNotReady, sendText } from "./responses.ts";
 
 /** Options of `serveAuxiliary`. */
 export interface AuxiliaryOptions {
@@ -18,8 +18,10 @@
 ): void {
   const { protocol, isReady } = opts;
   const path = (req.url ?? "/").split("?")[0];
-  if (path === protocol.readyPath) sendText(res, isReady ? 200 : 503, "");
-  else if (path === protocol.directoryPath) sendDirectory(res, opts);
+  if (path === protocol.readyPath) {
+    if (isReady) sendText(res, 200, "");
+    else sendNotReady(res, "");
+  } else if (path === protocol.directoryPath) sendDirectory(res, opts);
   else sendText(res, 404, "path not found");
 }
 
@@ -29,7 +31,7 @@
 ): void {
   const response = directory();
   if (response.addresses.length === 0) {
-    return sendText(res, 503, "no front is ready");
+    return sendNotReady(res, "no front is ready");
   }
   const body = protocol.formatDirectoryResponse(response);
   res.writeHead(200, {
--- a/packages/front/src/call.ts
+++ b/packages/front/src/call.ts
@@ -1,6 +1,7 @@
 import type { Organisation } from "@toucantrestle/organisations";
 import type { Route, RoutingConfig } from "@toucantrestle/routing";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AttemptLedger } from "./attempt_ledger.ts";
 import type { CallHead } from "./protocol.ts";
 import type { CallRecorder } from "./call_recorder.ts";
 
@@ -18,6 +19,8 @@
   arrivedAt: number;
   /** Deadline of the response, in ms on the monotonic clock. */
   deadlineAt: number;
+  /** Attempts at the call, from which its refusal takes the proof. */
+  attempts: AttemptLedger;
   /** Logs and counts the decisions on this call and its outcome. */
   recorder: CallRecorder;
   /** Identifies repetitions of the same request. */
--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -5,7 +5,12 @@
   type UpstreamEntry,
 } from "@toucantrestle/routing";
 import { abortResponse, refuseCall, respond } from "./responses.ts";
-import { type Attempt, type AttemptResult, startAttempt } from "./attempt.ts";
+import {
+  type Attempt,
+  type AttemptResult,
+  startAttempt,
+  verdictOf,
+} from "./attempt.ts";
 import type { Call } from "./call.ts";
 import { EventTimes } from "./event_times.ts";
 import { finishCall } from "./finish_call.ts";
@@ -113,6 +118,7 @@
     const start = this.#startMeasurement(upstream, path.kind);
     const timeLeftMs = call.deadlineAt - start.startedAt;
     if (this.#turn) prefixIndex.recordPrefill(id, call.head.promptParts);
+    const endAttempt = call.attempts.begin();
     const attempt = startAttempt({
       call,
       upstream,
@@ -135,6 +141,7 @@
     });
     const stopWatching = this.#watchPath(attempt, path.kind);
     const result = await this.#awaitResult(attempt, timeLeftMs);
+    endAttempt(verdictOf(result));
     stopWatching();
     start.load.end();
     if ("received" in result && result.received) {
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -8,6 +8,7 @@
   type ServerResponse,
 } from "node:http";
 import { abortResponse, sendText } from "./responses.ts";
+import { answerClientErrors } from "./client_errors.ts";
 import { serveAuxiliary } from "./auxiliary.ts";
 import type { Call } from "./call.ts";
 import type { ConfigWatcher } from "./config_watcher.ts";
@@ -86,6 +87,7 @@
     this.#callerServer = this.#createServer((req, res) =>
       this.#onCall(req, res)
     );
+    answerClientErrors(this.#callerServer);
   }
 
   /** Starts serving. Calls are refused until a configuration is available. */
--- a/packages/front/src/read_call.ts
+++ b/packages/front/src/read_call.ts
@@ -11,6 +11,7 @@
 import type { Timer } from "@toucantrestle/timer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { refuse, sendText } from "./responses.ts";
+import { AttemptLedger } from "./attempt_ledger.ts";
 import type { Call } from "./call.ts";
 import { MAX_HEADER_BYTES } from "./listen.ts";
 import type { Protocol } from "./protocol.ts";
@@ -42,12 +43,14 @@
   opts: ReadCallOptions,
 ): Promise<Call | undefined> {
   const arrivedAt = opts.timer.monotonicNow();
+  const attempts = new AttemptLedger();
   const body = await readLimited(req, res, opts.config()?.limits);
   if (!body) return undefined;
   // The configuration may have changed while the body arrived.
   const config = opts.config();
   if (!config) {
-    refuse(res, "no_config");
+    const proof = attempts.closeAsNotRun();
+    if (proof) refuse(res, "no_config", { proof });
     return undefined;
   }
   const path = req.url ?? "/";
@@ -87,6 +90,7 @@
     organisation,
     arrivedAt,
     deadlineAt: arrivedAt + timeLimitMs,
+    attempts,
     fingerprint: fingerprintOf(req, body, {
       previousTurn: head.previousTurn,
       organisation: organisation?.name,
--- a/packages/routing/src/failure_action.ts
+++ b/packages/routing/src/failure_action.ts
@@ -59,7 +59,8 @@
   if (opts.verdict === "not_run" && hasTime && declines < MAX_DECLINES) {
     return runs === 0 || runs < route.maxRuns ? "retry" : "fail";
   }
-  if (runs === 0) return "refuse";
+  // No run counts either if that of a crashed upstream is not counted.
+  if (runs === 0 && opts.verdict === "not_run") return "refuse";
   if (!hasTime) return "time_out";
   const canRetryRun = isRetrySafe(route) && runs < route.maxRuns;
   return canRetryRun && opts.verdict !== "not_run" ? "retry" : "fail";
