--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -35,3 +35,4 @@
   ShareAllocator,
   ShareHolder,
 } from "./shares.ts";
+export { type Refill, TokenBucket } from "./token_bucket.ts";
--- a/packages/routing/src/rate_limiter.ts
+++ b/packages/routing/src/rate_limiter.ts
@@ -1,3 +1,5 @@
+import { TokenBucket } from "@toucantrestle/policy";
+
 /**
  * What a permit is for. A request that continues one has begun work that only a
  * few upstreams can finish, so it may use tokens in advance.
@@ -24,11 +26,10 @@
 
 /** Token bucket for one upstream. Starts empty. Times are monotonic, in ms. */
 export class RateLimiter {
-  #tokens = 0;
-  #refilledAt: number;
+  readonly #bucket: TokenBucket;
 
   constructor(now: number) {
-    this.#refilledAt = now;
+    this.#bucket = new TokenBucket({ tokens: 0, now });
   }
 
   /**
@@ -39,20 +40,14 @@
     { kind, weight }: PermitRequest,
     { ratePerS, now }: { ratePerS: number; now: number },
   ): number {
-    this.#refill(ratePerS, now);
+    const max = 1 + BURST_S * ratePerS;
+    this.#bucket.refill({ ratePerS, max, now });
     const reserve = (1 - weight) * BURST_S * ratePerS;
-    const missing = 1 + reserve - ADVANCE_TOKENS[kind] - this.#tokens;
+    const missing = 1 + reserve - ADVANCE_TOKENS[kind] - this.#bucket.tokens;
     if (missing > TOLERANCE_TOKENS) {
       return Math.ceil(missing / ratePerS * MS_PER_S);
     }
-    this.#tokens -= 1;
+    this.#bucket.take(1);
     return 0;
   }
-
-  #refill(ratePerS: number, now: number): void {
-    const elapsedS = Math.max(0, now - this.#refilledAt) / MS_PER_S;
-    const maxTokens = 1 + BURST_S * ratePerS;
-    this.#tokens = Math.min(maxTokens, this.#tokens + elapsedS * ratePerS);
-    this.#refilledAt = now;
-  }
 }
