Quotas: fronts admit requests with leased tokens, 429 beyond the quota

A request of an organisation with a quota takes a token before any work is done for it, and each further attempt takes one.

--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -12,6 +12,7 @@
   verdictOf,
 } from "./attempt.ts";
 import type { Call } from "./call.ts";
+import type { CallQuota } from "./call_quota.ts";
 import { EventTimes } from "./event_times.ts";
 import { finishCall } from "./finish_call.ts";
 import {
@@ -46,15 +47,18 @@
   readonly #turn: TurnState | undefined;
   readonly #opts: ServeOptions;
   readonly #choice: UpstreamChoice;
+  readonly #quota: CallQuota | undefined;
   readonly #count: RunCount;
   /** Id of the last event forwarded to the caller. */
   #lastEventId: string | undefined;
 
   constructor(
     call: Call,
-    { turn, choice, opts }: {
+    { turn, choice, quota, opts }: {
       turn: TurnState | undefined;
       choice: UpstreamChoice;
+      /** Undefined if the requests of the caller are not limited. */
+      quota: CallQuota | undefined;
       opts: ServeOptions;
     },
   ) {
@@ -62,6 +66,7 @@
     this.#turn = turn;
     this.#opts = opts;
     this.#choice = choice;
+    this.#quota = quota;
     this.#count = new RunCount(call, opts);
   }
 
@@ -79,6 +84,8 @@
       const avoidsDirect = upstream === undefined;
       const path = this.#opts.paths.pathTo(choice, { avoidsDirect });
       if (!path) return this.#respondWithoutUpstream();
+      const quota = this.#quota;
+      if (quota && !await quota.useToken(this.#count.runs)) return;
       const result = await this.#attempt(choice, path);
       const isFinished = await this.#handleResult(entry, {
         result,
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -19,6 +19,7 @@
 import { listen, MAX_HEADER_BYTES } from "./listen.ts";
 import type { FrontOptions } from "./front_options.ts";
 import { createFrontParts } from "./front_parts.ts";
+import { quotasOf } from "./quotas_of.ts";
 import { readCall } from "./read_call.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServeOptions } from "./serve_options.ts";
@@ -95,7 +96,10 @@
     const { fleet, store, timer } = this.#opts;
     fleet.onView((view) => this.#turnStore.adoptView(view));
     if (fleet.view) this.#turnStore.adoptView(fleet.view);
-    this.#configWatcher.onConfig((config) => this.#applyLimits(config));
+    this.#configWatcher.onConfig((config) => {
+      this.#applyLimits(config);
+      this.#serveOptions.quotas.setQuotas(quotasOf(config));
+    });
     const maxRetryMs = () => this.#storeReaders.maxRetryMs;
     this.#configWatcher.start({ store, timer, maxRetryMs });
     this.#upstreamWatcher.start(store);
@@ -165,6 +169,7 @@
   /** Updates the gauge metrics. */
   reportGauges(): void {
     const { metrics, timer } = this.#opts;
+    const quota = this.#serveOptions.quotas.held;
     const gauges: Record<string, number> = {
       calls_open: this.#activeCalls.size,
       config_version: this.#configWatcher.config?.version ?? -1,
@@ -179,6 +184,8 @@
       neighbours_heard: this.#siblings.heardNeighbourCount,
       reads_store_often: Number(this.#storeReaders.isReader),
       turn_view: this.#turnStore.view?.number ?? 0,
+      quota_tokens_held: quota.tokens,
+      quota_leases_held: quota.organisations,
       reaches_turn_stores: Number(this.#turnStore.isQuorumReachable),
     };
     for (const [name, value] of Object.entries(gauges)) {
--- a/packages/front/src/front_options.ts
+++ b/packages/front/src/front_options.ts
@@ -2,6 +2,7 @@
 import type { Fleet } from "@toucantrestle/fleet";
 import type { LoggerFactory } from "@toucantrestle/log";
 import type { Metrics } from "@toucantrestle/metrics";
+import type { QuotaBounds } from "@toucantrestle/quota";
 import type { ChooserName, Mechanism } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
 import type { Dial } from "@toucantrestle/upstream_channel";
@@ -28,6 +29,10 @@
   chooser: ChooserName;
   /** Mechanisms that are switched off, to measure their worth. */
   disabled: ReadonlySet<Mechanism>;
+  /** How far requests may exceed the quotas of organisations. */
+  quotaBounds?: QuotaBounds;
+  /** Whether the entire deployment starts for the first time. */
+  isFirstStart?: boolean;
   protocol: Protocol;
   store: ConfigStore;
   fleet: Fleet;
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -5,6 +5,8 @@
 } from "@toucantrestle/routing";
 import { type Relay, TurnStoreClient } from "@toucantrestle/turn_store";
 import { dialTcp, isListening } from "@toucantrestle/upstream_channel";
+import { DEFAULT_BOUNDS } from "@toucantrestle/quota";
+import { randomUUID } from "node:crypto";
 import { Collectors } from "./collectors.ts";
 import { ConfigWatcher } from "./config_watcher.ts";
 import { DirectPath } from "./direct_path.ts";
@@ -15,6 +17,9 @@
 import { NoticeReader } from "./notice_reader.ts";
 import { PermitWeights } from "./permit_weights.ts";
 import { type FrontReport, toNews } from "./protocol.ts";
+import { quotaCandidates } from "./quota_candidates.ts";
+import { QuotaClient } from "./quota_client.ts";
+import { RecentPrograms } from "./recent_programs.ts";
 import { RequestPermits } from "./request_permits.ts";
 import type { ServeOptions } from "./serve_options.ts";
 import { FleetNews } from "./siblings/fleet_news.ts";
@@ -133,6 +138,7 @@
     onLoads: (report) => loadSharing.applyReport(report),
     answerLoads: (query) => loadSharing.answerQuery(query),
     answerPermit: (query) => permits.answer(query),
+    answerQuota: (query) => quotas.answer(query),
     forward: ({ memberId, name, args }) =>
       turnStore.links.forward(memberId, name, args as never),
     forwardSettle: ({ memberId, notice }) => {
@@ -171,17 +177,37 @@
     isEnabled: !opts.disabled.has("shared_loads"),
     log: loggers("sibling"),
   });
+  const share = new FleetShare({
+    self: host,
+    timer,
+    connectedSiblings: () => collectors.siblings,
+    registeredFronts: () => fleet.fronts,
+  });
+  const quotas = new QuotaClient({
+    self: host,
+    processId: `${host}/${randomUUID()}`,
+    bounds: opts.quotaBounds ?? DEFAULT_BOUNDS,
+    isFirstStart: opts.isFirstStart ?? false,
+    candidates: () =>
+      quotaCandidates({
+        self: host,
+        isReady: hooks.report().state === "ready",
+        siblings: collectors.siblings,
+        isSiblingReady: (it) => siblings.stateOf(it) === "ready",
+      }),
+    share,
+    links: siblings.requests,
+    random: Math.random,
+    timer,
+    metrics: opts.metrics,
+    log: loggers("quota"),
+  });
   const permits = new RequestPermits({
     self: host,
     timer,
     notices: upstreamRegistry.notices,
     collectors,
-    share: new FleetShare({
-      self: host,
-      timer,
-      connectedSiblings: () => collectors.siblings,
-      registeredFronts: () => fleet.fronts,
-    }),
+    share,
     links: siblings.requests,
     log: loggers("sibling"),
   });
@@ -198,6 +224,8 @@
     noticeReader,
     permits,
     permitWeights: new PermitWeights(),
+    quotas,
+    recentPrograms: new RecentPrograms(),
     pools,
     dial,
     directPath,
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -1,5 +1,6 @@
 import type { FleetSnapshot } from "@toucantrestle/fleet";
 import type { GossipMessage } from "@toucantrestle/overlay";
+import type { QuotaQuery, QuotaReply } from "@toucantrestle/quota";
 import type {
   PermitRequest,
   PromptPart,
@@ -194,6 +195,8 @@
     /** `waitMs` is 0 if the permit is granted. */
     result: { waitMs: number; notice: SharedNotice | undefined };
   };
+  /** Asks the allocator of a group of organisations for tokens. */
+  quota: { args: QuotaQuery; result: QuotaReply };
   /** Forwards a request to a turn store that the sender does not reach. */
   relay: {
     args: { memberId: string; name: RecordMethod; args: unknown };
--- a/packages/front/src/responses.ts
+++ b/packages/front/src/responses.ts
@@ -68,6 +68,21 @@
   refuse(call.res, reason, { proof, waitMs });
 }
 
+/**
+ * Refuses a call that has not run because its organisation has used up its
+ * quota. `waitMs` is the time until a request may be admitted.
+ */
+export function refuseOverQuota(call: Call, waitMs: number): void {
+  call.recorder.recordOutcome("refused", {
+    status: 429,
+    verdict: "not_run",
+    reason: `over_quota, wait ${Math.ceil(waitMs)} ms`,
+  });
+  sendText(call.res, 429, "request not run: over_quota", {
+    "retry-after": (waitMs / 1_000).toFixed(3),
+  });
+}
+
 /** Answers a call with a status chosen by this front and records the reason. */
 export function respond(
   call: Call,
--- a/packages/front/src/serve_call.ts
+++ b/packages/front/src/serve_call.ts
@@ -1,5 +1,6 @@
 import { refuseCall, respond } from "./responses.ts";
 import type { Call } from "./call.ts";
+import { CallQuota } from "./call_quota.ts";
 import { CallRunner } from "./call_runner.ts";
 import type { ServeOptions } from "./serve_options.ts";
 import { isResumption } from "./stream_origin.ts";
@@ -28,16 +29,21 @@
 
 /** Serves a call until its response is complete, refused or aborted. */
 export async function serveCall(call: Call, opts: ServeOptions): Promise<void> {
+  const { organisation } = call;
+  const quota = organisation?.quota &&
+    new CallQuota(call, { ...organisation, quota: organisation.quota }, opts);
+  if (quota && !await quota.admit()) return;
   const turn = call.route.kind === "streaming"
     ? new TurnState({ store: opts.turnStore, call })
     : undefined;
   const choice = new UpstreamChoice(call, turn, opts);
   try {
     if (await admitCall(call, { turn, choice, opts })) {
-      await new CallRunner(call, { turn, choice, opts }).run();
+      await new CallRunner(call, { turn, choice, quota, opts }).run();
     }
   } finally {
     turn?.settle();
+    quota?.release();
   }
 }
 
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -13,6 +13,8 @@
 import type { NoticeReader } from "./notice_reader.ts";
 import type { Dial } from "@toucantrestle/upstream_channel";
 import type { Protocol } from "./protocol.ts";
+import type { QuotaClient } from "./quota_client.ts";
+import type { RecentPrograms } from "./recent_programs.ts";
 import type { PermitWeights } from "./permit_weights.ts";
 import type { RequestPermits } from "./request_permits.ts";
 import type { UpstreamPaths } from "./upstream_paths.ts";
@@ -29,6 +31,8 @@
   noticeReader: NoticeReader;
   permits: RequestPermits;
   permitWeights: PermitWeights;
+  quotas: QuotaClient;
+  recentPrograms: RecentPrograms;
   pools: UpstreamPools;
   directPath: DirectPath;
   paths: UpstreamPaths;
--- a/packages/front/src/siblings/sibling_requests.ts
+++ b/packages/front/src/siblings/sibling_requests.ts
@@ -92,11 +92,12 @@
     const host = pickRandom(
       [...this.#opts.gossip.connectedHosts].filter(isFit),
     );
-    if (host !== undefined) this.#dialAhead(host);
+    if (host !== undefined) this.dialAhead(host);
     return [];
   }
 
-  #dialAhead(host: string): void {
+  /** Opens a link to a sibling that will be needed. */
+  dialAhead(host: string): void {
     this.#opts.links.reach(host, LINK_TIMEOUT_MS).catch((err) =>
       this.#opts.log.debug(`front ${host} is not linked: ${String(err)}`)
     );
@@ -136,6 +137,21 @@
     return await link.request("permit", query, timeoutMs);
   }
 
+  /**
+   * Asks the allocator of a group of organisations for tokens.
+   *
+   * @throws {Error} when the sibling does not answer in time, or is of an
+   * earlier build, which does not know the method
+   */
+  async queryQuota(
+    host: string,
+    query: FrontMethods["quota"]["args"],
+    timeoutMs: number,
+  ): Promise<FrontMethods["quota"]["result"]> {
+    const link = await this.#opts.links.reach(host, timeoutMs);
+    return await link.request("quota", query, timeoutMs);
+  }
+
   /** Sends a notice to one sibling; dials it if there is no link. */
   notify<K extends keyof FrontNotices & string>(
     host: string,
--- a/packages/front/src/siblings/siblings.ts
+++ b/packages/front/src/siblings/siblings.ts
@@ -53,6 +53,10 @@
   answerPermit: (
     query: FrontMethods["permit"]["args"],
   ) => FrontMethods["permit"]["result"];
+  /** Answers a sibling's query for tokens of organisations. */
+  answerQuota: (
+    query: FrontMethods["quota"]["args"],
+  ) => FrontMethods["quota"]["result"];
   /** Forwards a sibling's request to a turn store. */
   forward: (it: FrontMethods["relay"]["args"]) => Promise<unknown>;
   forwardSettle: (it: FrontNotices["settle"]) => void;
@@ -210,6 +214,7 @@
         upstreams: () => opts.upstreams(),
         loads: (query) => ({ loads: opts.answerLoads(query) }),
         permit: (query) => opts.answerPermit(query),
+        quota: (query) => opts.answerQuota(query),
         relay: (it) => opts.forward(it),
       },
       notices: {
--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -145,6 +145,7 @@
       timer: this.#timer,
       loggers: this.#loggers,
       metrics: createNoopMetrics(),
+      isFirstStart: true,
       ...opts,
     });
     await front.start();
--- a/packages/quota/src/lease_holder.ts
+++ b/packages/quota/src/lease_holder.ts
@@ -54,6 +54,8 @@
 /** Least time for which requests are denied without asking again, in ms. */
 const MIN_DENIAL_MS = 300;
 const MAX_DENIAL_MS = 1_000;
+/** Least time after which a refused caller should come back, in ms. */
+const MIN_WAIT_MS = 50;
 /** Denials are spread over this fraction of their time. */
 const JITTER = 0.5;
 
@@ -157,6 +159,7 @@
       if (!lease || !grant) continue;
       lease.refresh(clocks);
       lease.accept(grant, state.sentAt);
+      if (grant.isStarting) continue;
       const { direct } = grant;
       if (direct.continued < waiting) {
         this.#deny(lease, "continued", { grant, clocks });
@@ -200,7 +203,7 @@
 
   #denied(waitMs: number): Decision {
     const factor = 1 + JITTER * this.#opts.random();
-    return { kind: "denied", waitMs: waitMs * factor };
+    return { kind: "denied", waitMs: Math.max(MIN_WAIT_MS, waitMs) * factor };
   }
 
   #leaseOf({ name, quota }: LimitedOrganisation): HeldLease {
--- a/packages/quota/src/messages.ts
+++ b/packages/quota/src/messages.ts
@@ -42,6 +42,11 @@
   direct: Record<RequestKind, number>;
   /** Whether the remaining tokens are kept for programs in progress. */
   isLow: boolean;
+  /**
+   * Whether the allocator has begun so recently that a request should wait
+   * rather than be refused.
+   */
+  isStarting: boolean;
   /** Time until a denied request may be granted, by its kind, in ms. */
   waitMs: Record<RequestKind, number>;
 }
--- a/packages/quota/src/organisation_bucket.ts
+++ b/packages/quota/src/organisation_bucket.ts
@@ -12,6 +12,8 @@
 export const KEPT_FOR_CONTINUED = 0.15;
 /** Tokens are granted in advance only beyond this fraction of the capacity. */
 const KEPT_FROM_ADVANCE = 0.3;
+/** After the start of the refill, requests wait for this long, in ms. */
+const STARTING_MS = 2_500;
 /** After a denial, fronts get a share of the rate for this long, in ms. */
 const SCARCE_MS = 2_000;
 /** Time's worth of its share that a front gets while tokens are scarce, in s. */
@@ -63,6 +65,7 @@
 export class OrganisationBucket {
   readonly #bounds: QuotaBounds;
   readonly #bucket: TokenBucket;
+  readonly #startsAt: number;
   /** By holder, in the order of their expiry. */
   readonly #leases = new Map<string, Lease>();
   #quota: Quota;
@@ -73,6 +76,7 @@
   constructor({ quota, bounds, tokens, startsAt }: OrganisationBucketOptions) {
     this.#quota = quota;
     this.#bounds = bounds;
+    this.#startsAt = startsAt;
     this.#bucket = new TokenBucket({ tokens, now: startsAt });
   }
 
@@ -194,7 +198,8 @@
       new: this.#waitMs(1 + kept, time),
     };
     const isLow = this.#bucket.tokens < kept;
-    return { name, ...tokens, isLow, waitMs };
+    const isStarting = time.now < this.#startsAt + STARTING_MS;
+    return { name, ...tokens, isLow, isStarting, waitMs };
   }
 
   /** Time until there are so many unused tokens, in ms. */
