Quotas: a refusal over quota takes the proof that the call has not run

Change: refuseOverQuota closes the attempts of the call; a call that may have run gets a 502 as before. The wait is spread by the lease holder, so the reason adds no delay. Measured: quota_test, quota_model_test and begun_response_test: 21 passed.

--- a/packages/front/src/call_quota.ts
+++ b/packages/front/src/call_quota.ts
@@ -50,11 +50,10 @@
   }
 
   /**
-   * Uses a token for an attempt, immediately before it is sent. `runs` is the
-   * number of earlier attempts that may have run. Returns false if the call is
-   * finished.
+   * Uses a token for an attempt, immediately before it is sent. Returns false if
+   * the call is finished.
    */
-  async useToken(runs: number): Promise<boolean> {
+  async useToken(): Promise<boolean> {
     const { quotas } = this.#opts;
     const admission = this.#admission;
     this.#admission = undefined;
@@ -62,7 +61,7 @@
     for (let tries = 0; tries < MAX_TRIES; tries++) {
       const decision = await this.#ask("continued");
       if (decision.kind !== "admitted") {
-        return this.#refuse(decision.waitMs, runs);
+        return this.#refuse(decision.waitMs);
       }
       if (this.#call.isAbandoned) {
         quotas.release(decision.admission);
@@ -70,7 +69,7 @@
       }
       if (quotas.use(decision.admission)) return true;
     }
-    return this.#refuse(EXPIRED_WAIT_MS, runs);
+    return this.#refuse(EXPIRED_WAIT_MS);
   }
 
   /** Gives back a token that was not used. */
@@ -85,12 +84,11 @@
   }
 
   /** Answers truthfully: only a call that cannot have run gets a 429. */
-  #refuse(waitMs: number, runs = 0): false {
+  #refuse(waitMs: number): false {
     const reason = "quota of the organisation is used up";
     this.#opts.quotas.recordRefusal();
     if (this.#call.res.headersSent) abortResponse(this.#call, reason);
-    else if (runs === 0) refuseOverQuota(this.#call, waitMs);
-    else {
+    else if (!refuseOverQuota(this.#call, waitMs)) {
       respond(this.#call, { status: 502, verdict: "may_have_run", reason });
     }
     return false;
--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -85,7 +85,7 @@
       const path = this.#opts.paths.pathTo(choice, { avoidsDirect });
       if (!path) return this.#respondWithoutUpstream();
       const quota = this.#quota;
-      if (quota && !await quota.useToken(this.#count.runs)) return;
+      if (quota && !await quota.useToken()) return;
       const result = await this.#attempt(choice, path);
       const isFinished = await this.#handleResult(entry, {
         result,
--- a/packages/front/src/responses.ts
+++ b/packages/front/src/responses.ts
@@ -69,18 +69,20 @@
 }
 
 /**
- * Refuses a call that has not run because its organisation has used up its
- * quota. `waitMs` is the time until a request may be admitted.
+ * Refuses a call because its organisation has used up its quota. `waitMs` is
+ * the time until a request may be admitted. Returns false if the call may have
+ * run, so that it cannot be refused.
  */
-export function refuseOverQuota(call: Call, waitMs: number): void {
+export function refuseOverQuota(call: Call, waitMs: number): boolean {
+  const proof = call.attempts.closeAsNotRun();
+  if (!proof) return false;
   call.recorder.recordOutcome("refused", {
     status: 429,
     verdict: "not_run",
     reason: `over_quota, wait ${Math.ceil(waitMs)} ms`,
   });
-  sendText(call.res, 429, "request not run: over_quota", {
-    "retry-after": (waitMs / 1_000).toFixed(3),
-  });
+  refuse(call.res, "over_quota", { proof, status: 429, waitMs });
+  return true;
 }
 
 /** Answers a call with a status chosen by this front and records the reason. */
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -7,6 +7,7 @@
   | "turns_unknown"
   | "origin_unknown"
   | "convicted"
+  | "over_quota"
   | "stopping";
 
 const BASE_DELAY_MS: Record<RefusalReason, number> = {
@@ -17,6 +18,8 @@
   turns_unknown: 250,
   origin_unknown: 250,
   convicted: 5_000,
+  // The allocator's estimate is spread already.
+  over_quota: 0,
   stopping: 50,
 };
 
