Front: flush the head of a response at once again

Cause: without it, begun_response_test "looks cut when the front's grace period ends: close" failed in 4 of 6 runs; with it 3 of 3 passed (busy machine).

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -119,8 +119,8 @@
   function forwardHead(): void {
     if (isForwarding || !head) return;
     isForwarding = true;
-    // The head is sent together with the part of the body that follows.
     writeResponseHead(res, head, { isEventStream: isEventStream(head) });
+    res.flushHeaders();
   }
 
   function write(bytes: Buffer): void {
