--- a/packages/front/src/call.ts
+++ b/packages/front/src/call.ts
@@ -24,7 +24,7 @@
   /** Logs and counts the decisions on this call and its outcome. */
   recorder: CallRecorder;
   /** Identifies repetitions of the same request. */
-  fingerprint: string;
+  readonly fingerprint: string;
   /** True once the caller has disconnected. */
   isAbandoned: boolean;
   /** Called when the caller disconnects. */
--- a/packages/front/src/read_call.ts
+++ b/packages/front/src/read_call.ts
@@ -79,6 +79,7 @@
     return undefined;
   }
   const timeLimitMs = Math.min(head.timeLeftMs ?? Infinity, route.timeoutMs);
+  let fingerprint: string | undefined;
   return {
     req,
     res,
@@ -91,10 +92,13 @@
     arrivedAt,
     deadlineAt: arrivedAt + timeLimitMs,
     attempts,
-    fingerprint: fingerprintOf(req, body, {
-      previousTurn: head.previousTurn,
-      organisation: organisation?.name,
-    }),
+    // Hashes the whole body, and is needed only after a crash of an upstream.
+    get fingerprint() {
+      return fingerprint ??= fingerprintOf(req, body, {
+        previousTurn: head.previousTurn,
+        organisation: organisation?.name,
+      });
+    },
     recorder: new CallRecorder({
       head,
       route,
--- a/packages/front/src/request_permits.ts
+++ b/packages/front/src/request_permits.ts
@@ -112,10 +112,11 @@
    */
   waitMs(upstream: UpstreamEntry, weight: number): number {
     const denial = this.#denials.get(upstream.id);
+    const isDenied = denial?.startedAt === upstream.startedAt;
+    if (!isDenied || weight > denial.weight) return 0;
     const isLimited =
       this.#opts.notices.maxRequestsPerS(upstream) !== undefined;
-    const isDenied = denial?.startedAt === upstream.startedAt;
-    if (!isLimited || !isDenied || weight > denial.weight) return 0;
+    if (!isLimited) return 0;
     return Math.max(0, denial.until - this.#opts.timer.monotonicNow());
   }
 
--- a/packages/front/src/serve_call.ts
+++ b/packages/front/src/serve_call.ts
@@ -56,9 +56,10 @@
     opts: ServeOptions;
   },
 ): Promise<boolean> {
-  if (
-    opts.crashTracker.isQuarantined(call.fingerprint, opts.timer.monotonicNow())
-  ) {
+  const { crashTracker, timer } = opts;
+  const isQuarantined = !crashTracker.isEmpty &&
+    crashTracker.isQuarantined(call.fingerprint, timer.monotonicNow());
+  if (isQuarantined) {
     refuseCall(call, "convicted");
     return false;
   }
--- a/packages/log/src/mod.ts
+++ b/packages/log/src/mod.ts
@@ -49,27 +49,29 @@
   debug: LogLevels.debug,
 };
 
-type ReporterFactory = (host: string, sink?: LineSink) => ConsolaReporter;
+/** Options of `createLoggers`. */
+export interface LoggersOptions {
+  host: string;
+  format: LogFormat;
+  level: LogLevel;
+  /** Destination of JSON lines. Defaults to standard output. */
+  sink?: LineSink;
+}
 
-const REPORTERS: Record<LogFormat, ReporterFactory> = {
-  human: createHumanReporter,
-  json: createJsonReporter,
+const FACTORIES: Record<LogFormat, (opts: LoggersOptions) => LoggerFactory> = {
+  human: createHumanLoggers,
+  json: createJsonLoggers,
 };
 
 /** Creates the logger factory of a process. */
-export function createLoggers(
-  opts: {
-    host: string;
-    format: LogFormat;
-    level: LogLevel;
-    /** Destination of JSON lines. Defaults to standard output. */
-    sink?: LineSink;
-  },
-): LoggerFactory {
+export function createLoggers(opts: LoggersOptions): LoggerFactory {
+  return FACTORIES[opts.format](opts);
+}
+
+function createHumanLoggers({ host, level }: LoggersOptions): LoggerFactory {
   const root = createConsola({
-    level: CONSOLA_LEVELS[opts.level],
-    reporters: [REPORTERS[opts.format](opts.host, opts.sink)],
-    // The JSON reporter limits the rate of each kind of event.
+    level: CONSOLA_LEVELS[level],
+    reporters: [createHumanReporter(host)],
     throttle: 0,
   });
   return (part) => createLogger(root.withTag(part));
@@ -108,8 +110,13 @@
   };
 }
 
-/** Writes one JSON object per line, with a rate limit per kind of event. */
-function createJsonReporter(host: string, sink?: LineSink): ConsolaReporter {
+/**
+ * Writes one JSON object per line, with a rate limit per kind of event. Requests
+ * are logged in this format, so that it takes no detour through a library.
+ */
+function createJsonLoggers(
+  { host, level: maxLevel, sink }: LoggersOptions,
+): LoggerFactory {
   const writer = new BoundedWriter({
     sink,
     now: () => performance.now(),
@@ -124,26 +131,35 @@
         ...counts,
       }),
   });
-  return {
-    log(entry) {
-      const [message, fields] = entry.args as [string, LogFields?];
-      const isFailure = entry.level <= LogLevels.warn;
-      const kind = `${entry.tag}/${fields?.event ?? "message"}`;
+
+  function createMethod(part: string, level: LogLevel): Logger[LogLevel] {
+    if (CONSOLA_LEVELS[level] > CONSOLA_LEVELS[maxLevel]) return () => {};
+    const isFailure = CONSOLA_LEVELS[level] <= LogLevels.warn;
+    const severity = isFailure ? "failure" : "routine";
+    return (message, fields) => {
+      const kind = `${part}/${fields?.event ?? "message"}`;
       writer.write(
         kind,
-        isFailure ? "failure" : "routine",
+        severity,
         () =>
           formatJsonLine({
-            time: entry.date.toISOString(),
+            time: new Date().toISOString(),
             host,
-            level: entry.type,
-            part: entry.tag,
+            level,
+            part,
             message,
             ...fields,
           }),
       );
-    },
-  };
+    };
+  }
+
+  return (part) => ({
+    error: createMethod(part, "error"),
+    warn: createMethod(part, "warn"),
+    info: createMethod(part, "info"),
+    debug: createMethod(part, "debug"),
+  });
 }
 
 function formatJsonLine(fields: LogFields): string {
--- a/packages/routing/src/crash_tracker.ts
+++ b/packages/routing/src/crash_tracker.ts
@@ -12,6 +12,11 @@
 export class CrashTracker {
   readonly #records = new Map<string, CrashRecord>();
 
+  /** Whether no crash is known, so that no request is quarantined. */
+  get isEmpty(): boolean {
+    return this.#records.size === 0;
+  }
+
   /**
    * Records that an upstream crashed while it ran the request. `upstream` is the
    * key of its process, so that crashes of a restarted upstream count apart.
--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -195,9 +195,12 @@
   }
 
   #accepting(service: string): TrackedUpstream[] {
-    return this.all().filter((it) =>
-      it.entry.service === service && this.acceptsRequests(it)
-    );
+    const accepting: TrackedUpstream[] = [];
+    for (const it of this.#upstreams.values()) {
+      if (it.entry.service !== service || !this.acceptsRequests(it)) continue;
+      accepting.push(it);
+    }
+    return accepting;
   }
 
   /** Whether an upstream takes new requests as far as it and its entry say. */
