Test of slow readers measures what the front holds, not the kernel

Cause: the test counted all bytes between upstream and caller. A trace of it (11.6 to 11.9 MB held, bound 12 MB) showed 7.2 MB and 4.2 to 4.4 MB in the kernel's buffers of the two connections, which grow by the machine's settings (tcp_rmem up to 33 MB), and at most 131,072 bytes in the front.

Change: the test counts bytes read by the front less those passed to the kernel, with a bound of 1 MB in place of 12 MB.

--- a/packages/front/test/begun_response_test.ts
+++ b/packages/front/test/begun_response_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import { request, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import { connect, type Socket } from "node:net";
+import { subscribe } from "node:diagnostics_channel";
 import { after, before, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import type { BodyDelimiter } from "@toucantrestle/upstream_channel";
@@ -9,8 +10,11 @@
 const cluster = new TestCluster();
 const BODY_BYTES = 30_000_000;
 const PIECE = Buffer.alloc(65_536, "x");
-/** What a slow caller may hold up between its upstream and itself. */
-const MAX_HELD_BYTES = 12_000_000;
+/**
+ * What a slow caller may hold up in the front. The kernel's socket buffers, which
+ * grow to several MB each by the machine's settings, are no part of it.
+ */
+const MAX_HELD_BYTES = 1_000_000;
 /** The process exits when the front has stopped; no response goes on then. */
 const EXIT_MS = 100;
 const DELIMITERS: BodyDelimiter[] = ["length", "chunked", "close"];
@@ -24,6 +28,34 @@
 let sentBytes: number;
 let isUpstreamOpen: boolean;
 
+/** Connections of the front to upstreams and from callers. */
+const upstreamSockets = new Set<Socket>();
+const callerSockets = new Set<Socket>();
+
+subscribe("http.server.request.start", (message) => {
+  const { socket } = message as { socket: Socket };
+  const isOfFront = cluster.callerAddresses.some((it) =>
+    it.endsWith(`:${socket.localPort}`)
+  );
+  if (isOfFront) callerSockets.add(socket);
+});
+
+/** Opens a connection of the front to an upstream. */
+function dial(address: string): Socket {
+  const [host = "", port] = address.split(":");
+  const socket = connect({ host, port: Number(port), noDelay: true });
+  upstreamSockets.add(socket);
+  return socket;
+}
+
+/** Bytes that the front has read so far and not passed to the kernel. */
+function bytesInFront(): number {
+  let bytes = 0;
+  for (const it of upstreamSockets) bytes += it.bytesRead;
+  for (const it of callerSockets) bytes -= it.bytesWritten - it.writableLength;
+  return bytes;
+}
+
 before(async () => {
   cluster.configure([
     { prefix: "/long/", kind: "non_idempotent", maxRuns: 1, timeoutMs: 20_000 },
@@ -32,7 +64,7 @@
   ]);
   await cluster.addTurnStores(3);
   await cluster.addUpstream("u", (received, res) => sendBody(received.id, res));
-  await cluster.addFront();
+  await cluster.addFront({ dial });
   await cluster.waitUntilReady("/warm/x");
 });
 
@@ -84,7 +116,7 @@
   bytes: number;
   /** False if the response looks cut. */
   looksComplete: boolean;
-  /** Most bytes that were sent by the upstream and not yet read. */
+  /** Most bytes that the front held for the response. */
   mostHeldBytes: number;
 }
 
@@ -92,12 +124,13 @@
 function readSlowly(path: string, pauseMs: number): Promise<SlowResult> {
   const [host = "", port = ""] = (cluster.callerAddresses[0] ?? "").split(":");
   const headers = { host: "x.example", "x-id": `slow-${path}-${delimiter}` };
+  const before = bytesInFront();
   return new Promise((resolve) => {
     const result = { bytes: 0, looksComplete: true, mostHeldBytes: 0 };
     const req = request({ host, port, path, headers, agent: false }, (res) => {
       res.on("data", async (chunk: Buffer) => {
         result.bytes += chunk.length;
-        const held = sentBytes - result.bytes;
+        const held = bytesInFront() - before;
         result.mostHeldBytes = Math.max(result.mostHeldBytes, held);
         res.pause();
         await delay(pauseMs);
