--- a/packages/front/test/quota_model_test.ts
+++ b/packages/front/test/quota_model_test.ts
@@ -61,7 +61,7 @@
     expectRule(fleet, quotas);
     expect(denied).toEqual(0);
     const quota = quotas.get("org-1")?.ratePerS ?? 0;
-    expect(ran).toBeGreaterThanOrEqual(0.6 * quota * 5);
+    expect(ran).toBeGreaterThanOrEqual(0.8 * quota * 5);
     expect(fleet.queries / 690).toBeLessThanOrEqual(4);
   });
 
--- a/packages/quota/src/held_lease.ts
+++ b/packages/quota/src/held_lease.ts
@@ -15,7 +15,7 @@
 }
 
 /** Tokens are wanted for this time's worth of requests, in s. */
-const ADVANCE_S = 1.1;
+const ADVANCE_S = 0.6;
 /** Fewer requests than this are not worth a token that others may need. */
 const MIN_EXPECTED = 0.5;
 /** A lease with fewer tokens than this part of those wanted is renewed early. */
