Front: a budget for what is buffered for callers

The limit comes from the settings. Not yet: pausing of request bodies, prompts of earlier turns, relays and links.

--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -7,7 +7,8 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { abortResponse, sendText } from "./responses.ts";
+import { AttemptLedger } from "./attempt_ledger.ts";
+import { abortResponse, refuse, sendText } from "./responses.ts";
 import { answerClientErrors } from "./client_errors.ts";
 import { serveAuxiliary } from "./auxiliary.ts";
 import type { Call } from "./call.ts";
@@ -16,6 +17,7 @@
 import type { FrontReport, FrontState } from "./protocol.ts";
 import type { PathCut } from "./direct_path.ts";
 import { KeyRefusals } from "./key_refusals.ts";
+import { MemoryGuard } from "./memory_guard.ts";
 import { listen, MAX_HEADER_BYTES } from "./listen.ts";
 import type { FrontOptions } from "./front_options.ts";
 import { createFrontParts } from "./front_parts.ts";
@@ -63,6 +65,7 @@
   readonly #callerServer: Server;
   readonly #auxiliaryServers: Server[] = [];
   readonly #activeCalls = new Set<Call>();
+  readonly #memoryGuard: MemoryGuard;
   #graceMs: number;
   #isStopping = false;
   /** Readiness as the siblings know it. */
@@ -89,6 +92,13 @@
       this.#onCall(req, res)
     );
     answerClientErrors(this.#callerServer);
+    this.#memoryGuard = new MemoryGuard({
+      memoryBytes: opts.memoryBytes ?? Infinity,
+      calls: () => this.#activeCalls,
+      timer: opts.timer,
+      log: opts.loggers("front"),
+      metrics: opts.metrics,
+    });
   }
 
   /** Starts serving. Calls are refused until a configuration is available. */
@@ -109,6 +119,7 @@
     await listen(this.#callerServer, this.#opts.callerAddress);
     await this.#listenAuxiliary(this.#opts.readyAddress);
     await this.#listenAuxiliary(this.#opts.directoryAddress);
+    this.#memoryGuard.start();
     timer.every(READY_CHECK_INTERVAL_MS, () => this.#reportReadiness());
     timer.every(SWEEP_INTERVAL_MS, () => this.#sweep());
   }
@@ -172,6 +183,7 @@
     const quota = this.#serveOptions.quotas.held;
     const gauges: Record<string, number> = {
       calls_open: this.#activeCalls.size,
+      buffered_bytes: this.#memoryGuard.heldBytes,
       config_version: this.#configWatcher.config?.version ?? -1,
       config_age_ms: this.#configWatcher.ageMs,
       upstreams_age_ms: this.#upstreamWatcher.ageMs,
@@ -287,6 +299,7 @@
 
   async #onCall(req: IncomingMessage, res: ServerResponse): Promise<void> {
     if (this.#isStopping) res.setHeader("connection", "close");
+    if (this.#memoryGuard.isRefusing) return refuseUnread(res);
     try {
       const call = await readCall(req, res, {
         ...this.#opts,
@@ -330,3 +343,10 @@
     };
   }
 }
+
+/** Refuses a request whose body is not read. */
+function refuseUnread(res: ServerResponse): void {
+  const proof = new AttemptLedger().closeAsNotRun();
+  res.setHeader("connection", "close");
+  if (proof) refuse(res, "memory_full", { proof });
+}
--- a/packages/front/src/front_options.ts
+++ b/packages/front/src/front_options.ts
@@ -26,6 +26,8 @@
   capacity?: number | undefined;
   /** Time from the stop signal until the process is killed, in ms. */
   graceMs: number;
+  /** Memory limit of the process, in bytes; unlimited by default. */
+  memoryBytes?: number;
   chooser: ChooserName;
   /** Mechanisms that are switched off, to measure their worth. */
   disabled: ReadonlySet<Mechanism>;
--- /dev/null
+++ b/packages/front/src/memory_pressure.ts
@@ -0,0 +1,110 @@
+/** What a front buffers bytes for. */
+export type MemoryPurpose =
+  | "request_bodies"
+  | "responses"
+  | "streams"
+  | "relays"
+  | "links";
+
+/** Bytes that are held for one reader. */
+export interface HeldBytes<T> {
+  /** What holds them, for the caller of `decidePressure`. */
+  holder: T;
+  purpose: MemoryPurpose;
+  bytes: number;
+  /** Time for which its reader has not taken all that was sent, in ms. */
+  waitingMs: number;
+  /**
+   * Whether its request must not run again, so that what was received for it
+   * cannot be had once more.
+   */
+  isIrreplaceable: boolean;
+}
+
+/** What a front does about the bytes that it holds. */
+export interface PressureDecision<T> {
+  heldBytes: number;
+  bytesByPurpose: Record<MemoryPurpose, number>;
+  /** Whether sources are slowed down: bodies of requests are not read. */
+  isPausing: boolean;
+  /** Whether new requests are refused. */
+  isRefusing: boolean;
+  /** Readers to disconnect. */
+  cut: T[];
+}
+
+/**
+ * Part of the memory limit that buffers may use. The rest is for the program,
+ * its tables and garbage; an idle front uses some 80 MB of at least 178 MB.
+ */
+const BUDGET_FRACTION = 0.3;
+/** Fractions of the budget from which each measure is taken. */
+const PAUSE_AT = 0.5;
+const REFUSE_AT = 0.7;
+const CUT_AT = 0.9;
+/** Readers are disconnected until this fraction of the budget is held. */
+const CUT_TO = 0.8;
+/**
+ * Slow readers must not keep others from being served: after this time of
+ * refusals, readers are disconnected until requests are served again.
+ */
+const MAX_REFUSING_MS = 1_000;
+const CUT_TO_SERVE = 0.6;
+
+/** Returns the bytes that buffers may use, for the limit of the process. */
+export function bufferBudget(memoryBytes: number): number {
+  return BUDGET_FRACTION * memoryBytes;
+}
+
+/**
+ * Decides about the bytes that are held. Streams and responses of requests that
+ * may run again are cut first, the slowest reader first.
+ */
+export function decidePressure<T>(
+  held: readonly HeldBytes<T>[],
+  { budgetBytes, refusingMs }: {
+    budgetBytes: number;
+    /** Time for which new requests have been refused. */
+    refusingMs: number;
+  },
+): PressureDecision<T> {
+  const bytesByPurpose: Record<MemoryPurpose, number> = {
+    request_bodies: 0,
+    responses: 0,
+    streams: 0,
+    relays: 0,
+    links: 0,
+  };
+  for (const { purpose, bytes } of held) bytesByPurpose[purpose] += bytes;
+  const heldBytes = held.reduce((sum, it) => sum + it.bytes, 0);
+  const fill = heldBytes / budgetBytes;
+  const isRefusing = fill >= REFUSE_AT;
+  const isStuck = isRefusing && refusingMs >= MAX_REFUSING_MS;
+  const targetBytes = (isStuck ? CUT_TO_SERVE : CUT_TO) * budgetBytes;
+  return {
+    heldBytes,
+    bytesByPurpose,
+    isPausing: fill >= PAUSE_AT,
+    isRefusing,
+    cut: fill >= CUT_AT || isStuck
+      ? slowest(held, heldBytes - targetBytes)
+      : [],
+  };
+}
+
+/** Returns the slowest readers that hold at least this many bytes together. */
+function slowest<T>(held: readonly HeldBytes<T>[], excessBytes: number): T[] {
+  const order = held.filter((it) => it.bytes > 0 && it.waitingMs > 0)
+    .sort((a, b) =>
+      Number(a.isIrreplaceable) - Number(b.isIrreplaceable) ||
+      b.waitingMs - a.waitingMs
+    );
+  const cut: T[] = [];
+  let freedBytes = 0;
+  for (const { holder, bytes } of order) {
+    if (freedBytes >= excessBytes) break;
+    freedBytes += bytes;
+    cut.push(holder);
+  }
+  return cut;
+}
--- a/packages/front/src/responses.ts
+++ b/packages/front/src/responses.ts
@@ -104,6 +104,19 @@
   interrupt(call.res);
 }
 
+/**
+ * Resets the connection of a caller that reads too slowly. The kernel frees what
+ * it holds for it, too.
+ */
+export function disconnectReader(call: Call): void {
+  call.recorder.recordOutcome("cut_off", {
+    status: 0,
+    verdict: "may_have_run",
+    reason: "caller reads too slowly",
+  });
+  call.res.socket?.resetAndDestroy();
+}
+
 /**
  * Ends the connection of a response that has begun. Closing it would look like
  * the end of a body without a length or chunks, so it is reset in that case.
--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -110,7 +110,12 @@
   }
 
   async addFront(
-    opts: { dial?: Dial; store?: ConfigStore; metrics?: Metrics } = {},
+    opts: {
+      dial?: Dial;
+      store?: ConfigStore;
+      metrics?: Metrics;
+      memoryBytes?: number;
+    } = {},
   ): Promise<Front> {
     const [callerAddress, readyAddress, directoryAddress, linkAddress] =
       await Promise.all([0, 1, 2, 3].map(freeAddress)) as [
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -6,6 +6,7 @@
   | "upstreams_limited"
   | "turns_unknown"
   | "origin_unknown"
+  | "memory_full"
   | "convicted"
   | "over_quota"
   | "stopping";
@@ -17,6 +18,7 @@
   upstreams_limited: 120,
   turns_unknown: 250,
   origin_unknown: 250,
+  memory_full: 500,
   convicted: 5_000,
   // The allocator's estimate is spread already.
   over_quota: 0,
