Upstreams: entries without a start time are used where no upstream states one

Cause: since an entry needed a start time, which only newer deployments have; fronts of all others took every entry for invalid and refused all requests (503, no_upstream). Change: a missing start time counts as unknown; once any upstream has stated one, an entry without is invalid.

--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -44,6 +44,8 @@
 export class UpstreamWatcher {
   readonly #opts: UpstreamWatcherOptions;
   readonly #invalidEntries: InvalidEntryLog;
+  /** Whether an upstream has stated when its process started. */
+  #hasStartTimes = false;
   /** Revision of the newest change, by upstream id. */
   readonly #revisions = new Map<string, number>();
   /** Recent changes and when they became known here, by upstream id. */
@@ -155,6 +157,9 @@
     const { upstreamRegistry, timer, log } = this.#opts;
     const entries: UpstreamEntry[] = [];
     const invalid: string[] = [];
+    const parse = ({ key, value }: StoreItem) =>
+      this.#opts.protocol.parseUpstream(key, value);
+    this.#hasStartTimes ||= items.some((it) => (parse(it)?.startedAt ?? 0) > 0);
     for (const { key, value, modRevision } of items) {
       const entry = this.#parseEntry(key, value);
       const id = this.#idOfKey(key);
@@ -274,9 +279,16 @@
       !isSameEntry(before, entry);
   }
 
+  /**
+   * Parses an entry. If the upstreams of this deployment state when they
+   * started, an entry that does not is of another writer.
+   */
   #parseEntry(key: string, text: string): UpstreamEntry | undefined {
     const entry = this.#opts.protocol.parseUpstream(key, text);
-    if (isUpstreamEntry(entry)) return entry;
+    if (isUpstreamEntry(entry)) {
+      if (entry.startedAt > 0) this.#hasStartTimes = true;
+      if (entry.startedAt > 0 || !this.#hasStartTimes) return entry;
+    }
     this.#invalidEntries.report(key);
     return undefined;
   }
