--- a/deploy/build.js
+++ b/deploy/build.js
@@ -48,5 +48,7 @@
 function readFlags(role) {
   const text = readFileSync("deploy/system.toml", "utf8");
   const pattern = new RegExp(`run = "node (.*) target/\\S+ ${role}"`);
-  return pattern.exec(text)?.[1]?.split(" ") ?? [];
+  const flags = pattern.exec(text)?.[1];
+  if (!flags) throw new Error(`no run line for ${role} in deploy/system.toml`);
+  return flags.split(" ");
 }
--- a/packages/front/src/attempt_ledger.ts
+++ b/packages/front/src/attempt_ledger.ts
@@ -10,6 +10,11 @@
   readonly [PROOF]: true;
 }
 
+/** Returns the proof for a request that no attempt was begun for. */
+export function neverAttempted(): NotRunProof {
+  return { [PROOF]: true };
+}
+
 /**
  * Keeps account of the attempts at one request, each from before its first byte
  * can be sent until its outcome is known.
--- a/packages/front/src/call_quota.ts
+++ b/packages/front/src/call_quota.ts
@@ -85,7 +85,7 @@
 
   /** Answers truthfully: only a call that cannot have run gets a 429. */
   #refuse(waitMs: number): false {
-    const reason = "quota of the organisation is used up";
+    const reason = "no token under the quota of the organisation";
     this.#opts.quotas.recordRefusal();
     if (this.#call.res.headersSent) abortResponse(this.#call, reason);
     else if (!refuseOverQuota(this.#call, waitMs)) {
--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -4,7 +4,12 @@
   type TrackedUpstream,
   type UpstreamEntry,
 } from "@toucantrestle/routing";
-import { abortResponse, refuseCall, respond } from "./responses.ts";
+import {
+  abortResponse,
+  refuseCall,
+  respondDeadlineExceeded,
+  respondFailed,
+} from "./responses.ts";
 import {
   type Attempt,
   type AttemptResult,
@@ -104,8 +109,9 @@
     if (await this.#turn.recordOrigin(entry)) {
       return !this.#call.isAbandoned;
     }
-    if (this.#count.runs > 0) this.#respondFailed("origin cannot be recorded");
-    else refuseCall(this.#call, "turns_unknown");
+    if (this.#count.runs > 0) {
+      respondFailed(this.#call, "origin cannot be recorded");
+    } else refuseCall(this.#call, "turns_unknown");
     return false;
   }
 
@@ -290,7 +296,7 @@
       return true;
     }
     if (result.reason === "slow") return this.#retryOrRespond("may_have_run");
-    this.#respondDeadlineExceeded();
+    respondDeadlineExceeded(this.#call);
     return true;
   }
 
@@ -375,8 +381,8 @@
     const next = this.#count.nextAction(verdict);
     if (next === "retry") return false;
     if (next === "refuse") refuseCall(call, "upstreams_full");
-    else if (next === "time_out") this.#respondDeadlineExceeded();
-    else this.#respondFailed("upstream failed, call may have run");
+    else if (next === "time_out") respondDeadlineExceeded(this.#call);
+    else respondFailed(this.#call, "upstream failed, call may have run");
     return true;
   }
 
@@ -384,23 +390,11 @@
     if (this.#call.res.headersSent) {
       abortResponse(this.#call, "no upstream left to resume the stream");
     } else if (this.#count.runs > 0) {
-      this.#respondFailed("no upstream left to retry the call");
+      respondFailed(this.#call, "no upstream left to retry the call");
     } else if (this.#count.declines > 0) {
       refuseCall(this.#call, "upstreams_full");
     } else if (this.#choice.permitWaitMs > 0) {
       refuseCall(this.#call, "upstreams_limited", this.#choice.permitWaitMs);
     } else refuseCall(this.#call, "no_upstream");
   }
-
-  #respondFailed(reason: string): void {
-    respond(this.#call, { status: 502, verdict: "may_have_run", reason });
-  }
-
-  #respondDeadlineExceeded(): void {
-    respond(this.#call, {
-      status: 504,
-      verdict: "may_have_run",
-      reason: "deadline exceeded",
-    });
-  }
 }
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -7,7 +7,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { AttemptLedger } from "./attempt_ledger.ts";
+import { neverAttempted } from "./attempt_ledger.ts";
 import { abortResponse, refuse, sendText } from "./responses.ts";
 import { answerClientErrors } from "./client_errors.ts";
 import { serveAuxiliary } from "./auxiliary.ts";
@@ -346,7 +346,6 @@
 
 /** Refuses a request whose body is not read. */
 function refuseUnread(res: ServerResponse): void {
-  const proof = new AttemptLedger().closeAsNotRun();
   res.setHeader("connection", "close");
-  if (proof) refuse(res, "memory_full", { proof });
+  refuse(res, "memory_full", { proof: neverAttempted() });
 }
--- a/packages/front/src/memory_guard.ts
+++ b/packages/front/src/memory_guard.ts
@@ -21,8 +21,8 @@
   metrics: Metrics;
 }
 
-/** Within this time a socket of 1 Gbit/s brings some 6 MB. */
-const CHECK_INTERVAL_MS = 50;
+/** A link of 1 Gbit/s brings some 25 MB within this time. */
+const CHECK_INTERVAL_MS = 200;
 const LOG_INTERVAL_MS = 1_000;
 
 /**
--- a/packages/front/src/memory_pressure.ts
+++ b/packages/front/src/memory_pressure.ts
@@ -2,9 +2,7 @@
 export type MemoryPurpose =
   | "request_bodies"
   | "responses"
-  | "streams"
-  | "relays"
-  | "links";
+  | "streams";
 
 /** Bytes that are held for one reader. */
 export interface HeldBytes<T> {
@@ -25,8 +23,6 @@
 export interface PressureDecision<T> {
   heldBytes: number;
   bytesByPurpose: Record<MemoryPurpose, number>;
-  /** Whether sources are slowed down: bodies of requests are not read. */
-  isPausing: boolean;
   /** Whether new requests are refused. */
   isRefusing: boolean;
   /** Readers to disconnect. */
@@ -39,7 +35,6 @@
  */
 const BUDGET_FRACTION = 0.3;
 /** Fractions of the budget from which each measure is taken. */
-const PAUSE_AT = 0.5;
 const REFUSE_AT = 0.7;
 const CUT_AT = 0.9;
 /** Readers are disconnected until this fraction of the budget is held. */
@@ -72,8 +67,6 @@
     request_bodies: 0,
     responses: 0,
     streams: 0,
-    relays: 0,
-    links: 0,
   };
   for (const { purpose, bytes } of held) bytesByPurpose[purpose] += bytes;
   const heldBytes = held.reduce((sum, it) => sum + it.bytes, 0);
@@ -84,7 +77,6 @@
   return {
     heldBytes,
     bytesByPurpose,
-    isPausing: fill >= PAUSE_AT,
     isRefusing,
     cut: fill >= CUT_AT || isStuck
       ? slowest(held, heldBytes - targetBytes)
--- a/packages/front/src/quota_client.ts
+++ b/packages/front/src/quota_client.ts
@@ -68,10 +68,11 @@
 
 /** A request waits for an answer for this long before it uses the reserve. */
 const ANSWER_WAIT_MS = 25;
-/** A later answer is accepted within this time. */
+/** A late answer still counts until the query is given up. */
 const QUERY_TIMEOUT_MS = 250;
-/** Leases are renewed after this time, and those running out after the other. */
+/** Leases are renewed well before they expire. */
 const RENEW_MS = 1_400;
+/** A lease that runs low is renewed earlier, at most once in this time. */
 const RENEW_EARLY_MS = 450;
 /**
  * Longest time that a request waits while no allocator answers or a new one has
@@ -81,8 +82,9 @@
 const RETRY_INTERVAL_MS = 80;
 /** A request that has waited in vain may come again after this time. */
 const RETRY_AFTER_MS = 400;
-/** Requests wait together for answers up to this number. */
+/** Bounds the memory for waiting requests; others are denied at once. */
 const MAX_WAITING = 1_000;
+
 /**
  * Admits the requests of organisations with a quota. Tokens are leased from the
  * allocator of the organisation, a front chosen from all connected ones.
--- a/packages/front/src/read_call.ts
+++ b/packages/front/src/read_call.ts
@@ -11,7 +11,7 @@
 import type { Timer } from "@toucantrestle/timer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { refuse, sendText } from "./responses.ts";
-import { AttemptLedger } from "./attempt_ledger.ts";
+import { AttemptLedger, neverAttempted } from "./attempt_ledger.ts";
 import type { Call } from "./call.ts";
 import { MAX_HEADER_BYTES } from "./listen.ts";
 import type { Protocol } from "./protocol.ts";
@@ -43,14 +43,12 @@
   opts: ReadCallOptions,
 ): Promise<Call | undefined> {
   const arrivedAt = opts.timer.monotonicNow();
-  const attempts = new AttemptLedger();
   const body = await readLimited(req, res, opts.config()?.limits);
   if (!body) return undefined;
   // The configuration may have changed while the body arrived.
   const config = opts.config();
   if (!config) {
-    const proof = attempts.closeAsNotRun();
-    if (proof) refuse(res, "no_config", { proof });
+    refuse(res, "no_config", { proof: neverAttempted() });
     return undefined;
   }
   const path = req.url ?? "/";
@@ -91,7 +89,7 @@
     organisation,
     arrivedAt,
     deadlineAt: arrivedAt + timeLimitMs,
-    attempts,
+    attempts: new AttemptLedger(),
     // Hashes the whole body, and is needed only after a crash of an upstream.
     get fingerprint() {
       return fingerprint ??= fingerprintOf(req, body, {
--- a/packages/front/src/responses.ts
+++ b/packages/front/src/responses.ts
@@ -94,6 +94,20 @@
   sendText(call.res, opts.status, opts.reason);
 }
 
+/** Answers a call that may have run and has no response that can be passed on. */
+export function respondFailed(call: Call, reason: string): void {
+  respond(call, { status: 502, verdict: "may_have_run", reason });
+}
+
+/** Answers a call that may have run and whose deadline has passed. */
+export function respondDeadlineExceeded(call: Call): void {
+  respond(call, {
+    status: 504,
+    verdict: "may_have_run",
+    reason: "deadline exceeded",
+  });
+}
+
 /** Ends the connection, so that the response does not look complete. */
 export function abortResponse(call: Call, reason: string): void {
   call.recorder.recordOutcome("cut_off", {
--- a/packages/organisations/src/key_digest.ts
+++ b/packages/organisations/src/key_digest.ts
@@ -9,8 +9,9 @@
 }
 
 /**
- * Returns a short digest that stands for a key in logs. It identifies the key
- * to those who hold it, and the key cannot be derived from it.
+ * Returns a short digest that stands for a key in logs. A key at
+ * hand can be compared with it. A guessable key can be found by trial, so keys
+ * must be random.
  */
 export function shortKeyDigest(key: string): string {
   const digest = createHash("sha256").update(key).digest("hex");
--- a/packages/organisations/src/organisation_index.ts
+++ b/packages/organisations/src/organisation_index.ts
@@ -38,8 +38,9 @@
 }
 
 /**
- * Finds organisations by API key, in constant time. Keys are compared by their
- * digests, so the time of a lookup tells nothing about the configured keys.
+ * Finds organisations by API key; the time of a lookup does not grow with their
+ * number. Keys are looked up by their digests, so the time tells nothing about
+ * the configured keys.
  */
 export class OrganisationIndex {
   readonly #byDigest = new Map<string, Organisation>();
--- a/packages/quota/src/bounds.ts
+++ b/packages/quota/src/bounds.ts
@@ -43,6 +43,8 @@
 const OVERAGE_IN_RESERVES = 0.3;
 /** Part of the slack that tokens in the bucket may use. */
 const SLACK_IN_BUCKET = 1 / 2;
+/** Part of the slack that the reserves of all fronts may use. */
+const SLACK_IN_RESERVES = 1 / 4;
 /** Part of the slack with which the bucket of a new allocator begins. */
 const SLACK_AT_START = 1 / 4;
 const MS_PER_S = 1_000;
@@ -58,7 +60,7 @@
  * Most tokens of a quota that may be unused or leased at the same time. The
  * rest of the overage is for tokens that are used up to `DIRECT_MS` after they
  * were counted, and for the reserves of fronts that cannot ask the allocator;
- * the rest of the slack is for two changes of allocator.
+ * the rest of the slack is for one change of allocator and for the reserves.
  */
 export function capacityOf(quota: Quota, bounds: QuotaBounds): number {
   const usedLater = quota.ratePerS * DIRECT_MS / MS_PER_S;
@@ -74,7 +76,8 @@
 
 /** Tokens that the reserves of all fronts may hold together. */
 export function reserveCapacity(quota: Quota, bounds: QuotaBounds): number {
-  return OVERAGE_IN_RESERVES * rateOverage(quota, bounds);
+  return OVERAGE_IN_RESERVES * rateOverage(quota, bounds) +
+    SLACK_IN_RESERVES * bounds.slack;
 }
 
 /** Requests by which the rate may be exceeded in one window. */
--- a/packages/quota/src/reserve.ts
+++ b/packages/quota/src/reserve.ts
@@ -40,8 +40,7 @@
     { own, now }: { own: number; now: number },
   ): boolean {
     const { bounds, self } = this.#opts;
-    const size = own *
-      (reserveCapacity(quota, bounds) + bounds.slack / 4);
+    const size = own * reserveCapacity(quota, bounds);
     // Shares of less than one token: some fronts get one, the others none.
     const isChosen = hash32(`${self}/${name}`) / HASH_RANGE < size;
     if (size < 1 && !isChosen) return false;
--- a/packages/timer/src/shared_ticks.ts
+++ b/packages/timer/src/shared_ticks.ts
@@ -1,7 +1,7 @@
 import type { Subscription, Timer } from "./timer.ts";
 
 interface Entry {
-  /** When it is due, in ms; it runs at the next point of its grid. */
+  /** When it is due, in ms; it runs at the next multiple of `gridMs`. */
   dueAt: number;
   gridMs: number;
   isCancelled: boolean;
@@ -9,6 +9,11 @@
   fn: () => void;
 }
 
+/**
+ * Callbacks run at multiples of these times since the start of the clock.
+ * Delays that are multiples of the coarse one use it, so that they wake the
+ * process together; the others must not be late by so much.
+ */
 const COARSE_GRID_MS = 200;
 const FINE_GRID_MS = 100;
 
