--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -9,6 +9,11 @@
   return `3e1b.07.${(nextSeal++).toString(16)}.600.0.c9f2a4d1`;
 }
 
+/** The whole body of the plain answer to a request: 800 bytes. */
+export function bodyOf(id) {
+  return `${id} `.repeat(800).slice(0, 800);
+}
+
 export class Worker {
   /** Requests that this worker began to work on. */
   runs = [];
@@ -163,7 +168,7 @@
     const id = headers.get("request-id");
     const head = { "Request-Id": id, "Server-Seal": sealOf() };
     if (!headers.has("token-count")) {
-      return this.#send(socket, 200, head, "x".repeat(800));
+      return this.#send(socket, 200, head, bodyOf(id));
     }
     socket.write(headText(200, {
       ...head,
