--- a/review/lib/product.mjs
+++ b/review/lib/product.mjs
@@ -85,8 +85,9 @@
 };
 
 export class Deployment {
-  constructor({ storeAddress, record }) {
+  constructor({ storeAddress, record, bounds = {} }) {
     this.storeAddress = storeAddress;
+    this.bounds = bounds;
     this.record = record;
     this.folder = mkdtempSync(join(tmpdir(), "review-"));
     this.machines = [];
@@ -183,7 +184,7 @@
         "platform",
       ],
       tolerate: { machines: DEFAULTS.tolerate, zones: 0, regions: 0 },
-      bounds: DEFAULTS.bounds,
+      bounds: { ...DEFAULTS.bounds, ...deployment.bounds },
       platform: {
         address: deployment.storeAddress,
         form: "kv",
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -113,12 +113,13 @@
     accounts = 2,
     config = CONFIG,
     workerOptions = {},
+    bounds = {},
   } = {},
 ) {
   const store = new Store();
   const storeAddress = await store.listen(nextIp());
   store.put("op/config", config);
-  const deployment = new Deployment({ storeAddress, record });
+  const deployment = new Deployment({ storeAddress, record, bounds });
   const workers = { models: [], accounts: [] };
   const site = {
     store,
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -14,6 +14,8 @@
   #compactedRev = 0;
   #nextLease = 1;
   #timer;
+  /** While true, each call is answered 503: nothing was done. */
+  isDown = false;
 
   constructor() {
     this.server = createServer((req, res) => this.#serve(req, res));
@@ -178,7 +180,9 @@
   async #serve(req, res) {
     let text = "";
     for await (const chunk of req) text += chunk;
-    const [status, body] = await this.#answer(req, res, text);
+    const [status, body] = this.isDown
+      ? [503, {}]
+      : await this.#answer(req, res, text);
     res.writeHead(status, { "content-type": "application/json" });
     res.end(JSON.stringify(body));
   }
