--- a/review/lib/product.mjs
+++ b/review/lib/product.mjs
@@ -186,7 +186,7 @@
       tolerate: { machines: DEFAULTS.tolerate, zones: 0, regions: 0 },
       bounds: { ...DEFAULTS.bounds, ...deployment.bounds },
       platform: {
-        address: deployment.storeAddress,
+        address: this.storeAddress ?? deployment.storeAddress,
         form: "kv",
         writesPerS: 400,
         readsPerS: 2000,
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -114,6 +114,8 @@
     config = CONFIG,
     workerOptions = {},
     bounds = {},
+    /** Gives each front a way of its own to each worker, which can be cut. */
+    hasOwnWays = false,
   } = {},
 ) {
   const store = new Store();
@@ -156,6 +158,9 @@
         await deployment.add({ name: `front-${i}`, role: "front" }),
       );
     }
+    if (hasOwnWays) {
+      for (const it of site.fronts) await openWays(it, site);
+    }
     for (let i = 1; i <= stores; i++) {
       site.turnStores.push(
         await deployment.add({ name: `storage-${i}`, role: "storage" }),
@@ -171,3 +176,19 @@
   }
   return site;
 }
+
+/** Gives a front ways of its own to all workers. */
+async function openWays(front, { store, workers }) {
+  const ways = new Map();
+  for (const worker of [...workers.models, ...workers.accounts]) {
+    ways.set(worker.id, await worker.openWay(nextIp()));
+  }
+  front.storeAddress = await store.listenFor(
+    nextIp(),
+    (id) => ways.get(id).address,
+  );
+  front.cutFromWorkers = () => ways.forEach((it) => it.cut());
+  front.reconnectToWorkers = async () => {
+    for (const it of ways.values()) await it.restore();
+  };
+}
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -14,6 +14,7 @@
   #compactedRev = 0;
   #nextLease = 1;
   #timer;
+  #views = [];
   /** While true, each call is answered 503: nothing was done. */
   isDown = false;
 
@@ -22,6 +23,22 @@
     this.server.keepAliveTimeout = 60_000;
   }
 
+  /**
+   * Listens on one more address, at which each worker is registered with the
+   * address by which one machine reaches it. Networks of machines can then be
+   * cut apart on loopback.
+   */
+  async listenFor(ip, addressOf) {
+    const server = createServer((req, res) => this.#serve(req, res, addressOf));
+    server.keepAliveTimeout = 60_000;
+    await new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(0, ip, resolve);
+    });
+    this.#views.push(server);
+    return `${ip}:${server.address().port}`;
+  }
+
   async listen(ip) {
     await new Promise((resolve, reject) => {
       this.server.once("error", reject);
@@ -33,8 +50,10 @@
 
   close() {
     clearInterval(this.#timer);
-    this.server.closeAllConnections();
-    this.server.close();
+    for (const server of [this.server, ...this.#views]) {
+      server.closeAllConnections();
+      server.close();
+    }
   }
 
   /** Writes a key as the operator or a worker; the return is the confirmation. */
@@ -177,13 +196,27 @@
     }
   }
 
-  async #serve(req, res) {
+  async #serve(req, res, addressOf = undefined) {
     let text = "";
     for await (const chunk of req) text += chunk;
     const [status, body] = this.isDown
       ? [503, {}]
       : await this.#answer(req, res, text);
+    if (addressOf) {
+      for (const list of ["items", "events"]) {
+        body[list] &&= body[list].map((it) => toView(it, addressOf));
+      }
+    }
     res.writeHead(status, { "content-type": "application/json" });
     res.end(JSON.stringify(body));
   }
 }
+
+/** Returns a worker's entry with the address of one machine's way to it. */
+function toView(item, addressOf) {
+  if (!item?.key.startsWith("servers/") || item.deleted) return item;
+  const entry = JSON.parse(Buffer.from(item.value, "base64").toString());
+  entry.address = addressOf(item.key.slice("servers/".length));
+  const value = Buffer.from(JSON.stringify(entry)).toString("base64");
+  return { ...item, value };
+}
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -19,6 +19,7 @@
   runs = [];
   #sockets = new Set();
   #seq = 0;
+  #ways = [];
   #beat;
   /** Called with a request; returns true if it has answered it itself. */
   onRequest = undefined;
@@ -60,7 +61,33 @@
     this.#beat = setInterval(() => this.#register(), BEAT_MS);
   }
 
+  /** Opens one more address, for the way of one machine to this worker. */
+  async openWay(ip) {
+    const sockets = new Set();
+    const server = createServer((socket) => {
+      sockets.add(socket);
+      socket.on("close", () => sockets.delete(socket));
+      this.#accept(socket);
+    });
+    await new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(0, ip, resolve);
+    });
+    this.#ways.push(server);
+    const { port } = server.address();
+    return {
+      address: `${ip}:${port}`,
+      /** Cuts the way: channels are reset, and new ones refused. */
+      cut() {
+        server.close();
+        for (const socket of sockets) socket.resetAndDestroy();
+      },
+      restore: () => new Promise((resolve) => server.listen(port, ip, resolve)),
+    };
+  }
+
   stop() {
+    for (const server of this.#ways) server.close();
     clearInterval(this.#beat);
     for (const socket of this.#sockets) socket.destroy();
     this.server.close();
