--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -86,7 +86,24 @@
     };
   }
 
+  /** Crashes: all channels close, and the worker is back after some time. */
+  async crash(backAfterMs) {
+    const { port } = this.server.address();
+    clearInterval(this.#beat);
+    this.server.close();
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+    await new Promise((resolve) => setTimeout(resolve, backAfterMs));
+    if (this.isStopped) return;
+    this.server.listen(port, this.ip, () => {
+      this.born = Date.now();
+      this.#seq = 0;
+      this.#register();
+      this.#beat = setInterval(() => this.#register(), BEAT_MS);
+    });
+  }
+
   stop() {
+    this.isStopped = true;
     for (const server of this.#ways) server.close();
     clearInterval(this.#beat);
     for (const socket of this.#sockets) socket.destroy();
