--- a/review/lib/product.mjs
+++ b/review/lib/product.mjs
@@ -91,6 +91,10 @@
     this.record = record;
     this.folder = mkdtempSync(join(tmpdir(), "review-"));
     this.machines = [];
+    // Nothing that was started outlives the script, however it ends.
+    process.on("exit", () => {
+      for (const { child } of this.machines) child?.kill("SIGKILL");
+    });
   }
 
   async add({ name, role, zone = "sala-norte" }) {
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -79,10 +79,19 @@
   },
 };
 
+const MAX_RUN_MS = 115_000;
+
 /** Runs a case and exits with its result: 1 broken, 0 held, 2 could not run. */
 export async function runCase(url, options, play) {
   const folder = fileURLToPath(new URL(".", url));
   const record = openRecord(join(folder, "record.txt"));
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.on(signal, () => process.exit(2));
+  }
+  setTimeout(() => {
+    record("could not run: it takes too long");
+    process.exit(2);
+  }, MAX_RUN_MS).unref();
   const hasTrouble = process.env.TROUBLE !== "0";
   record(`disturbance: ${hasTrouble ? "yes" : "no"}`);
   let site;
