Front: a malformed head of a response fails its own call and no process ends

Cause: nothing decided whether a response is well formed. http-parser-js checks neither names nor values of headers; writeHead throws for such a head, in the data event of the upstream's socket (trace: ERR_INVALID_CHAR, writeHead, forwardHead, onStreamData). Ruled out: an exception of the parser itself. The same cause was found on the way through a sibling.

Change: checkResponseHead in upstream_channel decides, for connections to upstreams and for the receiving end of a relay. A malformed head, or an exception while a response is handled, fails that exchange with bad_answer and may_have_run and closes its connection.

Test: packages/front/test/malformed_response_test.ts, 50 cases.

--- a/packages/front/src/exchange_relay.ts
+++ b/packages/front/src/exchange_relay.ts
@@ -1,8 +1,9 @@
 import type { StreamReceiver, StreamServerHandlers } from "@toucantrestle/link";
+import type { Logger } from "@toucantrestle/log";
 import type { UpstreamProcess, UpstreamRegistry } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
 import {
-  createResponseHead,
+  checkResponseHead,
   type ExchangeControl,
   type OutgoingRequest,
   type RawResponseHead,
@@ -75,9 +76,10 @@
 export function sendThroughSibling(
   open: OpenRelay,
   { id: upstream, startedAt }: UpstreamProcess,
-  { req, handlers }: {
+  { req, handlers, log }: {
     req: OutgoingRequest;
     handlers: ResponseHandlers<PathFailureReason>;
+    log: Logger;
   },
 ): ExchangeControl {
   let isOver = false;
@@ -89,17 +91,30 @@
     handlers.onFailure(failure);
   }
 
+  /** Fails an exchange whose response cannot be passed on. */
+  function abort(reason: unknown): void {
+    log.warn(`malformed response to ${req.id} from a sibling: ${reason}`);
+    stream?.send("cancel");
+    fail({ reason: "bad_answer", verdict: "may_have_run", hasDeliveredHead });
+  }
+
   function onPart(part: RelayPart): void {
     if (isOver) return;
-    PART_HANDLERS[part.kind](part as never);
+    try {
+      PART_HANDLERS[part.kind](part as never);
+    } catch (err) {
+      abort(err);
+    }
   }
 
   const PART_HANDLERS: {
     [K in RelayPart["kind"]]: (part: Extract<RelayPart, { kind: K }>) => void;
   } = {
     head({ head }) {
+      const check = checkResponseHead(head);
+      if (check.kind === "malformed") return abort(check.reason);
       hasDeliveredHead = true;
-      handlers.onHead(createResponseHead(head));
+      handlers.onHead(check.head);
     },
     data: ({ bytes }) => handlers.onData(Buffer.from(bytes)),
     end() {
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -232,6 +232,7 @@
     paths: new UpstreamPaths({
       pools,
       directPath,
+      log: loggers("upstream"),
       chooseRelay: (dataCentre) =>
         siblings.requests.chooseExchangeRelay(dataCentre),
     }),
--- a/packages/front/src/upstream_paths.ts
+++ b/packages/front/src/upstream_paths.ts
@@ -1,3 +1,4 @@
+import type { Logger } from "@toucantrestle/log";
 import type { TrackedUpstream } from "@toucantrestle/routing";
 import type {
   ExchangeControl,
@@ -14,6 +15,7 @@
 export interface UpstreamPathsOptions {
   pools: UpstreamPools;
   directPath: DirectPath;
+  log: Logger;
   /**
    * Returns how to open a relay through a sibling that reaches the upstreams of
    * a data centre, or of any; undefined if there is none.
@@ -50,7 +52,7 @@
     upstream: TrackedUpstream,
     { avoidsDirect }: { avoidsDirect: boolean },
   ): UpstreamPath | undefined {
-    const { pools, directPath, chooseRelay } = this.#opts;
+    const { pools, directPath, chooseRelay, log } = this.#opts;
     const { entry } = upstream;
     const { id, dataCentre } = entry;
     // Connections that were open before the cut and are idle now have worked.
@@ -61,7 +63,7 @@
     return open && {
       kind: "sibling",
       send: (req, handlers) =>
-        sendThroughSibling(open, entry, { req, handlers }),
+        sendThroughSibling(open, entry, { req, handlers, log }),
     };
   }
 
--- /dev/null
+++ b/packages/front/test/malformed_response_test.ts
@@ -0,0 +1,185 @@
+import { expect } from "earl";
+import type { Socket } from "node:net";
+import process from "node:process";
+import { after, before, beforeEach, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { PathFault } from "./path_fault.ts";
+import { type CallResult, TestCluster } from "./test_cluster.ts";
+
+/** A body over this size is forwarded before its end. */
+const LARGE_BODY = "x".repeat(300_000);
+const PLAIN_BODY = "0123456789".repeat(4);
+const STREAM = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const TURN_HEADERS = {
+  "x-program": "p",
+  "x-budget": "1000000",
+  "x-prompt-tokens": "10",
+  "x-max-output": "5",
+};
+/** Calls on these paths may run once. */
+const BODIES: Record<string, string> = {
+  "/once/": PLAIN_BODY,
+  "/large/": LARGE_BODY,
+  "/events/": STREAM,
+  "/again/": STREAM,
+  "/kept/": STREAM,
+};
+/** Statuses that assure a caller that its request did not run. */
+const NOT_RUN_STATUSES = [408, 421, 429, 503];
+const CUT_DETECTION_MS = 3_000;
+
+/** A response that no upstream may send. */
+interface Malformed {
+  name: string;
+  /** Returns the bytes of the response; `marks` are proper header lines. */
+  bytes: (marks: string, body: string) => string;
+  /** How the connection ends after the last byte, if it does. */
+  ending?: "close" | "reset";
+}
+
+function chunked(...parts: string[]): string {
+  return parts.map((it) => `${it.length.toString(16)}\r\n${it}\r\n`).join("");
+}
+
+function withLength(body: string): string {
+  return `content-length: ${body.length}\r\n\r\n${body}`;
+}
+
+const MALFORMED_HEADS: Malformed[] = [
+  {
+    name: "a control character in the value of a header",
+    bytes: (marks, body) =>
+      `HTTP/1.1 200 OK\r\n${marks}x-a: b\x01c\r\n${withLength(body)}`,
+  },
+  {
+    name: "a character in the name of a header that no token may hold",
+    bytes: (marks, body) =>
+      `HTTP/1.1 200 OK\r\n${marks}x(a: b\r\n${withLength(body)}`,
+  },
+  {
+    name: "a control character in the name of a header",
+    bytes: (marks, body) =>
+      `HTTP/1.1 200 OK\r\n${marks}x\x02a: b\r\n${withLength(body)}`,
+  },
+  {
+    name: "a control character in the head of a chunked body",
+    bytes: (marks, body) =>
+      `HTTP/1.1 200 OK\r\n${marks}x-a: \x7f\r\ntransfer-encoding: chunked\r\n\r\n${
+        chunked(body)
+      }0\r\n\r\n`,
+  },
+  {
+    name: "a control character in the head of a body without a length",
+    bytes: (marks, body) =>
+      `HTTP/1.1 200 OK\r\n${marks}x-a: \x00\r\n\r\n${body}`,
+    ending: "close",
+  },
+];
+
+/** Exceptions that would have ended the process of a front. */
+const uncaught: unknown[] = [];
+process.on("uncaughtExceptionMonitor", (err) => uncaught.push(err));
+
+/** A failure is known at once and not at the deadline of the call. */
+const FAILURE_MS = 1_000;
+
+const cluster = new TestCluster();
+let malformed: Malformed | undefined;
+let nextId = 0;
+
+/** Answers with the current bytes, or well if there are none. */
+function writeResponse(id: string, path: string, socket: Socket): void {
+  const marks = `x-id: ${id}\r\nx-mark: u\r\n`;
+  const body = BODIES[path] ?? PLAIN_BODY;
+  if (!malformed) {
+    socket.write(`HTTP/1.1 200 OK\r\n${marks}${withLength(body)}`);
+    return;
+  }
+  socket.write(malformed.bytes(marks, body), "latin1");
+  if (malformed.ending === "close") socket.end();
+  if (malformed.ending === "reset") {
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  }
+}
+
+before(async () => {
+  cluster.configure([
+    { prefix: "/plain/" },
+    { prefix: "/once/", kind: "non_idempotent", maxRuns: 1 },
+    { prefix: "/large/", kind: "non_idempotent", maxRuns: 1 },
+    { prefix: "/events/", kind: "streaming", maxRuns: 1 },
+    { prefix: "/again/", kind: "streaming", isResumable: true, maxRuns: 1 },
+    { prefix: "/kept/", kind: "streaming", keepsTurns: true, maxRuns: 1 },
+  ]);
+  await cluster.addTurnStores(3);
+  for (const id of ["u1", "u2"]) {
+    await cluster.addUpstream(
+      id,
+      (received, res) =>
+        writeResponse(received.id, received.path, res.req.socket),
+    );
+  }
+  const path = new PathFault();
+  await cluster.addFront();
+  await cluster.addFront({ dial: path.dial });
+  await cluster.waitUntilReady("/kept/", TURN_HEADERS);
+  path.cut("hang");
+  await settleCut();
+});
+
+after(() => cluster.close());
+
+beforeEach(() => {
+  malformed = undefined;
+  cluster.received.length = 0;
+});
+
+/** Calls the second front until it has noticed that it reaches no upstream. */
+async function settleCut(): Promise<void> {
+  const end = performance.now() + CUT_DETECTION_MS;
+  while (performance.now() < end) {
+    call("/plain/", 1).catch(() => {});
+    await delay(100);
+  }
+}
+
+function call(path: string, front: number): Promise<CallResult> {
+  nextId += 1;
+  return cluster.call(path, {
+    front,
+    headers: { ...TURN_HEADERS, "x-id": `m${nextId}` },
+  });
+}
+
+/** The call failed, and its caller is not told that it has not run. */
+function expectFailure(result: CallResult | undefined): void {
+  if (result === undefined) return;
+  const looksComplete = result.status < 300 && result.isComplete;
+  expect(looksComplete).toEqual(false);
+  expect(NOT_RUN_STATUSES.includes(result.status)).toEqual(false);
+}
+
+const WAYS = { "direct": 0, "through a sibling": 1 };
+
+for (const [way, front] of Object.entries(WAYS)) {
+  for (const path of Object.keys(BODIES)) {
+    describe(`a malformed response (${way}, ${path})`, () => {
+      for (const it_ of MALFORMED_HEADS) {
+        // Guards against a front that ends because it writes a head that no
+        // server may write.
+        it(`fails its call alone: ${it_.name}`, async () => {
+          malformed = it_;
+          const startedAt = performance.now();
+          const result = await call(path, front).catch(() => undefined);
+          expectFailure(result);
+          expect(performance.now() - startedAt).toBeLessThan(FAILURE_MS);
+          expect(uncaught).toEqual([]);
+          expect(cluster.received.length).toEqual(1);
+          malformed = undefined;
+          const next = await call(path, front);
+          expect([next.status, next.body]).toEqual([200, BODIES[path] ?? ""]);
+        });
+      }
+    });
+  }
+}
--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -4,13 +4,13 @@
 import type { Socket } from "node:net";
 import type { ContactListener } from "./contact.ts";
 import type { Dial } from "./dial.ts";
-import {
-  type ChannelFailure,
-  createResponseHead,
-  type OutgoingRequest,
-  type ResponseHandlers,
-  type ResponseHead,
+import type {
+  ChannelFailure,
+  OutgoingRequest,
+  ResponseHandlers,
+  ResponseHead,
 } from "./exchange.ts";
+import { checkResponseHead } from "./response_head.ts";
 
 /** Options of one connection. */
 export interface ChannelOptions {
@@ -146,11 +146,30 @@
     this.#opts.contact.onReceived();
     if (!this.#exchange) return this.#close("bad_answer");
     this.#bytesWithoutBody += chunk.length;
-    const parsed = this.#parser.execute(chunk);
+    const parsed = this.#parse(chunk);
     const isEndless = this.#bytesWithoutBody > MAX_BYTES_WITHOUT_BODY;
     if (parsed instanceof Error || isEndless) this.#close("bad_answer");
   }
 
+  /** Returns the error of the parser or of a callback, if any. */
+  #parse(chunk: Buffer): unknown {
+    try {
+      return this.#parser.execute(chunk);
+    } catch (err) {
+      this.#opts.log.error(
+        `cannot handle the response to ${this.#exchange?.req.id}: ${err}`,
+      );
+      return err;
+    }
+  }
+
+  #onMalformed(reason: string): void {
+    this.#opts.log.warn(
+      `malformed response to ${this.#exchange?.req.id}: ${reason}`,
+    );
+    this.#close("bad_answer");
+  }
+
   #onEnd(): void {
     const err = this.#isClosed ? undefined : this.#parser.finish() as unknown;
     if (err instanceof Error) this.#close("connection_lost");
@@ -181,7 +200,9 @@
   #onHead(status: number, rawHeaders: string[], canKeepAlive: boolean): void {
     const exchange = this.#exchange;
     if (!exchange) return this.#close("bad_answer");
-    const head = createResponseHead({ status, rawHeaders });
+    const check = checkResponseHead({ status, rawHeaders });
+    if (check.kind === "malformed") return this.#onMalformed(check.reason);
+    const { head } = check;
     const echoedId = this.#opts.echoedRequestId(head);
     const isInterim = status < 200;
     this.#isSkipping = isInterim ||
--- a/packages/upstream_channel/src/exchange.ts
+++ b/packages/upstream_channel/src/exchange.ts
@@ -30,22 +30,6 @@
 /** Status and headers of a response as the upstream sent them. */
 export type RawResponseHead = Pick<ResponseHead, "status" | "rawHeaders">;
 
-/** Adds what follows from the headers to a response head. */
-export function createResponseHead(raw: RawResponseHead): ResponseHead {
-  const headers = new Map<string, string>();
-  for (let i = 0; i + 1 < raw.rawHeaders.length; i += 2) {
-    const name = (raw.rawHeaders[i] as string).toLowerCase();
-    headers.set(name, raw.rawHeaders[i + 1] as string);
-  }
-  return { ...raw, headers, bodyDelimiter: bodyDelimiterOf(headers) };
-}
-
-function bodyDelimiterOf(headers: Map<string, string>): BodyDelimiter {
-  const transferEncoding = headers.get("transfer-encoding")?.toLowerCase();
-  if (transferEncoding === "chunked") return "chunked";
-  return headers.has("content-length") ? "length" : "close";
-}
-
 /** Why an exchange over a connection to the upstream failed. */
 export type ChannelFailureReason =
   | "connect_refused"
--- a/packages/upstream_channel/src/mod.ts
+++ b/packages/upstream_channel/src/mod.ts
@@ -15,7 +15,7 @@
   ResponseHandlers,
   ResponseHead,
 } from "./exchange.ts";
-export { createResponseHead } from "./exchange.ts";
+export { checkResponseHead, type HeadCheck } from "./response_head.ts";
 export { ChannelPool, type ChannelPoolOptions } from "./channel_pool.ts";
 export type { ContactListener } from "./contact.ts";
 export { type Dial, dialTcp } from "./dial.ts";
