Upstream connections: wrong bytes within a body never look like its end

Cause: http-parser-js reads a chunk size that is no number as 0, the last chunk, and reports the end of the message (trace: answered, chunked, 400 of 800 bytes, 1 ms after the wrong bytes). Nothing else checked the framing. Ruled out: a front that completes a body which the parser reported as cut.

Change: ResponseParser in upstream_channel is the one place that decides what is a response. It parses with llhttp, strictly, in the build that undici ships and which the bundle of a front held already, and checkResponseHead rejects a head that does not tell where its body ends. http-parser-js is gone.

--- a/deploy/lighter_imports.js
+++ b/deploy/lighter_imports.js
@@ -37,6 +37,9 @@
     ]),
   ),
   undici: "./deploy/undici_dispatchers.cjs",
+  "undici/lib/llhttp/llhttp-wasm.js": resolve(
+    "node_modules/undici/lib/llhttp/llhttp-wasm.js",
+  ),
   "prom-client": "./deploy/prom_metrics.cjs",
   // The full entry adds reporters for terminals; the program has its own.
   consola: resolve("node_modules/consola/dist/core.mjs"),
--- a/packages/front/test/malformed_response_test.ts
+++ b/packages/front/test/malformed_response_test.ts
@@ -76,6 +76,136 @@
   },
 ];
 
+/** Half of a body and how the rest of it is not to be framed. */
+function halfThen(rest: string): Malformed["bytes"] {
+  return (marks, body) => {
+    const half = body.slice(0, Math.floor(body.length / 2));
+    return `HTTP/1.1 200 OK\r\n${marks}transfer-encoding: chunked\r\n\r\n${
+      chunked(half)
+    }${rest}`;
+  };
+}
+
+/** A whole body under headers that do not tell where it ends. */
+function framedBy(headers: string): Malformed["bytes"] {
+  return (marks, body) =>
+    `HTTP/1.1 200 OK\r\n${marks}${headers}\r\n\r\n${body}`;
+}
+
+/** A whole response with a first line that is none. */
+function startingWith(line: string): Malformed["bytes"] {
+  return (marks, body) => `${line}\r\n${marks}${withLength(body)}`;
+}
+
+const MALFORMED_BODIES: Malformed[] = [
+  { name: "a chunk size that is no number", bytes: halfThen("zz\r\n\r\n") },
+  { name: "an empty chunk size", bytes: halfThen("\r\n\r\n") },
+  { name: "a negative chunk size", bytes: halfThen("-1\r\n\r\n") },
+  { name: "a chunk size with a prefix", bytes: halfThen("0x0\r\n\r\n") },
+  { name: "a chunk size after a space", bytes: halfThen(" 0\r\n\r\n") },
+  {
+    name: "a chunk size that no number holds",
+    bytes: halfThen("fffffffffffffffff\r\nx"),
+  },
+  {
+    name: "a chunk that lacks its line end",
+    bytes: halfThen("1\r\nx0\r\n\r\n"),
+  },
+  { name: "a last chunk with another line end", bytes: halfThen("0\n\n") },
+  {
+    name: "a malformed trailer",
+    bytes: halfThen("0\r\nx\x01: a\r\n\r\n"),
+  },
+  {
+    name: "chunks that end with the connection",
+    bytes: halfThen(""),
+    ending: "close",
+  },
+  {
+    name: "chunks that end with a reset",
+    bytes: halfThen(""),
+    ending: "reset",
+  },
+  { name: "a length that is no number", bytes: framedBy("content-length: a") },
+  {
+    name: "a length that begins as one",
+    bytes: framedBy("content-length: 4a"),
+  },
+  { name: "a negative length", bytes: framedBy("content-length: -4") },
+  { name: "a length with a sign", bytes: framedBy("content-length: +4") },
+  { name: "an empty length", bytes: framedBy("content-length: ") },
+  {
+    name: "two lengths",
+    bytes: framedBy("content-length: 4\r\ncontent-length: 8"),
+  },
+  { name: "a list of lengths", bytes: framedBy("content-length: 4, 4") },
+  {
+    name: "a length and chunks",
+    bytes: (marks, body) =>
+      `HTTP/1.1 200 OK\r\n${marks}content-length: 4\r\n` +
+      `transfer-encoding: chunked\r\n\r\n${chunked(body)}0\r\n\r\n`,
+  },
+  {
+    name: "a coding that was not asked for",
+    bytes: (marks, body) =>
+      `HTTP/1.1 200 OK\r\n${marks}transfer-encoding: gzip, chunked\r\n\r\n${
+        chunked(body)
+      }0\r\n\r\n`,
+  },
+  {
+    name: "a coding that ends with the connection",
+    bytes: framedBy("transfer-encoding: identity"),
+    ending: "close",
+  },
+  {
+    name: "a body that is shorter than its length",
+    bytes: (marks, body) =>
+      `HTTP/1.1 200 OK\r\n${marks}content-length: ${
+        body.length + 1
+      }\r\n\r\n${body}`,
+    ending: "close",
+  },
+  {
+    name: "a body without a length that is reset",
+    bytes: (marks, body) => `HTTP/1.1 200 OK\r\n${marks}\r\n${body}`,
+    ending: "reset",
+  },
+];
+
+const MALFORMED_LINES: Malformed[] = [
+  { name: "another protocol", bytes: startingWith("ICY 200 OK") },
+  { name: "another version", bytes: startingWith("HTTP/2.0 200 OK") },
+  { name: "a status of two digits", bytes: startingWith("HTTP/1.1 20 OK") },
+  { name: "a status of four digits", bytes: startingWith("HTTP/1.1 2000 OK") },
+  {
+    name: "a status that no server sends",
+    bytes: startingWith("HTTP/1.1 999 OK"),
+  },
+  { name: "no status", bytes: startingWith("HTTP/1.1 OK") },
+  {
+    name: "an upgrade",
+    bytes: startingWith(
+      "HTTP/1.1 101 OK\r\nconnection: upgrade\r\nupgrade: h2c",
+    ),
+  },
+  {
+    name: "a line that is no header",
+    bytes: startingWith("HTTP/1.1 200 OK\r\nx-a"),
+  },
+  {
+    name: "a header name before a space",
+    bytes: startingWith("HTTP/1.1 200 OK\r\nx-a : b"),
+  },
+  {
+    name: "a header on two lines",
+    bytes: startingWith("HTTP/1.1 200 OK\r\nx-a: b\r\n c"),
+  },
+  {
+    name: "a line end within a header",
+    bytes: startingWith("HTTP/1.1 200 OK\r\nx-a: b\rc"),
+  },
+];
+
 /** Exceptions that would have ended the process of a front. */
 const uncaught: unknown[] = [];
 process.on("uncaughtExceptionMonitor", (err) => uncaught.push(err));
@@ -159,16 +289,21 @@
   expect(NOT_RUN_STATUSES.includes(result.status)).toEqual(false);
 }
 
+const MALFORMED = [
+  ...MALFORMED_HEADS,
+  ...MALFORMED_BODIES,
+  ...MALFORMED_LINES,
+];
 const WAYS = { "direct": 0, "through a sibling": 1 };
 
 for (const [way, front] of Object.entries(WAYS)) {
   for (const path of Object.keys(BODIES)) {
     describe(`a malformed response (${way}, ${path})`, () => {
-      for (const it_ of MALFORMED_HEADS) {
+      for (const response of MALFORMED) {
         // Guards against a front that ends because it writes a head that no
-        // server may write.
-        it(`fails its call alone: ${it_.name}`, async () => {
-          malformed = it_;
+        // server may write, and against a part of a body that looks whole.
+        it(`fails its call alone: ${response.name}`, async () => {
+          malformed = response;
           const startedAt = performance.now();
           const result = await call(path, front).catch(() => undefined);
           expectFailure(result);
--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -1,6 +1,5 @@
 import type { Logger } from "@toucantrestle/log";
 import type { Subscription, Timer } from "@toucantrestle/timer";
-import { HTTPParser, type HTTPParserJS } from "http-parser-js";
 import type { Socket } from "node:net";
 import type { ContactListener } from "./contact.ts";
 import type { Dial } from "./dial.ts";
@@ -10,7 +9,7 @@
   ResponseHandlers,
   ResponseHead,
 } from "./exchange.ts";
-import { checkResponseHead } from "./response_head.ts";
+import { ResponseParser, type ResponsePart } from "./response_parser.ts";
 
 /** Options of one connection. */
 export interface ChannelOptions {
@@ -40,8 +39,6 @@
 const IDLE_MARGIN_MS = 500;
 /** Bytes that may arrive in a row without a byte of the awaited body. */
 const MAX_BYTES_WITHOUT_BODY = 131_072;
-/** Tells the parser that a response has no body in spite of its headers. */
-const SKIP_BODY = 1;
 /** Idle timeout if the upstream announces none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
 
@@ -50,7 +47,7 @@
   readonly #opts: ChannelOptions;
   readonly #socket: Socket;
   readonly #connectTimeout: Subscription;
-  #parser: HTTPParserJS;
+  readonly #parser = new ResponseParser();
   #exchange: Exchange | undefined;
   /** True while parsing an interim response or one to an earlier request. */
   #isSkipping = false;
@@ -63,7 +60,6 @@
 
   constructor(opts: ChannelOptions) {
     this.#opts = opts;
-    this.#parser = this.#createParser();
     this.#socket = opts.dial(opts.address);
     this.#connectTimeout = opts.timer.after(
       opts.connectTimeoutMs,
@@ -135,6 +131,7 @@
       head += `${headers[i]}: ${headers[i + 1]}\r\n`;
     }
     exchange.isSent = true;
+    this.#parser.expectResponseTo(method);
     this.#socket.cork();
     this.#socket.write(`${head}\r\n`, "latin1");
     if (body.length > 0) this.#socket.write(body);
@@ -146,20 +143,32 @@
     this.#opts.contact.onReceived();
     if (!this.#exchange) return this.#close("bad_answer");
     this.#bytesWithoutBody += chunk.length;
-    const parsed = this.#parse(chunk);
+    let rest = chunk;
+    while (rest.length > 0 && !this.#isClosed) rest = this.#parse(rest);
     const isEndless = this.#bytesWithoutBody > MAX_BYTES_WITHOUT_BODY;
-    if (parsed instanceof Error || isEndless) this.#close("bad_answer");
+    if (isEndless) this.#close("bad_answer");
   }
 
-  /** Returns the error of the parser or of a callback, if any. */
-  #parse(chunk: Buffer): unknown {
+  /** Parses bytes up to the end of one response, and returns the others. */
+  #parse(bytes: Buffer): Buffer {
+    const { parts, rest, fault } = this.#parser.parse(bytes);
+    for (const part of parts) this.#deliver(part, rest.length > 0);
+    if (fault !== undefined && !this.#isClosed) this.#onMalformed(fault);
+    return rest;
+  }
+
+  /** Hands a part on; what goes wrong then concerns this exchange alone. */
+  #deliver(part: ResponsePart, hasMoreBytes: boolean): void {
+    if (this.#isClosed) return;
     try {
-      return this.#parser.execute(chunk);
+      if (part.kind === "head") this.#onHead(part);
+      else if (part.kind === "data") this.#onBody(part.bytes);
+      else this.#onComplete(hasMoreBytes);
     } catch (err) {
       this.#opts.log.error(
         `cannot handle the response to ${this.#exchange?.req.id}: ${err}`,
       );
-      return err;
+      this.#close("bad_answer");
     }
   }
 
@@ -171,8 +180,8 @@
   }
 
   #onEnd(): void {
-    const err = this.#isClosed ? undefined : this.#parser.finish() as unknown;
-    if (err instanceof Error) this.#close("connection_lost");
+    if (this.#isClosed) return;
+    for (const part of this.#parser.finish()) this.#deliver(part, false);
     this.#close("connection_lost");
   }
 
@@ -182,29 +191,19 @@
     this.#close(isRefused ? "connect_refused" : "connection_lost");
   }
 
-  #createParser(): HTTPParserJS {
-    const parser = new HTTPParser(HTTPParser.RESPONSE);
-    parser[HTTPParser.kOnHeadersComplete] = (info) => {
-      this.#onHead(info.statusCode, info.headers, info.shouldKeepAlive);
-      return this.#exchange?.req.method === "HEAD" ? SKIP_BODY : 0;
-    };
-    parser[HTTPParser.kOnBody] = (buffer, offset, length) => {
-      if (this.#isSkipping || !this.#exchange) return;
-      this.#bytesWithoutBody = 0;
-      this.#exchange.handlers.onData(buffer.subarray(offset, offset + length));
-    };
-    parser[HTTPParser.kOnMessageComplete] = () => this.#onComplete();
-    return parser;
+  #onBody(bytes: Buffer): void {
+    if (this.#isSkipping || !this.#exchange) return;
+    this.#bytesWithoutBody = 0;
+    this.#exchange.handlers.onData(bytes);
   }
 
-  #onHead(status: number, rawHeaders: string[], canKeepAlive: boolean): void {
+  #onHead(
+    { head, canKeepAlive }: Extract<ResponsePart, { kind: "head" }>,
+  ): void {
     const exchange = this.#exchange;
     if (!exchange) return this.#close("bad_answer");
-    const check = checkResponseHead({ status, rawHeaders });
-    if (check.kind === "malformed") return this.#onMalformed(check.reason);
-    const { head } = check;
     const echoedId = this.#opts.echoedRequestId(head);
-    const isInterim = status < 200;
+    const isInterim = head.status < 200;
     this.#isSkipping = isInterim ||
       (echoedId !== undefined && echoedId !== exchange.req.id);
     if (this.#isSkipping) {
@@ -222,8 +221,8 @@
     exchange.handlers.onHead(head);
   }
 
-  #onComplete(): void {
-    if (this.#isClosed) return;
+  /** Bytes that follow a response belong to no request. */
+  #onComplete(hasMoreBytes: boolean): void {
     if (this.#isSkipping) {
       this.#isSkipping = false;
       return;
@@ -233,9 +232,7 @@
     this.#exchange = undefined;
     this.#socket.resume();
     this.#idleSince = this.#opts.timer.monotonicNow();
-    const { offset, end } = this.#parser as unknown as ParserPosition;
-    const hasExtraBytes = offset < end;
-    if (hasExtraBytes || !this.#canKeepAlive) this.#close("cancelled");
+    if (hasMoreBytes || !this.#canKeepAlive) this.#close("cancelled");
     else this.#opts.onIdle(this);
     exchange.handlers.onEnd();
   }
@@ -244,6 +241,7 @@
     if (this.#isClosed) return;
     this.#isClosed = true;
     this.#connectTimeout.cancel();
+    this.#parser.free();
     this.#socket.destroy();
     if (!this.#isConnected && reason !== "cancelled") {
       this.#opts.contact.onConnectFailed();
@@ -259,12 +257,6 @@
   }
 }
 
-/** Position of the parser within the current chunk. */
-interface ParserPosition {
-  offset: number;
-  end: number;
-}
-
 /** Returns the idle timeout announced by a `Keep-Alive` header, in ms. */
 function parseIdleTimeoutMs(headers: Map<string, string>): number | undefined {
   const match = /timeout=(\d+)/i.exec(headers.get("keep-alive") ?? "");
