Turn stores: what a program has spent is known as long as the program is

Cause: the spending of a program is a record a turn, each of which expired by itself: at the start of a store, at the deletion of a segment, and at those members of a quorum that the program's newest turn had not reached.

Change: a start keeps all records of a program of which one is unexpired; before a segment goes, what outlives its expiry is appended again; a reservation is granted only if a quorum that keeps the program for its sake has its ageing spending too (retain).

--- a/packages/turn_journal/src/journal.ts
+++ b/packages/turn_journal/src/journal.ts
@@ -69,6 +69,8 @@
 }
 
 const EMPTY_SEGMENT = { bytes: 0, summaryBytes: 0, frames: [] };
+/** Share of the size limit that only renewed records may use. */
+const RENEWAL_SHARE = 1 / 16;
 /** Segments are small because a restart reads the last one in full. */
 const DEFAULT_SEGMENT_BYTES = 2_000_000;
 const FILE_NAME_DIGITS = 8;
@@ -134,12 +136,27 @@
    * @throws {JournalFullError} if the record would exceed the size limit
    */
   append(record: R): Promise<void> {
+    return this.#enqueue(record, this.#opts.maxBytes * (1 - RENEWAL_SHARE));
+  }
+
+  /**
+   * Appends a record again that is stored in a segment which is about to
+   * expire. A share of the size limit is reserved for such records, because
+   * that segment cannot be deleted before.
+   *
+   * @throws {JournalFullError} if the record would exceed the size limit
+   */
+  renew(record: R): Promise<void> {
+    return this.#enqueue(record, this.#opts.maxBytes);
+  }
+
+  #enqueue(record: R, maxBytes: number): Promise<void> {
     const metadata = this.#opts.metadataOf(record);
     const frame = encodeFrame(metadata, record);
-    if (this.bytes + frame.length > this.#opts.maxBytes) {
+    if (this.bytes + frame.length > maxBytes) {
       return Promise.reject(
         new JournalFullError(
-          `journal is full: ${this.bytes} of ${this.#opts.maxBytes} bytes ` +
+          `journal is full: ${this.bytes} of ${maxBytes} bytes ` +
             `are used, the record needs ${frame.length} bytes`,
         ),
       );
@@ -160,7 +177,10 @@
     this.#activeSegment = undefined;
   }
 
-  /** Deletes closed segments whose records have all expired. */
+  /**
+   * Deletes closed segments whose records have all expired. Records that have
+   * to outlive their expiry must have been renewed.
+   */
   async sweep(now: number): Promise<void> {
     for (const segment of [...this.#segments]) {
       if (segment === this.#activeSegment || segment.expiresAt > now) continue;
--- a/packages/turn_log/src/mod.ts
+++ b/packages/turn_log/src/mod.ts
@@ -28,6 +28,7 @@
   keyOfTurn,
   laterOrigin,
   type PromptHint,
+  retainedUntil,
   scopedId,
   type Spending,
   type SpendRecord,
--- a/packages/turn_log/src/record.ts
+++ b/packages/turn_log/src/record.ts
@@ -29,7 +29,13 @@
   hint: PromptHint | undefined;
   /** Where the turn's stream began; undefined if it cannot be resumed. */
   origin?: StreamOrigin | undefined;
+  /** Wall-clock time in ms until which the record is kept by itself. */
   expiresAt: number;
+  /**
+   * Wall-clock time in ms until which it is kept because later turns of the
+   * program are; undefined if it was not renewed.
+   */
+  keptUntil?: number | undefined;
 }
 
 /**
@@ -136,6 +142,12 @@
   return `program/${program}`;
 }
 
+/** Returns the wall-clock time in ms after which a record may be dropped. */
+export function retainedUntil(record: TurnLogRecord): number {
+  if (record.kind === "turn") return record.expiresAt;
+  return Math.max(record.expiresAt, record.keptUntil ?? 0);
+}
+
 /** Returns the key of a record. */
 export function keyOfRecord(record: TurnLogRecord): string {
   return record.kind === "turn"
--- a/packages/turn_log/src/replica.ts
+++ b/packages/turn_log/src/replica.ts
@@ -4,6 +4,7 @@
   keyOfTurn,
   laterOrigin,
   type PromptHint,
+  retainedUntil,
   type Spending,
   type SpendRecord,
   type StreamOrigin,
@@ -188,6 +189,37 @@
     return spending;
   }
 
+  /** Returns the turns of a program whose records expire before a time. */
+  turnsExpiringBefore(program: string, time: number): string[] {
+    this.#loadKey(keyOfProgram(program));
+    const spends = this.#programs.get(program)?.spends.values() ?? [];
+    return [...spends].filter((it) => it.expiresAt < time)
+      .map((it) => it.turn);
+  }
+
+  /**
+   * Returns the records that have expired on disk although their program has
+   * not, with the time until which they are to be kept. Those that are only on
+   * disk are loaded, because their file may be deleted next.
+   *
+   * @throws if a record cannot be read
+   */
+  renewalsDue(now: number): SpendRecord[] {
+    for (const [key, all] of this.#deferred) {
+      const expired = all.filter((it) => it.expiresAt <= now).length;
+      if (expired > 0 && expired < all.length) this.#loadKey(key);
+    }
+    const due: SpendRecord[] = [];
+    for (const { spends, expiresAt } of this.#programs.values()) {
+      for (const it of spends.values()) {
+        const until = retainedUntil(it);
+        if (until > now || expiresAt <= now) continue;
+        due.push({ ...it, keptUntil: expiresAt });
+      }
+    }
+    return due;
+  }
+
   /** Returns where the stream of a program's turn began, if it is stored. */
   originOf(program: string, turn: string): StreamOrigin | undefined {
     this.#loadKey(keyOfProgram(program));
@@ -223,7 +255,10 @@
     return { turns, spends };
   }
 
-  /** Evicts expired records. */
+  /**
+   * Evicts expired turns and programs. The spending of a program is kept as a
+   * whole until its last record expires.
+   */
   sweep(now: number): void {
     for (const [key, all] of this.#deferred) {
       if (all.every((it) => it.expiresAt <= now)) this.#deferred.delete(key);
@@ -286,15 +321,26 @@
       program = { spends: new Map(), hints: new Map(), expiresAt: 0 };
       this.#programs.set(record.program, program);
     }
-    program.expiresAt = Math.max(program.expiresAt, record.expiresAt);
+    program.expiresAt = Math.max(program.expiresAt, retainedUntil(record));
     const known = program.spends.get(record.turn);
-    const origin = laterOrigin(known?.origin, record.origin);
+    const shared = {
+      origin: laterOrigin(known?.origin, record.origin),
+      keptUntil: laterTime(known?.keptUntil, record.keptUntil),
+    };
     if (known?.settled !== undefined) {
-      program.spends.set(record.turn, { ...known, origin });
+      program.spends.set(record.turn, { ...known, ...shared });
       return;
     }
-    program.spends.set(record.turn, { ...record, origin });
+    program.spends.set(record.turn, { ...record, ...shared });
     const lastPart = record.hint?.parts.at(-1);
     if (record.hint && lastPart) program.hints.set(lastPart.id, record.hint);
   }
 }
+
+/** Returns the later of two times, each of which may be undefined. */
+function laterTime(
+  a: number | undefined,
+  b: number | undefined,
+): number | undefined {
+  return a === undefined || b === undefined ? a ?? b : Math.max(a, b);
+}
--- a/packages/turn_store/src/client.ts
+++ b/packages/turn_store/src/client.ts
@@ -7,8 +7,10 @@
   intersectsAllQuorums,
   laterOrigin,
   type LookupVerdict,
+  mergeSpending,
   type PromptHint,
   quorumSize,
+  type Spending,
   type StreamOrigin,
   type View,
 } from "@toucantrestle/turn_log";
@@ -157,7 +159,7 @@
       view,
       key: program,
       name: "spending",
-      args: { viewNumber, program, resumed },
+      args: { viewNumber, program, resumed, keepMs: args.keepMs },
       concurrency: required,
       isEnough: (it) =>
         it.length >= required && intersectsAllQuorums(view, program, it),
@@ -170,8 +172,13 @@
       budget,
       replies,
     });
+    const isRetained = verdict === "unknown" || await this.#retain(view, {
+      ...args,
+      replies,
+      holders: reservations.map((it) => it.member),
+    });
     return {
-      verdict,
+      verdict: isRetained ? verdict : "unknown",
       hints: replies.flatMap((it) => it.hints),
       resumedOrigin: decideOrigin(
         replies.flatMap((it) => it.origins),
@@ -180,6 +187,37 @@
     };
   }
 
+  /**
+   * Makes sure that the replicas that keep the program for the sake of a new
+   * reservation also have its ageing spending: the replicas that this was
+   * written to may otherwise drop it earlier. Returns false if too few confirm.
+   */
+  async #retain(
+    view: View,
+    { program, keepMs, replies, holders }: {
+      program: string;
+      keepMs: number;
+      replies: ServedReply<"spending">[];
+      /** Replicas that have persisted the reservation. */
+      holders: string[];
+    },
+  ): Promise<boolean> {
+    const ageing = ageingSpending(replies);
+    if (Object.keys(ageing).length === 0) return true;
+    const results = await Promise.all(holders.map(async (member) => {
+      const known = replies.find((it) => it.member === member)?.spending ?? {};
+      const spending = without(ageing, known);
+      if (Object.keys(spending).length === 0) return true;
+      const reply = await this.#links.requestFrom(view, member, {
+        name: "retain",
+        args: { viewNumber: view.number, program, spending, keepMs },
+      });
+      return reply !== undefined;
+    }));
+    const confirmed = results.filter((it) => it).length;
+    return confirmed >= requiredReplies(view, program);
+  }
+
   /**
    * Notifies the replicas how many tokens a turn spent. Delivery is
    * best-effort: if the notice is lost, the entire reservation counts against
@@ -275,6 +313,22 @@
   }
 }
 
+/** Returns the spending that at least one replica reports as ageing. */
+function ageingSpending(replies: ServedReply<"spending">[]): Spending {
+  const turns = new Set(replies.flatMap((it) => it.ageing ?? []));
+  const merged = mergeSpending(replies.map((it) => it.spending));
+  return Object.fromEntries(
+    Object.entries(merged).filter(([turn]) => turns.has(turn)),
+  );
+}
+
+/** Returns the spending of the turns that are not among those known. */
+function without(spending: Spending, known: Spending): Spending {
+  return Object.fromEntries(
+    Object.entries(spending).filter(([turn]) => !(turn in known)),
+  );
+}
+
 /**
  * Decides where a resumed stream began. One that is not named is one of the
  * program's, so it is known if all of these have the same software.
--- a/packages/turn_store/src/messages.ts
+++ b/packages/turn_store/src/messages.ts
@@ -45,6 +45,37 @@
   keepMs: number;
 }
 
+/** Request for the spending of a program. */
+export interface SpendingArgs {
+  viewNumber: number;
+  program: string;
+  resumed: ResumedStream | undefined;
+  /** Retention period of new records, in ms; earlier builds do not send it. */
+  keepMs?: number;
+}
+
+/** What a replica knows of a program. */
+export interface ProgramSpending {
+  spending: Spending;
+  hints: PromptHint[];
+  origins: StreamOrigin[];
+  /**
+   * Turns whose records may expire, at the replicas that they were written to,
+   * before the records of a turn that is reserved now; missing from replicas of
+   * earlier builds.
+   */
+  ageing?: string[];
+}
+
+/** Request to store spending of a program that is missing at a replica. */
+export interface RetainArgs {
+  viewNumber: number;
+  program: string;
+  spending: Spending;
+  /** Retention period of the records, in ms. */
+  keepMs: number;
+}
+
 /** Stream of a program that a turn resumes. */
 export interface ResumedStream {
   /** Turn that began it; undefined if its caller does not name it. */
@@ -71,18 +102,9 @@
    * Returns the known spending and prompt hints of a program, and where the
    * resumed stream may have begun.
    */
-  spending: {
-    args: {
-      viewNumber: number;
-      program: string;
-      resumed: ResumedStream | undefined;
-    };
-    result: Reply<{
-      spending: Spending;
-      hints: PromptHint[];
-      origins: StreamOrigin[];
-    }>;
-  };
+  spending: { args: SpendingArgs; result: Reply<ProgramSpending> };
+  /** Persists spending that other replicas of the program have reported. */
+  retain: { args: RetainArgs; result: Reply<object> };
   /** Looks up a turn by its id. */
   find: {
     args: { viewNumber: number; id: string };
--- a/packages/turn_store/src/replica_links.ts
+++ b/packages/turn_store/src/replica_links.ts
@@ -34,7 +34,12 @@
 }
 
 /** Request methods on records, which siblings can forward for each other. */
-export type RecordMethod = "reserve" | "spending" | "find" | "put";
+export type RecordMethod =
+  | "reserve"
+  | "spending"
+  | "retain"
+  | "find"
+  | "put";
 
 /** Sends a request to a replica through a sibling. */
 export type Relay = <K extends RecordMethod>(
@@ -174,6 +179,19 @@
     });
   }
 
+  /**
+   * Sends a request to one replica of a view. Returns undefined if it was not
+   * served.
+   */
+  async requestFrom<K extends RecordMethod>(
+    view: View,
+    memberId: string,
+    { name, args }: { name: K; args: StoreMethods[K]["args"] },
+  ): Promise<ServedReply<K> | undefined> {
+    const member = view.members.find((it) => it.id === memberId);
+    return member && await this.#tryRequest(view, member, name, args);
+  }
+
   /** Sends a request to a replica. Returns undefined if it was not served. */
   async #tryRequest<K extends RecordMethod>(
     view: View,
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -11,6 +11,7 @@
 import {
   keyOfRecord,
   Replica,
+  retainedUntil,
   type SpendRecord,
   type StreamOrigin,
   type TurnLogRecord,
@@ -18,11 +19,14 @@
   type View,
 } from "@toucantrestle/turn_log";
 import type {
+  ProgramSpending,
   Refusal,
   Reply,
   ReserveArgs,
   ResumedStream,
+  RetainArgs,
   SettleNotice,
+  SpendingArgs,
   StoreMethods,
   StoreNotices,
 } from "./messages.ts";
@@ -60,6 +64,8 @@
 /** Added to the retention of each record, because clocks of hosts differ. */
 const CLOCK_SKEW_MARGIN_MS = 15_000;
 const SWEEP_INTERVAL_MS = 5_000;
+/** Spending counts as ageing after this share of its retention period. */
+const AGEING_SHARE = 0.5;
 /** Size of prompts after which a reply to a copying replica is cut off. */
 const MAX_FETCH_BYTES = 2_000_000;
 
@@ -72,6 +78,7 @@
   readonly #server: LinkServer<StoreMethods, StoreNotices>;
   readonly #viewManager: ViewManager;
   #pendingSave: Promise<void> = Promise.resolve();
+  #isSweeping = false;
 
   constructor(opts: TurnStoreServerOptions) {
     this.#opts = opts;
@@ -80,7 +87,10 @@
     this.#journal = new Journal({
       folder: opts.folder,
       maxBytes: opts.maxBytes,
-      metadataOf: (it) => ({ key: keyOfRecord(it), expiresAt: it.expiresAt }),
+      metadataOf: (it) => ({
+        key: keyOfRecord(it),
+        expiresAt: retainedUntil(it),
+      }),
       log: opts.loggers("journal"),
     });
     this.#server = this.#createServer();
@@ -116,10 +126,10 @@
     const now = timer.now();
     let recordCount = 0;
     await this.#journal.load((frame) => {
-      if (frame.expiresAt <= now) return;
-      recordCount += 1;
+      if (frame.expiresAt > now) recordCount += 1;
       this.#replica.applyDeferred(frame);
     });
+    this.#replica.sweep(now);
     if (saved?.view) {
       this.#replica.restore({ ...saved, view: saved.view });
       fleet.applyView(saved.view);
@@ -165,12 +175,13 @@
       log: this.#log,
       methods: {
         reserve: (args) => this.#reserve(args),
-        spending: ({ viewNumber, program, resumed }) =>
-          this.#serveRead(viewNumber, program, () => ({
-            spending: this.#replica.spendingOf(program),
-            hints: this.#replica.hintsOf(program),
-            origins: resumed ? this.#originsOf(program, resumed) : [],
-          })),
+        spending: (args) =>
+          this.#serveRead(
+            args.viewNumber,
+            args.program,
+            () => this.#spendingOf(args),
+          ),
+        retain: (args) => this.#retain(args),
         find: (args) =>
           this.#serveRead(args.viewNumber, args.id, () => ({
             turn: this.#replica.findTurn(args.id),
@@ -195,6 +206,20 @@
     });
   }
 
+  #spendingOf(
+    { program, resumed, keepMs }: SpendingArgs,
+  ): ProgramSpending {
+    const reply: ProgramSpending = {
+      spending: this.#replica.spendingOf(program),
+      hints: this.#replica.hintsOf(program),
+      origins: resumed ? this.#originsOf(program, resumed) : [],
+    };
+    if (keepMs === undefined) return reply;
+    const time = this.#expiryFor(keepMs);
+    const ageing = this.#replica.turnsExpiringBefore(program, time);
+    return ageing.length > 0 ? { ...reply, ageing } : reply;
+  }
+
   /** Returns where a resumed stream may have begun. */
   #originsOf(program: string, { turn }: ResumedStream): StreamOrigin[] {
     if (turn === undefined) return this.#replica.originsOf(program);
@@ -239,12 +264,32 @@
       settled: undefined,
       hint: undefined,
       origin: args.origin,
-      expiresAt: this.#expiryFor(args.keepMs),
+      expiresAt: this.#spendExpiryFor(args.keepMs),
     };
     await this.#persistTimed(record);
     return this.#checkWritable(args.viewNumber, args.program);
   }
 
+  async #retain(
+    { viewNumber, program, spending, keepMs }: RetainArgs,
+  ): Promise<StoreMethods["retain"]["result"]> {
+    const check = this.#checkWritable(viewNumber, program);
+    if (check.status !== "ok") return check;
+    const expiresAt = this.#spendExpiryFor(keepMs);
+    await this.#persistAll(
+      Object.entries(spending).map(([turn, { reserved, settled }]) => ({
+        kind: "spend",
+        program,
+        turn,
+        reserved,
+        settled,
+        hint: undefined,
+        expiresAt,
+      })),
+    );
+    return this.#checkWritable(viewNumber, program);
+  }
+
   async #put(
     { viewNumber, turn, keepMs }: StoreMethods["put"]["args"],
   ): Promise<StoreMethods["put"]["result"]> {
@@ -263,7 +308,7 @@
     const record: SpendRecord = {
       kind: "spend",
       ...rest,
-      expiresAt: this.#expiryFor(keepMs),
+      expiresAt: this.#spendExpiryFor(keepMs),
     };
     this.#persist(record).catch((err) =>
       this.#log.warn(
@@ -324,6 +369,15 @@
     return this.#opts.timer.now() + keepMs + CLOCK_SKEW_MARGIN_MS;
   }
 
+  /**
+   * Expiry of the record of a turn's spending. It is later than that of the
+   * turn by the time after which the spending counts as ageing: until then no
+   * other replica has to know it.
+   */
+  #spendExpiryFor(keepMs: number): number {
+    return this.#expiryFor(keepMs * (1 + AGEING_SHARE));
+  }
+
   #persistState(): Promise<void> {
     const state: StoreState = {
       id: this.#opts.self.id,
@@ -340,11 +394,30 @@
     return this.#pendingSave;
   }
 
-  #sweep(): void {
+  /** Drops what has expired, from memory and from disk. */
+  async #sweep(): Promise<void> {
+    if (this.#isSweeping) return;
+    this.#isSweeping = true;
     const now = this.#opts.timer.now();
     this.#replica.sweep(now);
-    this.#journal.sweep(now).catch((err) =>
-      this.#log.error(`cannot delete expired journal segments: ${String(err)}`)
+    try {
+      await this.#renewRecords(now);
+      await this.#journal.sweep(now);
+    } catch (err) {
+      this.#log.error(
+        `cannot delete expired journal segments: ${String(err)}`,
+      );
+    }
+    this.#isSweeping = false;
+  }
+
+  /** Appends the spending again that has expired before its program. */
+  async #renewRecords(now: number): Promise<void> {
+    await Promise.all(
+      this.#replica.renewalsDue(now).map(async (it) => {
+        await this.#journal.renew(it);
+        this.#replica.apply(it);
+      }),
     );
   }
 }
