Upstream connections: an earlier rejection is never the answer of a later attempt

Cause: a response was skipped only if its id contradicted that of the request in flight, so one without an id fitted every request; and the rejection of a request that is sent again with its id fits the later attempt on the same connection.

Change: a response that does not echo the id is skipped; a connection does not carry a request again that it has rejected.

--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -19,7 +19,10 @@
   connectTimeoutMs: number;
   dial: Dial;
   contact: ContactListener;
-  /** Returns the request id that a response echoes; undefined if none. */
+  /**
+   * Returns the request id that a response echoes; undefined if none. A
+   * response that echoes no id, or another one, belongs to no request.
+   */
   echoedRequestId: (head: ResponseHead) => string | undefined;
   /** Called once the connection is closed, before a failure is reported. */
   onClosed: (channel: Channel) => void;
@@ -39,6 +42,10 @@
 const IDLE_MARGIN_MS = 500;
 /** Bytes that may arrive in a row without a byte of the awaited body. */
 const MAX_BYTES_WITHOUT_BODY = 131_072;
+/** A connection that has rejected this many requests is not reused. */
+const MAX_REJECTED_IDS = 1_000;
+/** Lowest status of a response that may be followed by another attempt. */
+const MIN_REJECTION_STATUS = 300;
 /** Idle timeout if the upstream announces none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
 
@@ -57,6 +64,9 @@
   #idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS;
   #idleSince = 0;
   #bytesWithoutBody = 0;
+  #status = 0;
+  /** Requests that may be sent again, and were answered here before. */
+  readonly #rejectedIds = new Set<string>();
 
   constructor(opts: ChannelOptions) {
     this.#opts = opts;
@@ -83,6 +93,15 @@
     return now - this.#idleSince < this.#idleTimeoutMs - IDLE_MARGIN_MS;
   }
 
+  /**
+   * Whether a request with this id was rejected on this connection. The
+   * upstream may send that rejection once more, which would then look like the
+   * response to another attempt.
+   */
+  hasRejected(id: string): boolean {
+    return this.#rejectedIds.has(id);
+  }
+
   /** Sends a request. The connection must be idle or new. */
   send(req: OutgoingRequest, handlers: ResponseHandlers): void {
     this.#exchange = { req, handlers, hasDeliveredHead: false, isSent: false };
@@ -204,16 +223,18 @@
     if (!exchange) return this.#close("bad_answer");
     const echoedId = this.#opts.echoedRequestId(head);
     const isInterim = head.status < 200;
-    this.#isSkipping = isInterim ||
-      (echoedId !== undefined && echoedId !== exchange.req.id);
+    this.#isSkipping = isInterim || echoedId !== exchange.req.id;
     if (this.#isSkipping) {
       if (!isInterim) {
         this.#opts.log.warn(
-          `skipping response to request ${echoedId}, expected one to ${exchange.req.id}`,
+          `skipping response to ${
+            echoedId ?? "no request"
+          }, expected one to ${exchange.req.id}`,
         );
       }
       return;
     }
+    this.#status = head.status;
     this.#canKeepAlive = canKeepAlive;
     this.#idleTimeoutMs = parseIdleTimeoutMs(head.headers) ??
       DEFAULT_IDLE_TIMEOUT_MS;
@@ -232,7 +253,12 @@
     this.#exchange = undefined;
     this.#socket.resume();
     this.#idleSince = this.#opts.timer.monotonicNow();
-    if (hasMoreBytes || !this.#canKeepAlive) this.#close("cancelled");
+    if (this.#status >= MIN_REJECTION_STATUS) {
+      this.#rejectedIds.add(exchange.req.id);
+    }
+    const isReusable = this.#canKeepAlive && !hasMoreBytes &&
+      this.#rejectedIds.size < MAX_REJECTED_IDS;
+    if (!isReusable) this.#close("cancelled");
     else this.#opts.onIdle(this);
     exchange.handlers.onEnd();
   }
--- a/packages/upstream_channel/src/channel_pool.ts
+++ b/packages/upstream_channel/src/channel_pool.ts
@@ -19,7 +19,10 @@
   /** Opens connections; TCP by default. */
   dial?: Dial;
   contact?: ContactListener;
-  /** Returns the request id that a response echoes; undefined if none. */
+  /**
+   * Returns the request id that a response echoes; undefined if none. A
+   * response that echoes no id, or another one, belongs to no request.
+   */
   echoedRequestId: (head: ResponseHead) => string | undefined;
 }
 
@@ -59,9 +62,12 @@
     return this.#idle.some((it) => it.isUsable(now));
   }
 
-  /** Sends a request on an idle connection, or on a new one if none is idle. */
+  /**
+   * Sends a request on an idle connection that has not rejected it, or on a new
+   * one if there is none.
+   */
   send(req: OutgoingRequest, handlers: ResponseHandlers): ExchangeControl {
-    const channel = this.#popIdle() ?? this.#open();
+    const channel = this.#takeIdle(req.id) ?? this.#open();
     channel.send(req, handlers);
     return {
       cancel: () => channel.cancel(req.id),
@@ -94,14 +100,12 @@
     for (const channel of [...this.#channels]) channel.close();
   }
 
-  #popIdle(): Channel | undefined {
+  #takeIdle(requestId: string): Channel | undefined {
     const now = this.#opts.timer.monotonicNow();
-    while (this.#idle.length > 0) {
-      const channel = this.#idle.pop() as Channel;
-      if (channel.isUsable(now)) return channel;
-      channel.close();
-    }
-    return undefined;
+    const expired = this.#idle.filter((it) => !it.isUsable(now));
+    for (const channel of expired) channel.close();
+    const index = this.#idle.findLastIndex((it) => !it.hasRejected(requestId));
+    return index < 0 ? undefined : this.#idle.splice(index, 1)[0];
   }
 
   #open(): Channel {
