--- a/packages/service/src/service_client.ts
+++ b/packages/service/src/service_client.ts
@@ -61,12 +61,7 @@
   constructor({ name, address, timer, log }: ServiceClientOptions) {
     this.#name = name;
     this.#timer = timer;
-    this.#pool = new ChannelPool({
-      address,
-      timer,
-      log,
-      echoedRequestId: () => undefined,
-    });
+    this.#pool = new ChannelPool({ address, timer, log });
   }
 
   /**
--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -21,9 +21,11 @@
   contact: ContactListener;
   /**
    * Returns the request id that a response echoes; undefined if none. A
-   * response that echoes no id, or another one, belongs to no request.
+   * response that echoes no id, or another one, belongs to no request. Missing
+   * for upstreams that do not echo ids: the next response is then taken for the
+   * one that is due.
    */
-  echoedRequestId: (head: ResponseHead) => string | undefined;
+  echoedRequestId?: (head: ResponseHead) => string | undefined;
   /** Called once the connection is closed, before a failure is reported. */
   onClosed: (channel: Channel) => void;
   /** Called when the connection can be reused for another request. */
@@ -221,19 +223,8 @@
   ): void {
     const exchange = this.#exchange;
     if (!exchange) return this.#close("bad_answer");
-    const echoedId = this.#opts.echoedRequestId(head);
-    const isInterim = head.status < 200;
-    this.#isSkipping = isInterim || echoedId !== exchange.req.id;
-    if (this.#isSkipping) {
-      if (!isInterim) {
-        this.#opts.log.warn(
-          `skipping response to ${
-            echoedId ?? "no request"
-          }, expected one to ${exchange.req.id}`,
-        );
-      }
-      return;
-    }
+    this.#isSkipping = head.status < 200 || !this.#isAwaited(head, exchange);
+    if (this.#isSkipping) return;
     this.#status = head.status;
     this.#canKeepAlive = canKeepAlive;
     this.#idleTimeoutMs = parseIdleTimeoutMs(head.headers) ??
@@ -242,6 +233,20 @@
     exchange.handlers.onHead(head);
   }
 
+  /** Whether a response belongs to the request in flight. */
+  #isAwaited(head: ResponseHead, { req }: Exchange): boolean {
+    const { echoedRequestId, log } = this.#opts;
+    if (!echoedRequestId) return true;
+    const echoedId = echoedRequestId(head);
+    if (echoedId === req.id) return true;
+    log.warn(
+      `skipping response to ${
+        echoedId ?? "no request"
+      }, expected one to ${req.id}`,
+    );
+    return false;
+  }
+
   /** Bytes that follow a response belong to no request. */
   #onComplete(hasMoreBytes: boolean): void {
     if (this.#isSkipping) {
--- a/packages/upstream_channel/src/channel_pool.ts
+++ b/packages/upstream_channel/src/channel_pool.ts
@@ -21,9 +21,11 @@
   contact?: ContactListener;
   /**
    * Returns the request id that a response echoes; undefined if none. A
-   * response that echoes no id, or another one, belongs to no request.
+   * response that echoes no id, or another one, belongs to no request. Missing
+   * for upstreams that do not echo ids: the next response is then taken for the
+   * one that is due.
    */
-  echoedRequestId: (head: ResponseHead) => string | undefined;
+  echoedRequestId?: (head: ResponseHead) => string | undefined;
 }
 
 const CONNECT_TIMEOUT_MS = 700;
