Logs: who closed a connection, how a front learned that an upstream leaves

The record's lines "caller disconnected" are written whenever a response closes early, also when the front closed the connection; and no line says from where a front knows an upstream, or which revision of the store it knew when it sent a request.

Added: `closedBy`, `openOnConnection`, `isStopping` on `cut_off`; `source` and `revision` on changes of upstreams, also those from a list or a sibling; `upstreamRevision` on `routed`; a line a second while a front stops. No change of logic.

--- a/packages/front/src/call_recorder.ts
+++ b/packages/front/src/call_recorder.ts
@@ -27,6 +27,12 @@
   reason: string;
   /** Body that the upstream sent, if the response is an upstream's. */
   received?: ReceivedBody;
+  /** Who has closed the connection, if it closed before the response ended. */
+  closedBy?: "caller" | "front";
+  /** Other calls in progress on the connection when it closed. */
+  openOnConnection?: number;
+  /** Whether this front was stopping when the connection closed. */
+  isStopping?: boolean;
 }
 
 const WARN_EVENTS: ReadonlySet<CallEvent> = new Set([
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -7,6 +7,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { neverAttempted } from "./attempt_ledger.ts";
 import { abortResponse, refuse, sendText } from "./responses.ts";
 import { answerClientErrors } from "./client_errors.ts";
@@ -44,6 +45,8 @@
 /** Draining ends this long before the process is killed. */
 const EXIT_MARGIN_MS = 800;
 const DRAIN_POLL_INTERVAL_MS = 50;
+/** Time between two log lines of a front that stops. */
+const DRAIN_LOG_INTERVAL_MS = 1_000;
 const SWEEP_INTERVAL_MS = 10_000;
 /** Siblings learn within this time that this front is ready, or not any more. */
 const READY_CHECK_INTERVAL_MS = 200;
@@ -144,6 +147,11 @@
       `stopping, ${this.#activeCalls.size} calls in progress`,
     );
     this.#siblings.reportNow();
+    const startedAt = timer.monotonicNow();
+    const progress = timer.every(
+      DRAIN_LOG_INTERVAL_MS,
+      () => this.#logStopping(timer.monotonicNow() - startedAt),
+    );
     const deregistration = fleet.deregister();
     const drainDeadline = timer.monotonicNow() + graceMs - EXIT_MARGIN_MS;
     await sleep(timer, Math.min(ACCEPT_AFTER_STOP_MS, graceMs / 2));
@@ -157,9 +165,21 @@
     loggers("front").info(
       `stopped with ${this.#activeCalls.size} calls in progress`,
     );
+    progress.cancel();
     this.#abortBegunResponses();
   }
 
+  /** Logs what a front that stops waits for. */
+  #logStopping(stoppingMs: number): void {
+    const calls = [...this.#activeCalls];
+    this.#opts.loggers("front").info("stopping", {
+      event: "stopping",
+      stoppingMs: Math.round(stoppingMs),
+      calls: calls.length,
+      begun: calls.filter((it) => it.res.headersSent).length,
+    });
+  }
+
   /** Aborts responses in progress: the end of the process would close them. */
   #abortBegunResponses(): void {
     for (const call of this.#activeCalls) {
@@ -323,15 +343,25 @@
   #onResponseClose(call: Call): void {
     this.#activeCalls.delete(call);
     if (call.res.writableFinished) return;
+    const isClosedByCaller = hasCallerClosed(call);
     call.recorder.recordOutcome("cut_off", {
       status: 0,
       verdict: "may_have_run",
-      reason: "caller disconnected",
+      reason: isClosedByCaller ? "caller disconnected" : "connection closed",
+      closedBy: isClosedByCaller ? "caller" : "front",
+      openOnConnection: this.#openCallsOn(call.req.socket),
+      isStopping: this.#isStopping,
     });
     call.isAbandoned = true;
     call.onAbandon?.();
   }
 
+  /** Number of other calls in progress on a caller's connection. */
+  #openCallsOn(socket: Socket): number {
+    return [...this.#activeCalls].filter((it) => it.req.socket === socket)
+      .length;
+  }
+
   #report(): FrontReport {
     return {
       state: this.#state,
@@ -344,6 +374,11 @@
   }
 }
 
+/** Whether the caller has ended or reset the connection of a call. */
+function hasCallerClosed({ req: { socket } }: Call): boolean {
+  return socket.readableEnded || socket.errored !== null;
+}
+
 /** Refuses a request whose body is not read. */
 function refuseUnread(res: ServerResponse): void {
   res.setHeader("connection", "close");
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -245,6 +245,7 @@
     onLoadChange: (id, kind) => loadSharing.reportChange(id, kind),
     queryLoads: (upstreams) => loadSharing.query(upstreams),
     upstreamsAgeMs: () => upstreamWatcher.ageMs,
+    upstreamRevision: (id) => upstreamWatcher.revisionOf(id),
     timer,
   };
   return {
--- a/packages/front/src/record_routed.ts
+++ b/packages/front/src/record_routed.ts
@@ -33,6 +33,7 @@
     path,
     configVersion: call.config.version,
     upstreamsAgeMs: Math.round(upstreamsAgeMs()),
+    upstreamRevision: opts.upstreamRevision(entry.id),
     running: load.running,
     maxRequestsPerS: upstreamRegistry.notices.maxRequestsPerS(entry),
     waitingTokens: isTurn ? load.prefillTokens : undefined,
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -51,5 +51,7 @@
   queryLoads: (upstreams: TrackedUpstream[]) => Promise<void>;
   /** Time since the last update of the list of upstreams, in ms. */
   upstreamsAgeMs: () => number;
+  /** Store revision of what is known of an upstream; 0 if nothing is. */
+  upstreamRevision: (id: string) => number;
   timer: Timer;
 }
--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -23,6 +23,9 @@
 /** Siblings that connect are told the changes of this time. */
 const RECENT_CHANGES_MS = 30_000;
 
+/** Where a front has learned a change of an upstream from, for the log. */
+type ChangeSource = "list" | "event" | "sibling";
+
 /** Options of `UpstreamWatcher`. */
 export interface UpstreamWatcherOptions {
   protocol: Protocol;
@@ -103,7 +106,7 @@
       // Neither a removal nor a restart that is known here is undone.
       if (revision < known) return;
       this.#revisions.set(entry.id, revision);
-      this.#upsert(entry);
+      this.#upsert(entry, "sibling");
     });
   }
 
@@ -121,11 +124,16 @@
     const id = idOf(change);
     if (!this.#advance(id, change.revision)) return false;
     this.#lastUpdateAt = this.#opts.timer.monotonicNow();
-    const isNew = this.#apply(change);
+    const isNew = this.#apply(change, "sibling");
     if (isNew) this.#remember(change);
     return isNew;
   }
 
+  /** Revision of the newest change of an upstream; 0 if none is known. */
+  revisionOf(id: string): number {
+    return this.#revisions.get(id) ?? 0;
+  }
+
   /** Returns the changes that became known here a short time ago. */
   recentChanges(): UpstreamChange[] {
     const since = this.#opts.timer.monotonicNow() - RECENT_CHANGES_MS;
@@ -135,10 +143,22 @@
     return [...this.#recent.values()].map((it) => it.change);
   }
 
-  #apply(change: UpstreamChange): boolean {
-    if (change.kind === "put") return this.#upsert(change.entry);
+  #apply(change: UpstreamChange, source: ChangeSource): boolean {
+    if (change.kind === "put") return this.#upsert(change.entry, source);
     if (change.kind === "suspend") return this.#suspend(change.id);
-    return change.kind === "remove" && this.#remove(change.id);
+    if (change.kind !== "remove") return false;
+    const isNew = this.#remove(change.id);
+    if (isNew) this.#logChange(change.id, "removed", source);
+    return isNew;
+  }
+
+  #logChange(id: string, change: string, source: ChangeSource): void {
+    this.#opts.log.info(`upstream ${id}: ${change}`, {
+      event: change,
+      upstream: id,
+      source,
+      revision: this.revisionOf(id),
+    });
   }
 
   #trackOutage(isReachable: boolean): void {
@@ -173,6 +193,7 @@
     const newer = upstreamRegistry.all().map((it) => it.entry)
       .filter((it) => isNewer(it.id));
     const older = entries.filter((it) => !isNewer(it.id));
+    this.#logLeaving(older, items);
     const suspended = invalid.filter((id) => !isNewer(id));
     upstreamRegistry.reconcile(
       [...older, ...newer],
@@ -182,6 +203,21 @@
     log.info(`${entries.length} upstreams registered`);
   }
 
+  /** Logs which upstreams a list shows as leaving or lacks. */
+  #logLeaving(entries: UpstreamEntry[], items: StoreItem[]): void {
+    const { upstreamRegistry } = this.#opts;
+    for (const { id, isDraining } of entries) {
+      const isNew = isDraining &&
+        upstreamRegistry.get(id)?.entry.isDraining === false;
+      if (isNew) this.#logChange(id, "draining", "list");
+    }
+    const listed = new Set(items.map((it) => this.#idOfKey(it.key)));
+    for (const { entry, missingSince } of upstreamRegistry.all()) {
+      const isNew = missingSince === undefined && !listed.has(entry.id);
+      if (isNew) this.#logChange(entry.id, "missing", "list");
+    }
+  }
+
   #applyEvent(event: StoreEvent): void {
     if (event.kind === "delete") {
       const id = this.#idOfKey(event.key);
@@ -195,7 +231,7 @@
     const change: UpstreamChange = entry
       ? { kind: "put", entry, revision: modRevision }
       : { kind: "suspend", id, revision: modRevision };
-    if (this.#apply(change)) this.#announce(change);
+    if (this.#apply(change, "event")) this.#announce(change);
   }
 
   #applyDeletion(id: string): void {
@@ -207,6 +243,9 @@
     const mayHaveLapsed = isAfterOutage || !isStoreReader();
     log.info(`upstream ${id} was removed from the store`, {
       event: "gone",
+      upstream: id,
+      source: "event",
+      revision: this.revisionOf(id),
       mayHaveLapsed,
     });
     // An expired entry is removed unless it reappears soon after the outage.
@@ -221,6 +260,7 @@
     for (const id of upstreamRegistry.sweep(timer.monotonicNow())) {
       log.info(
         `upstream ${id} did not register again after a store outage; removed`,
+        { event: "removed", upstream: id, revision: this.revisionOf(id) },
       );
       this.#announceRemoval(id);
     }
@@ -263,7 +303,7 @@
   }
 
   /** Adds or updates an upstream. Returns whether more than a heartbeat changed. */
-  #upsert(entry: UpstreamEntry): boolean {
+  #upsert(entry: UpstreamEntry, source: ChangeSource): boolean {
     const { upstreamRegistry, log } = this.#opts;
     const known = upstreamRegistry.get(entry.id);
     const before = known?.entry;
@@ -273,6 +313,12 @@
     if (change) {
       log.info(
         `upstream ${entry.id} of ${entry.service} at ${entry.address}: ${change}`,
+        {
+          event: change,
+          upstream: entry.id,
+          source,
+          revision: this.revisionOf(entry.id),
+        },
       );
     }
     return change !== undefined || wasMissing === true ||
