Links: an address that cannot be dialled ends no process

What callers saw: LOST, processes that ended by themselves again and again after another writer had left an odd entry.

Cause: LinkClient passed any text to the WebSocket library, which throws for one that is no URL, for instance with port 65536. Entries of hosts and members of views were checked to be text only. The exception rose through the watch of the store or through a timer. SiblingNet of the daemon did the same.

Why it works: isLinkAddress decides what can be dialled. A link to another address logs so and stays down. Hosts and views with one are malformed and ignored, as is an entry whose id is not that of its key.

--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -191,8 +191,11 @@
     if (item.key === VIEW_KEY) this.#applyViewItem(item);
     if (!item.key.startsWith(HOST_KEY_PREFIX)) return;
     const entry = parseHostEntry(item.value);
-    if (!entry) {
-      this.#opts.log.warn(`host entry ${item.key} is malformed; ignored`);
+    // A deletion names the key alone.
+    if (!entry || item.key !== HOST_KEY_PREFIX + entry.id) {
+      this.#opts.log.warn(
+        `host entry ${JSON.stringify(item.key)} is malformed; ignored`,
+      );
       return;
     }
     this.#hosts.set(entry.id, entry);
--- a/packages/fleet/src/host_entry.ts
+++ b/packages/fleet/src/host_entry.ts
@@ -1,15 +1,18 @@
+import { isLinkAddress } from "@toucantrestle/link";
 import * as z from "zod";
 import type { ReplicaHost, View } from "@toucantrestle/turn_log";
 
 /** Role of a host: `front` serves callers, `turn_store` stores replicas. */
 export type HostRole = "front" | "turn_store";
 
+const ADDRESS = z.string().refine(isLinkAddress);
+
 const HOST_ENTRY_SCHEMA = z.object({
   id: z.string().min(1),
   host: z.string().min(1),
   role: z.enum(["front", "turn_store"]),
-  linkAddress: z.string().min(1),
-  callerAddress: z.string().nullable(),
+  linkAddress: ADDRESS,
+  callerAddress: ADDRESS.nullable(),
   dataCentre: z.string(),
 });
 
@@ -29,7 +32,7 @@
 const REPLICA_HOST_SCHEMA = z.object({
   id: z.string(),
   host: z.string(),
-  address: z.string(),
+  address: ADDRESS,
   dataCentre: z.string(),
 });
 
--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "@toucantrestle/log";
 import type { Subscription, Timer } from "@toucantrestle/timer";
 import { WebSocket } from "ws";
+import { isLinkAddress } from "./address.ts";
 import { LinkError } from "./errors.ts";
 import { redialDelayMs } from "./redial.ts";
 import type {
@@ -15,7 +16,7 @@
 export interface LinkClientOptions {
   /** Name of this host. */
   self: string;
-  /** `IP:PORT` of the remote process. */
+  /** `IP:PORT` of the remote process. Another text is never dialled. */
   address: string;
   timer: Timer;
   log: Logger;
@@ -63,6 +64,7 @@
  */
 const SILENCE_FACTOR = 2.6;
 const HANDSHAKE_TIMEOUT_MS = 500;
+const MAX_LOGGED_ADDRESS_LENGTH = 100;
 
 /** Client side of a link. Reconnects whenever the connection is lost. */
 export class LinkClient<
@@ -86,7 +88,8 @@
   constructor(opts: LinkClientOptions) {
     this.#opts = opts;
     this.#downSince = opts.timer.monotonicNow();
-    this.#dial();
+    if (isLinkAddress(opts.address)) this.#dial();
+    else this.#logInvalidAddress();
   }
 
   /** Whether the link is connected. */
@@ -189,6 +192,12 @@
     }
   }
 
+  #logInvalidAddress(): void {
+    const { address, log } = this.#opts;
+    const shown = JSON.stringify(address.slice(0, MAX_LOGGED_ADDRESS_LENGTH));
+    log.warn(`link address ${shown} is invalid; not dialled`);
+  }
+
   #takeOpenWaiters(): OpenWaiter[] {
     const waiters = [...this.#openWaiters];
     this.#openWaiters.clear();
--- a/packages/link/src/mod.ts
+++ b/packages/link/src/mod.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export { isLinkAddress } from "./address.ts";
 export {
   LinkClient,
   type LinkClientOptions,
--- a/packages/link/test/link_test.ts
+++ b/packages/link/test/link_test.ts
@@ -8,7 +8,7 @@
 import { randomInt } from "node:crypto";
 import { createServer } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { LinkClient, LinkServer } from "../src/mod.ts";
+import { isLinkAddress, LinkClient, LinkServer } from "../src/mod.ts";
 
 type Methods = { double: { args: number; result: number } };
 type Notices = { news: string };
@@ -99,6 +99,42 @@
   });
 });
 
+describe("a link to an address that cannot be dialled", () => {
+  // Guards against an address of another writer that ends the process (LOST).
+  for (
+    const odd of [
+      "127.0.0.1:65536",
+      "127.0.0.1:-1",
+      "127.0.0.1:0",
+      "127.0.0.1:",
+      "127.0.0.1",
+      "999.1.1.1:80",
+      "no address",
+      "127.0.0.1:80#x",
+      "127.0.0.1:80/x",
+      "u@127.0.0.1:80",
+      "127.0.0.1:80\r\nx: y",
+      "",
+    ]
+  ) {
+    it(`stays down (${JSON.stringify(odd)})`, async () => {
+      address = odd;
+      const client = dial();
+      await expect(client.waitUntilOpen(10)).toBeRejectedWith("is not open");
+      await expect(client.request("double", 1, REQUEST_TIMEOUT_MS))
+        .toBeRejectedWith("is down");
+    });
+  }
+});
+
+describe("an address of a link", () => {
+  it("is a host with a port", () => {
+    for (const it of ["10.1.0.38:65535", "localhost:1", "[::1]:8144"]) {
+      expect(isLinkAddress(it)).toEqual(true);
+    }
+  });
+});
+
 async function listen(): Promise<LinkServer<Methods, Notices>> {
   const server = new LinkServer<Methods, Notices>({
     log,
--- a/packages/sibling/src/sibling_net.ts
+++ b/packages/sibling/src/sibling_net.ts
@@ -1,3 +1,4 @@
+import { isLinkAddress } from "@toucantrestle/link";
 import type { Logger } from "@toucantrestle/log";
 import { type HostRun, SILENCE_LIMIT_MS } from "@toucantrestle/membership";
 import type { Subscription, Timer } from "@toucantrestle/timer";
@@ -56,6 +57,7 @@
 /** Time from dialling to the hello of the other side. */
 const HELLO_TIMEOUT_MS = 2_000;
 const MAX_MESSAGE_BYTES = 64_000_000;
+const MAX_LOGGED_ADDRESS_LENGTH = 100;
 
 /**
  * Links to siblings. Each pair of daemons has up to two links, one dialled by
@@ -221,6 +223,7 @@
 
   #dial(link: Link): void {
     const { tls } = this.#opts;
+    if (!isLinkAddress(link.address)) return this.#rejectAddress(link);
     const knownRun = this.#runsByAddress.get(link.address);
     if (knownRun && this.#opts.isCut(knownRun.host)) return;
     const scheme = tls ? "wss" : "ws";
@@ -247,6 +250,14 @@
     socket.on("open", () => channel.send(this.#createHello(this.#opts.key)));
   }
 
+  /** Logs once that an address cannot be dialled. */
+  #rejectAddress(link: Link): void {
+    const { address } = link;
+    link.retryAt = Infinity;
+    const shown = JSON.stringify(address.slice(0, MAX_LOGGED_ADDRESS_LENGTH));
+    this.#opts.log.warn(`link address ${shown} is invalid; not dialled`);
+  }
+
   #onMessage(
     link: Link,
     channel: SiblingChannel,
--- a/packages/sibling/test/links_test.ts
+++ b/packages/sibling/test/links_test.ts
@@ -105,6 +105,15 @@
     expect(silentMs).toEqual(3);
   });
 
+  // Guards against an address of another writer that ends the process.
+  it("keeps its other links when an address cannot be dialled", async () => {
+    const a = await createNet("a");
+    const b = await createNet("bbb");
+    a.net.setTargets(["127.0.0.1:65536", "no address"]);
+    a.net.setTargets(["127.0.0.1:65536", "", b.self.siblingAddress]);
+    expect(await waitForLink(a.net, b.self)).toEqual(true);
+  });
+
   it("rejects a link with a wrong sibling key", async () => {
     const a = await createNet("a", { key: "another-key" });
     const b = await createNet("b");
