Store client: odd items and large changes never end the watch of a list

What callers saw: LOST, hosts that ended again and again, or stopped following the list of upstreams.

Changes larger than the largest response ended the watch as lost, and it began again after the same revision. An error of a handler counted as one of the store.

Ruled out: odd values of entries (odd_entries_test.ts).

An error of a handler is logged and the watch goes on.

--- a/packages/config_store/src/list_and_watch.ts
+++ b/packages/config_store/src/list_and_watch.ts
@@ -27,6 +27,12 @@
 const MIN_RETRY_MS = 250;
 const DEFAULT_MAX_RETRY_MS = 800;
 
+/** Why changes cannot be read, for the log. */
+const HISTORY_STATES = {
+  compacted: "compacted",
+  too_large: "too large",
+} as const;
+
 /**
  * Lists the items below a prefix and then watches it for changes. Retries with
  * exponential backoff while the service is unreachable.
@@ -44,6 +50,16 @@
     opts.onConfirmed?.();
   }
 
+  /** Hands a change on; an error there must not end the watch. */
+  function apply(fn: () => void): void {
+    try {
+      fn();
+    } catch (err) {
+      const reason = err instanceof Error ? err.stack : String(err);
+      log.error(`cannot apply a change below ${prefix}: ${reason}`);
+    }
+  }
+
   function setReachable(value: boolean): void {
     if (value) retryMs = MIN_RETRY_MS;
     if (value === isReachable) return;
@@ -72,7 +88,7 @@
       const listing = await (listStale ?? store.list).call(store, prefix);
       if (isCancelled) return;
       setReachable(true);
-      opts.onSnapshot(listing.items, listing.revision);
+      apply(() => opts.onSnapshot(listing.items, listing.revision));
       if (!listStale) confirm();
       watch(listing.revision);
     } catch (err) {
@@ -92,14 +108,16 @@
           if (isCancelled) return;
           setReachable(true);
           revision = atRevision;
-          if (events.length > 0) opts.onEvents(events, atRevision);
+          if (events.length > 0) apply(() => opts.onEvents(events, atRevision));
           confirm();
         },
         onEnd(reason) {
           if (isCancelled) return;
-          if (reason === "compacted") {
+          if (reason === "compacted" || reason === "too_large") {
             log.info(
-              `history of ${prefix} after revision ${revision} is compacted, listing again`,
+              `history of ${prefix} after revision ${revision} is ${
+                HISTORY_STATES[reason]
+              }, listing again`,
             );
             list(false);
             return;
--- a/packages/config_store/src/store.ts
+++ b/packages/config_store/src/store.ts
@@ -60,10 +60,11 @@
 
 /**
  * Why a watch has ended: the connection was lost, the store has compacted the
- * history from which the watch would continue, or its last change is so long
- * ago that the store may have done so.
+ * history from which the watch would continue, its last change is so long ago
+ * that the store may have done so, or the changes that follow are too large to
+ * be read at once.
  */
-export type WatchEndReason = "lost" | "compacted" | "outdated";
+export type WatchEndReason = "lost" | "compacted" | "outdated" | "too_large";
 
 /** Callbacks of a watch. */
 export interface WatchHandlers {
@@ -71,7 +72,7 @@
   onEvents(events: StoreEvent[], revision: number): void;
   /**
    * Called once when the watch has ended. It does not restart by itself. After
-   * `compacted` or `outdated`, list the keys again before a new watch.
+   * any reason but `lost`, list the keys again before a new watch.
    */
   onEnd(reason?: WatchEndReason): void;
 }
--- a/packages/config_store/test/list_and_watch_test.ts
+++ b/packages/config_store/test/list_and_watch_test.ts
@@ -90,3 +90,33 @@
     expect(reachability).toEqual([true]);
   });
 });
+
+// Guards against one change that keeps the later ones from being applied (LOST).
+describe("a change that cannot be applied", () => {
+  it("is logged, and the later ones are applied", async () => {
+    const seen: number[] = [];
+    const errors: string[] = [];
+    const apply = (revision: number) => {
+      seen.push(revision);
+      if (seen.length < 3) throw new Error("odd item");
+    };
+    const odd = new MemoryStore();
+    const watch = listAndWatch({
+      store: odd,
+      prefix: "p/",
+      timer: createSystemTimer(),
+      log: {
+        ...createNoopLoggers()("odd"),
+        error: (message) => errors.push(message),
+      },
+      onSnapshot: (_items, revision) => apply(revision),
+      onEvents: (_events, revision) => apply(revision),
+    });
+    await waitUntil(() => seen.length === 1);
+    odd.put("p/a", 1);
+    odd.put("p/b", 2);
+    watch.cancel();
+    expect(seen).toEqual([1, 2, 3]);
+    expect(errors.map((it) => it.includes("odd item"))).toEqual([true, true]);
+  });
+});
