Sibling links: an exchange outlives a change of its host's address

What callers saw: a request that a sibling forwards was broken off when that sibling's host registered another address while the earlier process still ran.

Cause: the link to the earlier address was closed at once.

Failed before: sibling_links_test, "keeps a link with an exchange when the host has another address": ["lost"] in place of ["end", "ended"].

Ruled out: a host that leaves the registry. Its link stays as long as an exchange runs on it, also without this change (the other test of the file).

Change: such a link is closed once it is idle. Its state no longer counts as that of the host.

--- a/packages/front/src/siblings/sibling_links.ts
+++ b/packages/front/src/siblings/sibling_links.ts
@@ -37,6 +37,8 @@
 export class SiblingLinks {
   readonly #opts: SiblingLinksOptions;
   readonly #links = new Map<string, KeptLink>();
+  /** Links to earlier addresses of hosts, with requests still in progress. */
+  readonly #replaced = new Set<FrontLink>();
   /** Hosts whose links stay open. */
   #permanent: ReadonlySet<string> = new Set();
 
@@ -50,6 +52,7 @@
 
   close(): void {
     for (const { link } of this.#links.values()) link.close();
+    for (const link of this.#replaced) link.close();
   }
 
   /** Keeps links to these hosts, by name with their addresses. */
@@ -95,7 +98,7 @@
   #ensure(host: string, address: string): KeptLink {
     const known = this.#links.get(host);
     if (known?.link.address === address) return known;
-    if (known) this.#drop(host, known);
+    if (known) this.#replace(host, known);
     const { self, timer, log, onOpen, onLost } = this.#opts;
     const link: FrontLink = new LinkClient({
       self,
@@ -104,15 +107,40 @@
       log,
       pingIntervalMs: () => PING_INTERVAL_MS,
       confirmedAt: () => this.#opts.confirmedAt(host),
-      onOpen: () => onOpen(host),
-      onLost: () => onLost(host),
+      onOpen: () => {
+        if (this.#isCurrent(host, link)) onOpen(host);
+      },
+      onLost: () => {
+        if (this.#isCurrent(host, link)) onLost(host);
+      },
     });
     const kept = { link, usedAt: this.#now };
     this.#links.set(host, kept);
     return kept;
   }
 
+  #isCurrent(host: string, link: FrontLink): boolean {
+    return this.#links.get(host)?.link === link;
+  }
+
+  /** Drops a link to an address that the host has left, once it is idle. */
+  #replace(host: string, { link }: KeptLink): void {
+    if (link.isIdle) return this.#drop(host, { link });
+    this.#replaced.add(link);
+    this.#links.delete(host);
+    if (link.isOpen) this.#opts.onLost(host);
+  }
+
+  #closeReplaced(): void {
+    for (const link of this.#replaced) {
+      if (!link.isIdle) continue;
+      link.close();
+      this.#replaced.delete(link);
+    }
+  }
+
   #closeIdle(): void {
+    this.#closeReplaced();
     for (const [host, { link, usedAt }] of this.#links) {
       if (this.#permanent.has(host) || !link.isIdle) continue;
       if (this.#now - usedAt >= IDLE_TIMEOUT_MS) this.#drop(host, { link });
