Front: a stopping front finishes what it forwards for siblings

What callers saw: when the front that was the way to the upstreams of others got SIGTERM, their calls that ran got 502, and their streams were cut.

Cause: a process did not know what it does for others. stop() waited for the calls of its own callers alone. Siblings went on choosing it, and it took on what it could not finish.

Change: LinkServer counts the requests and streams of remote processes until their last message is handed to the operating system; a stopping front waits for them. Relays are chosen among ready siblings. A request names its time left; a stopping front refuses what it may not see through, and at the end everything, after it has said so.

upstream_restart_test: the fixture names the new option drainLeftMs, nothing else changed.

--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -87,7 +87,12 @@
       // A process that has replaced the chosen one may run other software.
       if (!this.#opts.upstreamRegistry.isCurrent(entry)) continue;
       const avoidsDirect = upstream === undefined;
-      const path = this.#opts.paths.pathTo(choice, { avoidsDirect });
+      const timeLeftMs = this.#call.deadlineAt -
+        this.#opts.timer.monotonicNow();
+      const path = this.#opts.paths.pathTo(choice, {
+        avoidsDirect,
+        timeLeftMs,
+      });
       if (!path) return this.#respondWithoutUpstream();
       const quota = this.#quota;
       if (quota && !await quota.useToken()) return;
--- a/packages/front/src/exchange_relay.ts
+++ b/packages/front/src/exchange_relay.ts
@@ -27,6 +27,11 @@
    * epoch; missing from fronts of earlier builds.
    */
   startedAt?: number;
+  /**
+   * Time within which the response is needed, in ms; missing from fronts of
+   * earlier builds.
+   */
+  timeLeftMs?: number;
   req: OutgoingRequest;
 }
 
@@ -63,6 +68,8 @@
   noticeReader: NoticeReader;
   /** Whether this front reaches upstreams itself. */
   canReachUpstreams: () => boolean;
+  /** Returns how long this front still runs what it takes on, in ms. */
+  drainLeftMs: () => number;
   timer: Timer;
 }
 
@@ -76,8 +83,9 @@
 export function sendThroughSibling(
   open: OpenRelay,
   { id: upstream, startedAt }: UpstreamProcess,
-  { req, handlers, log }: {
+  { req, timeLeftMs, handlers, log }: {
     req: OutgoingRequest;
+    timeLeftMs: number;
     handlers: ResponseHandlers<PathFailureReason>;
     log: Logger;
   },
@@ -126,7 +134,7 @@
 
   const onLost = () =>
     fail({ reason: "relay_lost", verdict: "may_have_run", hasDeliveredHead });
-  const stream = open({ upstream, startedAt, req }, {
+  const stream = open({ upstream, startedAt, timeLeftMs, req }, {
     onPart,
     onEnd: onLost,
     onLost,
@@ -143,9 +151,12 @@
   };
 }
 
-/** Forwards a sibling's request to an upstream and the response back. */
+/**
+ * Forwards a sibling's request to an upstream and the response back. Refuses
+ * one that this front may not see through before it ends.
+ */
 export function serveRelayedExchange(
-  { upstream: id, startedAt, req }: RelayedRequest,
+  { upstream: id, startedAt, timeLeftMs = 0, req }: RelayedRequest,
   receiver: StreamReceiver<RelayPart>,
   opts: RelayServerOptions,
 ): StreamServerHandlers<RelayControl> {
@@ -154,7 +165,8 @@
   const isUsable = upstream && upstreamRegistry.acceptsRequests(upstream) &&
     (startedAt ?? upstream.entry.startedAt) === upstream.entry.startedAt &&
     timer.monotonicNow() >= upstream.backoffUntil;
-  if (!isUsable || !opts.canReachUpstreams()) {
+  const canFinish = timeLeftMs <= opts.drainLeftMs();
+  if (!isUsable || !canFinish || !opts.canReachUpstreams()) {
     receiver.send({ kind: "failure", failure: REFUSED });
     receiver.end();
     return { onControl() {}, onLost() {} };
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -45,6 +45,8 @@
 /** Draining ends this long before the process is killed. */
 const EXIT_MARGIN_MS = 800;
 const DRAIN_POLL_INTERVAL_MS = 50;
+/** Siblings learn within this time that this front forwards nothing more. */
+const RELAY_NOTICE_MS = 100;
 /** Time between two log lines of a front that stops. */
 const DRAIN_LOG_INTERVAL_MS = 1_000;
 const SWEEP_INTERVAL_MS = 10_000;
@@ -71,6 +73,8 @@
   readonly #memoryGuard: MemoryGuard;
   #graceMs: number;
   #isStopping = false;
+  /** Until when this front runs what it takes on, in ms. */
+  #drainDeadline = Infinity;
   /** Readiness as the siblings know it. */
   #wasReady = false;
 
@@ -79,6 +83,7 @@
     this.#graceMs = opts.graceMs;
     const parts = createFrontParts(opts, {
       report: () => this.#report(),
+      drainLeftMs: () => this.#drainDeadline - opts.timer.monotonicNow(),
     });
     this.#configWatcher = parts.configWatcher;
     this.#upstreamWatcher = parts.upstreamWatcher;
@@ -154,12 +159,14 @@
     );
     const deregistration = fleet.deregister();
     const drainDeadline = timer.monotonicNow() + graceMs - EXIT_MARGIN_MS;
+    this.#drainDeadline = drainDeadline;
     await sleep(timer, Math.min(ACCEPT_AFTER_STOP_MS, graceMs / 2));
     this.#callerServer.close();
-    while (this.#activeCalls.size > 0 && timer.monotonicNow() < drainDeadline) {
+    while (this.#isBusy && timer.monotonicNow() < drainDeadline) {
       this.#callerServer.closeIdleConnections();
       await sleep(timer, DRAIN_POLL_INTERVAL_MS);
     }
+    await this.#endForwarding(drainDeadline);
     this.#callerServer.closeIdleConnections();
     await Promise.race([deregistration, sleep(timer, 100)]);
     loggers("front").info(
@@ -169,6 +176,24 @@
     this.#abortBegunResponses();
   }
 
+  /** Whether calls of callers or requests of siblings are in progress. */
+  get #isBusy(): boolean {
+    return this.#activeCalls.size > 0 || this.#siblings.inProgressCount > 0;
+  }
+
+  /** Takes nothing more from siblings, and finishes what they have sent. */
+  async #endForwarding(drainDeadline: number): Promise<void> {
+    const { timer } = this.#opts;
+    this.#drainDeadline = -Infinity;
+    this.#siblings.reportNow();
+    await sleep(timer, RELAY_NOTICE_MS);
+    while (
+      this.#siblings.inProgressCount > 0 && timer.monotonicNow() < drainDeadline
+    ) {
+      await sleep(timer, DRAIN_POLL_INTERVAL_MS);
+    }
+  }
+
   /** Logs what a front that stops waits for. */
   #logStopping(stoppingMs: number): void {
     const calls = [...this.#activeCalls];
@@ -177,6 +202,7 @@
       stoppingMs: Math.round(stoppingMs),
       calls: calls.length,
       begun: calls.filter((it) => it.res.headersSent).length,
+      ofSiblings: this.#siblings.inProgressCount,
     });
   }
 
@@ -363,10 +389,11 @@
   }
 
   #report(): FrontReport {
+    const isForwarding = this.#drainDeadline > -Infinity;
     return {
       state: this.#state,
-      reachesTurnStores: this.#turnStore.isQuorumReachable,
-      reachesUpstreams: !this.#serveOptions.directPath.isCut,
+      reachesTurnStores: isForwarding && this.#turnStore.isQuorumReachable,
+      reachesUpstreams: isForwarding && !this.#serveOptions.directPath.isCut,
       reachesStore: this.#opts.fleet.isStoreReachable &&
         this.#upstreamWatcher.isReachable,
       capacity: this.#opts.capacity,
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -45,6 +45,8 @@
 /** What the parts need of the front itself. */
 export interface FrontHooks {
   report: () => FrontReport;
+  /** Returns how long the front still runs what it takes on, in ms. */
+  drainLeftMs: () => number;
 }
 
 /** Creates the parts of a front. */
@@ -150,6 +152,7 @@
         pools,
         noticeReader,
         canReachUpstreams: () => !directPath.isCut,
+        drainLeftMs: hooks.drainLeftMs,
         timer,
       }),
     upstreams: () => upstreamWatcher.list(),
--- a/packages/front/src/siblings/sibling_requests.ts
+++ b/packages/front/src/siblings/sibling_requests.ts
@@ -7,6 +7,7 @@
   FrontNews,
   FrontNotices,
   FrontReport,
+  FrontState,
   LoadReport,
 } from "../protocol.ts";
 import type { FrontLink, SiblingLinks } from "./sibling_links.ts";
@@ -24,6 +25,13 @@
 const LINK_TIMEOUT_MS = 700;
 const RELAY_TIMEOUT_MS = 1_000;
 
+/** Siblings of a lower rank are preferred as relays. */
+const RELAY_RANKS: Record<FrontState, number> = {
+  ready: 0,
+  starting: 1,
+  stopping: 2,
+};
+
 /** Requests and notices to single siblings. */
 export class SiblingRequests {
   readonly #opts: SiblingRequestsOptions;
@@ -53,14 +61,14 @@
   }
 
   #chooseRelayLink(): FrontLink | undefined {
-    const host = pickRandom(this.#linkedHosts((it) => it.reachesTurnStores));
+    const host = pickRandom(this.#relays((it) => it.reachesTurnStores));
     return host === undefined ? undefined : this.#opts.links.open(host);
   }
 
   /**
-   * Chooses a sibling that reaches upstreams itself, with the fewest changes of
-   * data centre on the way to the upstreams of one. Returns undefined if there
-   * is none.
+   * Chooses a sibling that reaches upstreams itself: one that is ready rather
+   * than one that stops, then with the fewest changes of data centre on the way
+   * to the upstreams of one. Returns undefined if there is none.
    */
   chooseExchangeRelay(dataCentre: string | undefined): OpenRelay | undefined {
     const { fleet, dataCentre: own } = this.#opts;
@@ -68,7 +76,7 @@
       const location = fleet.front(host)?.dataCentre;
       return Number(location !== own) + Number(location !== dataCentre);
     };
-    const candidates = this.#linkedHosts((it) => it.reachesUpstreams);
+    const candidates = this.#relays((it) => it.reachesUpstreams);
     const least = Math.min(...candidates.map(crossings));
     const host = pickRandom(
       candidates.filter((it) => crossings(it) === least),
@@ -79,21 +87,23 @@
   }
 
   /**
-   * Returns the siblings with an open link whose report fits. If there are
-   * none, dials another one for later.
+   * Returns the siblings of the lowest rank with an open link whose report
+   * fits. If a sibling without a link has a lower rank, dials it for later.
    */
-  #linkedHosts(fits: (report: FrontReport) => boolean): string[] {
-    const isFit = (host: string) => {
-      const report = this.#opts.gossip.stateOf(host);
-      return report !== undefined && fits(report);
+  #relays(fits: (report: FrontReport) => boolean): string[] {
+    const { gossip, links } = this.#opts;
+    const rankOf = (host: string) => {
+      const report = gossip.stateOf(host);
+      return report && fits(report) ? RELAY_RANKS[report.state] : Infinity;
     };
-    const linked = this.#opts.links.openHosts().filter(isFit);
-    if (linked.length > 0) return linked;
-    const host = pickRandom(
-      [...this.#opts.gossip.connectedHosts].filter(isFit),
-    );
-    if (host !== undefined) this.dialAhead(host);
-    return [];
+    const linked = lowest(links.openHosts(), rankOf);
+    if (linked.rank === RELAY_RANKS.ready) return linked.values;
+    const connected = lowest([...gossip.connectedHosts], rankOf);
+    const best = pickRandom(connected.values);
+    if (best !== undefined && connected.rank < linked.rank) {
+      this.dialAhead(best);
+    }
+    return linked.values;
   }
 
   /** Opens a link to a sibling that will be needed. */
@@ -168,6 +178,16 @@
   }
 }
 
+/** Returns the values with the lowest rank; none if it is infinite. */
+function lowest<T>(
+  values: T[],
+  rankOf: (value: T) => number,
+): { values: T[]; rank: number } {
+  const rank = Math.min(...values.map(rankOf));
+  const isLowest = (it: T) => rank < Infinity && rankOf(it) === rank;
+  return { values: values.filter(isLowest), rank };
+}
+
 /** Returns one of the values; undefined if there are none. */
 export function pickRandom<T>(values: T[]): T | undefined {
   return values[Math.floor(Math.random() * values.length)];
--- a/packages/front/src/siblings/siblings.ts
+++ b/packages/front/src/siblings/siblings.ts
@@ -165,6 +165,11 @@
     this.#reconcile();
   }
 
+  /** Number of requests and streams of siblings that are in progress here. */
+  get inProgressCount(): number {
+    return this.#server.inProgressCount;
+  }
+
   /** Returns the state of a sibling; undefined if it is not connected. */
   stateOf(host: string): FrontState | undefined {
     return this.#gossip.stateOf(host)?.state;
--- a/packages/front/src/upstream_paths.ts
+++ b/packages/front/src/upstream_paths.ts
@@ -46,11 +46,12 @@
 
   /**
    * Returns the way to an upstream; undefined if there is none at present.
-   * `avoidsDirect` asks for a sibling.
+   * `avoidsDirect` asks for a sibling. `timeLeftMs` is the time within which
+   * the response is needed.
    */
   pathTo(
     upstream: TrackedUpstream,
-    { avoidsDirect }: { avoidsDirect: boolean },
+    { avoidsDirect, timeLeftMs }: { avoidsDirect: boolean; timeLeftMs: number },
   ): UpstreamPath | undefined {
     const { pools, directPath, chooseRelay, log } = this.#opts;
     const { entry } = upstream;
@@ -63,7 +64,7 @@
     return open && {
       kind: "sibling",
       send: (req, handlers) =>
-        sendThroughSibling(open, entry, { req, handlers, log }),
+        sendThroughSibling(open, entry, { req, timeLeftMs, handlers, log }),
     };
   }
 
--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -115,6 +115,7 @@
       store?: ConfigStore;
       metrics?: Metrics;
       memoryBytes?: number;
+      graceMs?: number;
     } = {},
   ): Promise<Front> {
     const [callerAddress, readyAddress, directoryAddress, linkAddress] =
--- a/packages/front/test/upstream_restart_test.ts
+++ b/packages/front/test/upstream_restart_test.ts
@@ -132,6 +132,7 @@
           pools: { poolOf: () => ({ send: () => sent += 1 }) } as never,
           noticeReader: {} as never,
           canReachUpstreams: () => true,
+          drainLeftMs: () => Infinity,
           timer: createManualTimer(),
         },
       );
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -51,8 +51,15 @@
 
 const MAX_MESSAGE_BYTES = 64_000_000;
 
+/** A stream that a remote process has open. */
+interface OpenStream {
+  handlers: StreamServerHandlers<unknown>;
+  /** Takes the stream off what is in progress. */
+  endWork: () => void;
+}
+
 /** Streams that the remote process has open, by its id for them. */
-type OpenStreams = Map<number, StreamServerHandlers<unknown>>;
+type OpenStreams = Map<number, OpenStream>;
 
 /** An accepted connection. */
 interface Connection {
@@ -71,6 +78,8 @@
   readonly #opts: LinkServerOptions<M, N, S>;
   readonly #server: Server = createServer();
   readonly #sockets: WebSocketServer;
+  /** One for each request that is handled, and each open stream. */
+  readonly #work = new Set<symbol>();
 
   constructor(opts: LinkServerOptions<M, N, S>) {
     this.#opts = opts;
@@ -82,6 +91,14 @@
     this.#sockets.on("connection", (socket) => this.#accept(socket));
   }
 
+  /**
+   * Number of requests whose result is not sent yet, and of streams whose end
+   * is not.
+   */
+  get inProgressCount(): number {
+    return this.#work.size;
+  }
+
   /** Starts listening on an `IP:PORT` address. */
   listen(address: string): Promise<void> {
     const url = new URL(`tcp://${address}`);
@@ -100,7 +117,10 @@
     let from = "";
     const streams: OpenStreams = new Map();
     socket.on("close", () => {
-      for (const handlers of streams.values()) handlers.onLost();
+      for (const { handlers, endWork } of streams.values()) {
+        endWork();
+        handlers.onLost();
+      }
       streams.clear();
     });
     socket.on("error", () => socket.terminate());
@@ -134,7 +154,7 @@
       case "open":
         return this.#openStream(connection, message);
       case "control":
-        return streams.get(message.id)?.onControl(message.body);
+        return streams.get(message.id)?.handlers.onControl(message.body);
       default:
         return;
     }
@@ -149,6 +169,7 @@
       this.#opts.log.warn(`stream "${name}" is unknown`);
       return sendMessage(socket, { t: "end", id });
     }
+    const endWork = this.#beginWork();
     let isEnded = false;
     const handlers = serve(args as S[string]["args"], {
       send: (body) => {
@@ -157,13 +178,20 @@
       end: () => {
         isEnded = true;
         streams.delete(id);
-        sendMessage(socket, { t: "end", id });
+        sendMessage(socket, { t: "end", id }, endWork);
       },
       get bufferedBytes() {
         return socket.bufferedAmount;
       },
     });
-    if (!isEnded) streams.set(id, handlers);
+    if (!isEnded) streams.set(id, { handlers, endWork });
+  }
+
+  /** Counts a request or a stream as in progress until the result is called. */
+  #beginWork(): () => void {
+    const work = Symbol();
+    this.#work.add(work);
+    return () => this.#work.delete(work);
   }
 
   async #handleRequest(
@@ -172,14 +200,15 @@
     from: string,
   ): Promise<void> {
     const { id, name } = message;
+    const endWork = this.#beginWork();
     try {
       const handler = this.#opts.methods[name];
       if (!handler) throw new Error(`request "${name}" is unknown`);
       const result = await handler(message.args as M[string]["args"], from);
-      sendMessage(socket, { t: "result", id, result });
+      sendMessage(socket, { t: "result", id, result }, endWork);
     } catch (err) {
       const text = err instanceof Error ? err.message : String(err);
-      sendMessage(socket, { t: "failure", id, message: text });
+      sendMessage(socket, { t: "failure", id, message: text }, endWork);
     }
   }
 }
--- a/packages/link/src/socket.ts
+++ b/packages/link/src/socket.ts
@@ -9,15 +9,20 @@
 
 /**
  * Sends a message, or drops it if the socket is not open. Closes the socket if
- * the remote process reads too slowly.
+ * the remote process reads too slowly. `onSent` is called once the message has
+ * been handed to the operating system, or is dropped.
  */
-export function sendMessage(socket: WebSocket, message: LinkMessage): void {
-  if (socket.readyState !== socket.OPEN) return;
+export function sendMessage(
+  socket: WebSocket,
+  message: LinkMessage,
+  onSent: () => void = () => {},
+): void {
+  if (socket.readyState !== socket.OPEN) return onSent();
   if (socket.bufferedAmount > MAX_BUFFERED_BYTES) {
     socket.terminate();
-    return;
+    return onSent();
   }
-  socket.send(packr.pack(message));
+  socket.send(packr.pack(message), onSent);
 }
 
 /** Decodes a message. Returns undefined if the bytes are malformed. */
--- a/packages/link/test/stream_test.ts
+++ b/packages/link/test/stream_test.ts
@@ -55,6 +55,29 @@
     pair.close();
   });
 
+  // Guards against LOST: a process that ends while it serves others.
+  it("is in progress until its end is sent", async () => {
+    const receivers: StreamReceiver<number>[] = [];
+    const pair = await createPair((_args, it) => receivers.push(it));
+    pair.client.open("count", 1, createHandlers());
+    pair.client.open("count", 1, createHandlers());
+    await pair.waitFor(() => receivers.length === 2);
+    expect(pair.inProgressCount()).toEqual(2);
+    receivers[0]?.end();
+    await pair.waitFor(() => pair.inProgressCount() === 1);
+    pair.client.close();
+    await pair.waitFor(() => pair.inProgressCount() === 0);
+    pair.close();
+  });
+
+  it("is not in progress if it ended as it was opened", async () => {
+    const pair = await createPair((_args, it) => it.end());
+    pair.client.open("count", 1, createHandlers());
+    await pair.waitFor(() => pair.openCount() === 1);
+    await pair.waitFor(() => pair.inProgressCount() === 0);
+    pair.close();
+  });
+
   it("is not opened while the link is down", async () => {
     const pair = await createPair(() => {});
     pair.client.close();
@@ -110,6 +133,7 @@
   return {
     client,
     controls,
+    inProgressCount: () => server.inProgressCount,
     openCount: () => opened,
     lostCount: () => lost,
     waitFor,
