Upstreams: what a list of the store shows is announced like a change

Cause: a reader announced events only. What it learned from a list (history compacted, a watch without a change for long, the first list of a process) was applied by `reconcile` and never broadcast. A removal that followed from a list was announced with the revision of the old entry, which siblings knew, so they ignored it. A removal in a gap of the history waited for the grace of lapsed entries although there had been no outage. News also ended at each front that had read them in the store itself, and what a front had read before it became a reader was announced by nobody.

Change: `UpstreamRevisions` keeps two revisions of an upstream, that of its newest entry and the newest at which anything is known. A deletion, or a list without the entry, proves that all earlier entries are gone, so a removal is new if it is not older than the entry. Lists go through the same steps as events. Readers announce whatever siblings were not told, also what they read before they became readers. A change is passed on once by each front.

Tests of the registry that used `reconcile` now use `markMissing`, which is what the watcher calls; what they expect is unchanged.

--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -14,6 +14,7 @@
 import { isDeepStrictEqual } from "node:util";
 import { InvalidEntryLog } from "./invalid_entry_log.ts";
 import type { Protocol, UpstreamChange, UpstreamList } from "./protocol.ts";
+import { UpstreamRevisions } from "./upstream_revisions.ts";
 
 const SWEEP_INTERVAL_MS = 200;
 /** Entries removed this soon after an outage may have expired leases. */
@@ -24,7 +25,8 @@
 const RECENT_CHANGES_MS = 30_000;
 
 /** Where a front has learned a change of an upstream from, for the log. */
-type ChangeSource = "list" | "event" | "sibling";
+type ChangeSource = ReadSource | "sibling";
+type ReadSource = "list" | "event";
 
 /** Options of `UpstreamWatcher`. */
 export interface UpstreamWatcherOptions {
@@ -49,10 +51,13 @@
   readonly #invalidEntries: InvalidEntryLog;
   /** Whether an upstream has stated when its process started. */
   #hasStartTimes = false;
-  /** Revision of the newest change, by upstream id. */
-  readonly #revisions = new Map<string, number>();
+  readonly #revisions = new UpstreamRevisions();
   /** Recent changes and when they became known here, by upstream id. */
   readonly #recent = new Map<string, { change: UpstreamChange; at: number }>();
+  /** Revision of the newest change that siblings know, by upstream id. */
+  readonly #sharedRevisions = new Map<string, number>();
+  /** Whether this process has read a list. */
+  #hasListed = false;
   #isReachable = false;
   #lastUpdateAt = 0;
   /** When the store became unreachable; undefined while it is reachable. */
@@ -86,6 +91,7 @@
       onEvents: (events) => {
         this.#lastUpdateAt = timer.monotonicNow();
         for (const event of lastOfEachKey(events)) this.#applyEvent(event);
+        this.#announceRecent();
       },
       onReachable: (isReachable) => {
         this.#isReachable = isReachable;
@@ -93,7 +99,10 @@
       },
       ...(maxRetryMs && { maxRetryMs }),
     });
-    timer.every(SWEEP_INTERVAL_MS, () => this.#sweep());
+    timer.every(SWEEP_INTERVAL_MS, () => {
+      this.#sweep();
+      this.#announceRecent();
+    });
   }
 
   /** Merges a sibling's upstreams; ignored while the store is reachable. */
@@ -101,12 +110,11 @@
     if (this.#isReachable) return;
     entries.forEach((entry, i) => {
       if (!isUpstreamEntry(entry)) return;
-      const known = this.#revisions.get(entry.id) ?? 0;
-      const revision = revisions[i] ?? known;
       // Neither a removal nor a restart that is known here is undone.
-      if (revision < known) return;
-      this.#revisions.set(entry.id, revision);
-      this.#upsert(entry, "sibling");
+      const isNew = revisions[i] === undefined
+        ? this.revisionOf(entry.id) === 0
+        : this.#revisions.recordEntry(entry.id, revisions[i]);
+      if (isNew) this.#upsert(entry, "sibling");
     });
   }
 
@@ -114,24 +122,25 @@
   list(): UpstreamList {
     const entries = this.#opts.upstreamRegistry.all()
       .filter((it) => !it.isSuspended).map((it) => it.entry);
-    const revisions = entries.map((it) => this.#revisions.get(it.id) ?? 0);
+    const revisions = entries.map((it) => this.#revisions.entry(it.id));
     return { entries, revisions };
   }
 
-  /** Applies a sibling's change. Returns whether it was new here. */
+  /** Applies a sibling's change. Returns whether it must be passed on. */
   applyChange(change: UpstreamChange): boolean {
     if (change.kind === "put" && !isUpstreamEntry(change.entry)) return false;
-    const id = idOf(change);
-    if (!this.#advance(id, change.revision)) return false;
-    this.#lastUpdateAt = this.#opts.timer.monotonicNow();
-    const isNew = this.#apply(change, "sibling");
-    if (isNew) this.#remember(change);
-    return isNew;
+    if (change.kind === "put" && this.#isReplaced(change.entry)) return false;
+    if (this.#recordRevision(change)) {
+      this.#lastUpdateAt = this.#opts.timer.monotonicNow();
+      if (this.#apply(change, "sibling")) this.#remember(change);
+    }
+    // Others may rely on this front for what it knows from the store itself.
+    return this.#recordShared(change);
   }
 
   /** Revision of the newest change of an upstream; 0 if none is known. */
   revisionOf(id: string): number {
-    return this.#revisions.get(id) ?? 0;
+    return this.#revisions.newest(id);
   }
 
   /** Returns the changes that became known here a short time ago. */
@@ -174,84 +183,63 @@
   }
 
   #applySnapshot(items: StoreItem[], revision: number): void {
-    const { upstreamRegistry, timer, log } = this.#opts;
-    const entries: UpstreamEntry[] = [];
-    const invalid: string[] = [];
-    const parse = ({ key, value }: StoreItem) =>
-      this.#opts.protocol.parseUpstream(key, value);
-    this.#hasStartTimes ||= items.some((it) => (parse(it)?.startedAt ?? 0) > 0);
-    for (const { key, value, modRevision } of items) {
-      const entry = this.#parseEntry(key, value);
-      const id = this.#idOfKey(key);
-      if (entry) entries.push(entry);
-      else invalid.push(id);
-      this.#advance(id, modRevision);
-    }
+    const { upstreamRegistry, timer, log, protocol } = this.#opts;
     this.#lastUpdateAt = timer.monotonicNow();
-    // A sibling may have read later changes already.
-    const isNewer = (id: string) => (this.#revisions.get(id) ?? 0) > revision;
-    const newer = upstreamRegistry.all().map((it) => it.entry)
-      .filter((it) => isNewer(it.id));
-    const older = entries.filter((it) => !isNewer(it.id));
-    this.#logLeaving(older, items);
-    const suspended = invalid.filter((id) => !isNewer(id));
-    upstreamRegistry.reconcile(
-      [...older, ...newer],
-      this.#lastUpdateAt,
-      suspended,
+    this.#hasStartTimes ||= items.some(({ key, value }) =>
+      (protocol.parseUpstream(key, value)?.startedAt ?? 0) > 0
     );
-    log.info(`${entries.length} upstreams registered`);
-  }
-
-  /** Logs which upstreams a list shows as leaving or lacks. */
-  #logLeaving(entries: UpstreamEntry[], items: StoreItem[]): void {
-    const { upstreamRegistry } = this.#opts;
-    for (const { id, isDraining } of entries) {
-      const isNew = isDraining &&
-        upstreamRegistry.get(id)?.entry.isDraining === false;
-      if (isNew) this.#logChange(id, "draining", "list");
-    }
+    for (const item of items) this.#applyItem(item, "list");
     const listed = new Set(items.map((it) => this.#idOfKey(it.key)));
-    for (const { entry, missingSince } of upstreamRegistry.all()) {
-      const isNew = missingSince === undefined && !listed.has(entry.id);
-      if (isNew) this.#logChange(entry.id, "missing", "list");
+    for (const { entry: { id } } of upstreamRegistry.all()) {
+      if (!listed.has(id)) this.#applyAbsence(id, { revision, source: "list" });
     }
+    this.#hasListed = true;
+    this.#announceRecent();
+    log.info(`${items.length} upstreams registered`);
   }
 
   #applyEvent(event: StoreEvent): void {
-    if (event.kind === "delete") {
-      const id = this.#idOfKey(event.key);
-      if (this.#advance(id, event.revision)) this.#applyDeletion(id);
-      return;
-    }
-    const { key, value, modRevision } = event.item;
+    if (event.kind === "put") return this.#applyItem(event.item, "event");
+    const { key, revision } = event;
+    this.#applyAbsence(this.#idOfKey(key), { revision, source: "event" });
+  }
+
+  #applyItem({ key, value, modRevision }: StoreItem, source: ReadSource): void {
     const entry = this.#parseEntry(key, value);
     const id = this.#idOfKey(key);
-    if (!this.#advance(id, modRevision)) return;
     const change: UpstreamChange = entry
       ? { kind: "put", entry, revision: modRevision }
       : { kind: "suspend", id, revision: modRevision };
-    if (this.#apply(change, "event")) this.#announce(change);
+    if (!this.#recordRevision(change) || !this.#apply(change, source)) return;
+    // Siblings know what a front finds at its start, but perhaps not who leaves.
+    if (this.#hasListed || entry?.isDraining) this.#remember(change);
   }
 
-  #applyDeletion(id: string): void {
+  /** Applies that the store has no entry of an upstream at a revision. */
+  #applyAbsence(
+    id: string,
+    { revision, source }: { revision: number; source: ReadSource },
+  ): void {
     const { upstreamRegistry, isStoreReader, log, timer } = this.#opts;
-    if (!upstreamRegistry.get(id)) return;
+    if (!this.#revisions.recordAbsence(id, revision)) return;
+    const known = upstreamRegistry.get(id);
+    if (!known || known.missingSince !== undefined) return;
     const now = timer.monotonicNow();
     const isAfterOutage = now - this.#reconnectedAt < LEASE_EXPIRY_WINDOW_MS;
     // A front that reads seldom does not see every outage of the store.
     const mayHaveLapsed = isAfterOutage || !isStoreReader();
+    const event = source === "list" ? "missing" : "gone";
     log.info(`upstream ${id} was removed from the store`, {
-      event: "gone",
+      event,
       upstream: id,
-      source: "event",
+      source,
       revision: this.revisionOf(id),
       mayHaveLapsed,
     });
     // An expired entry is removed unless it reappears soon after the outage.
     const missingSince = isAfterOutage ? this.#reconnectedAt : now;
     if (mayHaveLapsed) upstreamRegistry.markMissing(id, missingSince);
-    else this.#announceRemoval(id);
+    else this.#removeAbsent(id);
   }
 
   #sweep(): void {
@@ -262,20 +250,36 @@
         `upstream ${id} did not register again after a store outage; removed`,
         { event: "removed", upstream: id, revision: this.revisionOf(id) },
       );
-      this.#announceRemoval(id);
+      this.#removeAbsent(id);
     }
   }
 
-  #announceRemoval(id: string): void {
+  /** Removes an upstream whose entry is known to be gone for good. */
+  #removeAbsent(id: string): void {
     this.#remove(id);
-    const revision = this.#revisions.get(id) ?? 0;
-    this.#announce({ kind: "remove", id, revision });
+    this.#remember({ kind: "remove", id, revision: this.revisionOf(id) });
+  }
+
+  /**
+   * Announces the changes that siblings may not know. They rely on the fronts
+   * that read often; one that begins to do so may be the only one that has read
+   * a change.
+   */
+  #announceRecent(): void {
+    if (!this.#opts.isStoreReader()) return;
+    for (const change of this.recentChanges()) {
+      if (this.#recordShared(change)) this.#opts.onChange(change);
+    }
   }
 
-  /** Passes a change on; siblings rely on the fronts that read often. */
-  #announce(change: UpstreamChange): void {
-    this.#remember(change);
-    if (this.#opts.isStoreReader()) this.#opts.onChange(change);
+  /** Records that siblings are told a change. Returns whether they were not. */
+  #recordShared(change: UpstreamChange): boolean {
+    const id = idOf(change);
+    const { revision } = change;
+    if (!Number.isSafeInteger(revision)) return false;
+    if (revision <= (this.#sharedRevisions.get(id) ?? 0)) return false;
+    this.#sharedRevisions.set(id, revision);
+    return true;
   }
 
   #remember(change: UpstreamChange): void {
@@ -284,11 +288,18 @@
   }
 
   /** Records the revision of a change. Returns whether it is the newest. */
-  #advance(id: string, revision: number): boolean {
-    const known = this.#revisions.get(id) ?? 0;
-    if (!Number.isSafeInteger(revision) || revision <= known) return false;
-    this.#revisions.set(id, revision);
-    return true;
+  #recordRevision(change: UpstreamChange): boolean {
+    const id = idOf(change);
+    const { revision } = change;
+    return change.kind === "remove"
+      ? this.#revisions.recordAbsence(id, revision)
+      : this.#revisions.recordEntry(id, revision);
+  }
+
+  /** Whether a later process of the upstream is known. */
+  #isReplaced({ id, startedAt }: UpstreamEntry): boolean {
+    const known = this.#opts.upstreamRegistry.get(id);
+    return known !== undefined && startedAt < known.entry.startedAt;
   }
 
   #suspend(id: string): boolean {
@@ -308,9 +319,10 @@
     const known = upstreamRegistry.get(entry.id);
     const before = known?.entry;
     const wasMissing = known?.missingSince !== undefined || known?.isSuspended;
-    if (before && entry.startedAt < before.startedAt) return false;
+    if (this.#isReplaced(entry)) return false;
     const change = upstreamRegistry.put(entry);
-    if (change) {
+    // A list names all upstreams; those that are new in it are only counted.
+    if (change && (change !== "new" || source !== "list")) {
       log.info(
         `upstream ${entry.id} of ${entry.service} at ${entry.address}: ${change}`,
         {
--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -152,26 +152,6 @@
     if (known) known.missingSince ??= now;
   }
 
-  /**
-   * Applies the full list of entries after a store outage. Upstreams that are
-   * not listed stay in use for a grace period, because their entries may only
-   * have expired during the outage. `suspended` are the ids of entries that
-   * name no usable upstream.
-   */
-  reconcile(
-    entries: UpstreamEntry[],
-    now: number,
-    suspended: readonly string[] = [],
-  ): void {
-    const present = new Set([...entries.map((it) => it.id), ...suspended]);
-    for (const entry of entries) this.put(entry);
-    for (const id of suspended) this.suspend(id);
-    for (const known of this.#upstreams.values()) {
-      if (present.has(known.entry.id)) continue;
-      known.missingSince ??= now;
-    }
-  }
-
   /** Removes upstreams whose grace period has ended and returns their ids. */
   sweep(now: number): string[] {
     const removed: string[] = [];
--- a/packages/routing/test/upstream_registry_test.ts
+++ b/packages/routing/test/upstream_registry_test.ts
@@ -56,7 +56,7 @@
     const { registry } = createRegistry();
     registry.put(createEntry("u1"));
     registry.put(createEntry("u2"));
-    registry.reconcile([createEntry("u1")], 1_000);
+    registry.markMissing("u2", 1_000);
     registry.sweep(2_900);
     expect(idsOf(registry)).toEqual(["u1", "u2"]);
     expect(registry.sweep(3_300)).toEqual(["u2"]);
@@ -76,7 +76,7 @@
   it("keeps an upstream whose entry returns within the grace period", () => {
     const { registry } = createRegistry();
     registry.put(createEntry("u1"));
-    registry.reconcile([], 1_000);
+    registry.markMissing("u1", 1_000);
     registry.put(createEntry("u1"));
     expect(registry.sweep(9_000)).toEqual([]);
   });
