Upstreams: a sibling's list carries removals, and undoes none

Cause: a sibling's list held entries alone. An entry that was missing was listed with the revision of its removal; a front that took it over then ignored the removal when it read it itself, for ever, and an equal revision brought back what was removed. Removals and unusable entries were not part of the list. A front that read the hosts but not the upstreams asked no sibling at all.

Ruled out: news of siblings do reach a front without the store ("heeds the news of siblings", green before).

Change: a list names each entry with its own revision, and apart from that which entries are missing, which are unusable, what was removed lately and up to which revision it is complete, so that an entry that it lacks is known to be gone. All fields are optional; earlier builds ignore them. Which changes are recent and which of them siblings know moves to `RecentChanges`.

--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -132,9 +132,16 @@
 /** Change of a registered upstream, as the platform's store reported it. */
 export type UpstreamChange =
   | { kind: "put"; entry: UpstreamEntry; revision: number }
-  | { kind: "remove"; id: string; revision: number }
+  | RemoveChange
   | SuspendChange;
 
+/** The entry of an upstream was removed. */
+export interface RemoveChange {
+  kind: "remove";
+  id: string;
+  revision: number;
+}
+
 /** The entry of an upstream was replaced by one that is not usable. */
 export interface SuspendChange {
   kind: "suspend";
@@ -157,6 +164,21 @@
    * of earlier builds.
    */
   revisions?: number[];
+  /** Recent removals, and the upstreams whose entries are not usable. */
+  changes?: (SuspendChange | RemoveChange)[];
+  /** Which of the entries are missing in the store and may have lapsed. */
+  missing?: MissingEntry[];
+  /**
+   * Revision up to which nothing else was in the store; missing if the sender
+   * has not read it, and from fronts of earlier builds.
+   */
+  completeTo?: number;
+}
+
+/** An entry of an upstream that was not in the store at a revision. */
+export interface MissingEntry {
+  id: string;
+  revision: number;
 }
 
 /** State and news that fronts of earlier builds send to all siblings. */
--- /dev/null
+++ b/packages/front/src/recent_changes.ts
@@ -0,0 +1,47 @@
+import type { Timer } from "@toucantrestle/timer";
+import type { UpstreamChange } from "./protocol.ts";
+
+/** Siblings that connect are told the changes of this time. */
+const RECENT_CHANGES_MS = 30_000;
+
+/** Which changes of upstreams are recent, and which of them siblings know. */
+export class RecentChanges {
+  readonly #timer: Timer;
+  /** Recent changes and when they became known here, by upstream id. */
+  readonly #recent = new Map<string, { change: UpstreamChange; at: number }>();
+  /** Revision of the newest change that siblings know, by upstream id. */
+  readonly #sharedRevisions = new Map<string, number>();
+
+  constructor(timer: Timer) {
+    this.#timer = timer;
+  }
+
+  /** Adds a change, which replaces earlier ones of its upstream. */
+  add(change: UpstreamChange): void {
+    this.#recent.set(idOf(change), { change, at: this.#timer.monotonicNow() });
+  }
+
+  /** Returns the recent changes. */
+  all(): UpstreamChange[] {
+    const since = this.#timer.monotonicNow() - RECENT_CHANGES_MS;
+    for (const [id, { at }] of this.#recent) {
+      if (at < since) this.#recent.delete(id);
+    }
+    return [...this.#recent.values()].map((it) => it.change);
+  }
+
+  /** Records that siblings are told a change. Returns whether they were not. */
+  share(change: UpstreamChange): boolean {
+    const id = idOf(change);
+    const { revision } = change;
+    if (!Number.isSafeInteger(revision)) return false;
+    if (revision <= (this.#sharedRevisions.get(id) ?? 0)) return false;
+    this.#sharedRevisions.set(id, revision);
+    return true;
+  }
+}
+
+/** Returns the id of the upstream that a change concerns. */
+export function idOf(change: UpstreamChange): string {
+  return change.kind === "put" ? change.entry.id : change.id;
+}
--- a/packages/front/src/siblings/siblings.ts
+++ b/packages/front/src/siblings/siblings.ts
@@ -258,8 +258,8 @@
 
   /** Fetches hosts and upstreams from a sibling if the store is unreachable. */
   async #syncFromSibling(): Promise<void> {
-    const { fleet, configWatcher, log } = this.#opts;
-    if (fleet.isStoreReachable) return;
+    const { fleet, configWatcher, report, log } = this.#opts;
+    if (report().reachesStore) return;
     const host = pickRandom(this.#links.openHosts());
     const link = host === undefined ? undefined : this.#links.open(host);
     if (!link) return;
--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -13,7 +13,13 @@
 import type { Timer } from "@toucantrestle/timer";
 import { isDeepStrictEqual } from "node:util";
 import { InvalidEntryLog } from "./invalid_entry_log.ts";
-import type { Protocol, UpstreamChange, UpstreamList } from "./protocol.ts";
+import type {
+  MissingEntry,
+  Protocol,
+  UpstreamChange,
+  UpstreamList,
+} from "./protocol.ts";
+import { idOf, RecentChanges } from "./recent_changes.ts";
 import { UpstreamRevisions } from "./upstream_revisions.ts";
 
 const SWEEP_INTERVAL_MS = 200;
@@ -21,8 +27,6 @@
 const LEASE_EXPIRY_WINDOW_MS = 2_000;
 /** No lease expires during an outage shorter than this. */
 const MIN_OUTAGE_MS = 2_000;
-/** Siblings that connect are told the changes of this time. */
-const RECENT_CHANGES_MS = 30_000;
 
 /** Where a front has learned a change of an upstream from, for the log. */
 type ChangeSource = ReadSource | "sibling";
@@ -52,10 +56,9 @@
   /** Whether an upstream has stated when its process started. */
   #hasStartTimes = false;
   readonly #revisions = new UpstreamRevisions();
-  /** Recent changes and when they became known here, by upstream id. */
-  readonly #recent = new Map<string, { change: UpstreamChange; at: number }>();
-  /** Revision of the newest change that siblings know, by upstream id. */
-  readonly #sharedRevisions = new Map<string, number>();
+  readonly #recent: RecentChanges;
+  /** All changes up to this revision of the store are known here. */
+  #completeTo = 0;
   /** Whether this process has read a list. */
   #hasListed = false;
   #isReachable = false;
@@ -68,6 +71,7 @@
   constructor(opts: UpstreamWatcherOptions) {
     this.#opts = opts;
     this.#invalidEntries = new InvalidEntryLog(opts);
+    this.#recent = new RecentChanges(opts.timer);
   }
 
   /** Time since the last snapshot or event from the store, in ms. */
@@ -88,8 +92,9 @@
       timer,
       log,
       onSnapshot: (items, revision) => this.#applySnapshot(items, revision),
-      onEvents: (events) => {
+      onEvents: (events, revision) => {
         this.#lastUpdateAt = timer.monotonicNow();
+        this.#recordComplete(revision);
         for (const event of lastOfEachKey(events)) this.#applyEvent(event);
         this.#announceRecent();
       },
@@ -106,36 +111,46 @@
   }
 
   /** Merges a sibling's upstreams; ignored while the store is reachable. */
-  mergeFromSibling({ entries, revisions = [] }: UpstreamList): void {
+  mergeFromSibling(list: UpstreamList): void {
     if (this.#isReachable) return;
-    entries.forEach((entry, i) => {
-      if (!isUpstreamEntry(entry)) return;
-      // Neither a removal nor a restart that is known here is undone.
-      const isNew = revisions[i] === undefined
-        ? this.revisionOf(entry.id) === 0
-        : this.#revisions.recordEntry(entry.id, revisions[i]);
-      if (isNew) this.#upsert(entry, "sibling");
-    });
+    const { entries, revisions = [], changes = [], missing = [] } = list;
+    entries.forEach((entry, i) => this.#mergeEntry(entry, revisions[i]));
+    for (const change of changes) this.#merge(change);
+    for (const it of missing) this.#mergeMissing(it);
+    this.#removeUnlisted(list);
   }
 
   /** Returns the upstreams for a sibling that cannot reach the store. */
   list(): UpstreamList {
-    const entries = this.#opts.upstreamRegistry.all()
-      .filter((it) => !it.isSuspended).map((it) => it.entry);
-    const revisions = entries.map((it) => this.#revisions.entry(it.id));
-    return { entries, revisions };
+    const all = this.#opts.upstreamRegistry.all();
+    const entries = all.filter((it) => !it.isSuspended).map((it) => it.entry);
+    const suspended = all.filter((it) => it.isSuspended)
+      .map(({ entry: { id } }) => ({
+        kind: "suspend" as const,
+        id,
+        revision: this.#revisions.entry(id),
+      }));
+    const removed = this.#recent.all().filter((it) => it.kind === "remove");
+    const changes = [...suspended, ...removed];
+    const missing = all.filter((it) => it.missingSince !== undefined)
+      .map(({ entry: { id } }) => ({ id, revision: this.revisionOf(id) }));
+    return {
+      entries,
+      revisions: entries.map((it) => this.#revisions.entry(it.id)),
+      ...(changes.length > 0 && { changes }),
+      ...(missing.length > 0 && { missing }),
+      ...(this.#completeTo > 0 && { completeTo: this.#completeTo }),
+    };
   }
 
   /** Applies a sibling's change. Returns whether it must be passed on. */
   applyChange(change: UpstreamChange): boolean {
-    if (change.kind === "put" && !isUpstreamEntry(change.entry)) return false;
-    if (change.kind === "put" && this.#isReplaced(change.entry)) return false;
-    if (this.#recordRevision(change)) {
-      this.#lastUpdateAt = this.#opts.timer.monotonicNow();
-      if (this.#apply(change, "sibling")) this.#remember(change);
-    }
+    const isUsable = change.kind !== "put" ||
+      (isUpstreamEntry(change.entry) && !this.#isReplaced(change.entry));
+    if (!isUsable) return false;
+    this.#merge(change);
     // Others may rely on this front for what it knows from the store itself.
-    return this.#recordShared(change);
+    return this.#recent.share(change);
   }
 
   /** Revision of the newest change of an upstream; 0 if none is known. */
@@ -145,11 +160,48 @@
 
   /** Returns the changes that became known here a short time ago. */
   recentChanges(): UpstreamChange[] {
-    const since = this.#opts.timer.monotonicNow() - RECENT_CHANGES_MS;
-    for (const [id, { at }] of this.#recent) {
-      if (at < since) this.#recent.delete(id);
+    return this.#recent.all();
+  }
+
+  #merge(change: UpstreamChange): void {
+    if (!this.#recordRevision(change)) return;
+    this.#lastUpdateAt = this.#opts.timer.monotonicNow();
+    if (this.#apply(change, "sibling")) this.#recent.add(change);
+  }
+
+  /** Merges an entry of a sibling's list; `revision` is missing from some. */
+  #mergeEntry(entry: UpstreamEntry, revision: number | undefined): void {
+    if (!isUpstreamEntry(entry)) return;
+    // Neither a removal nor a restart that is known here is undone.
+    const isNew = revision === undefined
+      ? this.revisionOf(entry.id) === 0
+      : this.#revisions.recordEntry(entry.id, revision);
+    if (isNew) this.#upsert(entry, "sibling");
+  }
+
+  #mergeMissing({ id, revision }: MissingEntry): void {
+    const { upstreamRegistry, timer } = this.#opts;
+    if (!this.#revisions.recordAbsence(id, revision)) return;
+    upstreamRegistry.markMissing(id, timer.monotonicNow());
+  }
+
+  /** Removes upstreams that a sibling would know if they were in the store. */
+  #removeUnlisted({ entries, changes = [], completeTo = 0 }: UpstreamList) {
+    const listed = new Set([
+      ...entries.map((it) => it.id),
+      ...changes.map((it) => it.id),
+    ]);
+    for (const { entry: { id } } of this.#opts.upstreamRegistry.all()) {
+      if (listed.has(id)) continue;
+      this.#merge({ kind: "remove", id, revision: completeTo });
     }
-    return [...this.#recent.values()].map((it) => it.change);
+    this.#recordComplete(completeTo);
+  }
+
+  /** Records that all changes up to a revision are known here. */
+  #recordComplete(revision: number): void {
+    if (!Number.isSafeInteger(revision)) return;
+    this.#completeTo = Math.max(this.#completeTo, revision);
   }
 
   #apply(change: UpstreamChange, source: ChangeSource): boolean {
@@ -194,6 +246,7 @@
       if (!listed.has(id)) this.#applyAbsence(id, { revision, source: "list" });
     }
     this.#hasListed = true;
+    this.#recordComplete(revision);
     this.#announceRecent();
     log.info(`${items.length} upstreams registered`);
   }
@@ -212,7 +265,7 @@
       : { kind: "suspend", id, revision: modRevision };
     if (!this.#recordRevision(change) || !this.#apply(change, source)) return;
     // Siblings know what a front finds at its start, but perhaps not who leaves.
-    if (this.#hasListed || entry?.isDraining) this.#remember(change);
+    if (this.#hasListed || entry?.isDraining) this.#recent.add(change);
   }
 
   /** Applies that the store has no entry of an upstream at a revision. */
@@ -257,7 +310,7 @@
   /** Removes an upstream whose entry is known to be gone for good. */
   #removeAbsent(id: string): void {
     this.#remove(id);
-    this.#remember({ kind: "remove", id, revision: this.revisionOf(id) });
+    this.#recent.add({ kind: "remove", id, revision: this.revisionOf(id) });
   }
 
   /**
@@ -267,26 +320,11 @@
    */
   #announceRecent(): void {
     if (!this.#opts.isStoreReader()) return;
-    for (const change of this.recentChanges()) {
-      if (this.#recordShared(change)) this.#opts.onChange(change);
+    for (const change of this.#recent.all()) {
+      if (this.#recent.share(change)) this.#opts.onChange(change);
     }
   }
 
-  /** Records that siblings are told a change. Returns whether they were not. */
-  #recordShared(change: UpstreamChange): boolean {
-    const id = idOf(change);
-    const { revision } = change;
-    if (!Number.isSafeInteger(revision)) return false;
-    if (revision <= (this.#sharedRevisions.get(id) ?? 0)) return false;
-    this.#sharedRevisions.set(id, revision);
-    return true;
-  }
-
-  #remember(change: UpstreamChange): void {
-    const id = idOf(change);
-    this.#recent.set(id, { change, at: this.#opts.timer.monotonicNow() });
-  }
-
   /** Records the revision of a change. Returns whether it is the newest. */
   #recordRevision(change: UpstreamChange): boolean {
     const id = idOf(change);
@@ -356,10 +394,6 @@
   }
 }
 
-function idOf(change: UpstreamChange): string {
-  return change.kind === "put" ? change.entry.id : change.id;
-}
-
 /** Returns the last event of each key, in the order of these events. */
 function lastOfEachKey(events: StoreEvent[]): StoreEvent[] {
   const last = new Map<string, StoreEvent>();
--- a/packages/front/test/unheard_leaving_test.ts
+++ b/packages/front/test/unheard_leaving_test.ts
@@ -8,6 +8,13 @@
   type WatchingFront,
 } from "./watcher_fleet.ts";
 
+/** An entry that may have lapsed is used for this long, and a sweep more. */
+const LAPSE_GRACE_MS = 2_400;
+/** Outage after which entries may have lapsed. */
+const LONG_OUTAGE_MS = 2_500;
+/** Longest time until a front tries to reach the store again. */
+const RETRY_MS = 800;
+
 let fleet: WatcherFleet;
 let reader: WatchingFront;
 let seldom: WatchingFront;
@@ -20,6 +27,16 @@
   fleet.store.delete(upstreamKey(id));
 }
 
+/** Cuts a front off from the store for long, while `fn` makes changes. */
+async function cutOffDuring(front: WatchingFront, fn: () => void) {
+  front.readings.cutOff();
+  await fleet.advance(LONG_OUTAGE_MS);
+  fn();
+  front.readings.isCutOff = false;
+  await fleet.advance(RETRY_MS);
+  await fleet.poll(front);
+}
+
 /** A reader and a front that relies on its news; both know u1 and u2. */
 beforeEach(async () => {
   fleet = new WatcherFleet(["reader", "seldom"]);
@@ -82,7 +99,7 @@
     removeEntry("u1");
     fleet.store.compact();
     await fleet.poll(reader);
-    await fleet.advance(2_400);
+    await fleet.advance(LAPSE_GRACE_MS);
     fleet.deliverNews();
     expect(acceptingIds(seldom)).toEqual(["u2"]);
   });
@@ -107,7 +124,7 @@
     await fleet.poll(reader);
     reader.readings.staleBy = 1;
     await fleet.end(reader, "outdated");
-    await fleet.advance(2_400);
+    await fleet.advance(LAPSE_GRACE_MS);
     expect(acceptingIds(reader)).toEqual(["u2"]);
   });
 });
@@ -139,3 +156,88 @@
     expect(reader.announced).toEqual([]);
   });
 });
+
+describe("a front that cannot reach the store", () => {
+  // Guards against DRAIN: the removal was not part of a sibling's list.
+  it("learns from a sibling's list what was removed", async () => {
+    seldom.readings.cutOff();
+    removeEntry("u1");
+    await fleet.poll(reader);
+    fleet.ask(seldom, reader);
+    expect(acceptingIds(seldom)).toEqual(["u2"]);
+  });
+
+  // Guards against DRAIN: the same, long after the removal.
+  it("learns what was removed some time ago", async () => {
+    seldom.readings.cutOff();
+    removeEntry("u1");
+    await fleet.poll(reader);
+    await fleet.advance(60_000);
+    putEntry("u2");
+    await fleet.poll(reader);
+    fleet.ask(seldom, reader);
+    expect(acceptingIds(seldom)).toEqual(["u2"]);
+  });
+
+  // Guards against ROUTE: an unusable entry was not part of a sibling's list.
+  it("learns which entries became unusable", async () => {
+    seldom.readings.cutOff();
+    fleet.store.put(upstreamKey("u1"), "no entry");
+    await fleet.poll(reader);
+    fleet.ask(seldom, reader);
+    expect(acceptingIds(seldom)).toEqual(["u2"]);
+  });
+
+  // Guards against DRAIN: the entry had the revision of its removal.
+  it("lets go what it took over when it reads the removal itself", async () => {
+    seldom.readings.cutOff();
+    await cutOffDuring(reader, () => removeEntry("u1"));
+    fleet.ask(seldom, reader);
+    expect(acceptingIds(seldom)).toEqual(["u1", "u2"]);
+    seldom.readings.isCutOff = false;
+    await fleet.advance(RETRY_MS);
+    await fleet.poll(seldom);
+    await fleet.advance(LAPSE_GRACE_MS);
+    expect(acceptingIds(seldom)).toEqual(["u2"]);
+  });
+
+  // Guards against DRAIN: a removal was undone at an equal revision.
+  it("takes nothing back that it knows to be removed", async () => {
+    const list = structuredClone(reader.watcher.list());
+    removeEntry("u1");
+    await fleet.poll(reader);
+    reader.readings.cutOff();
+    reader.watcher.mergeFromSibling(list);
+    reader.watcher.mergeFromSibling({ ...list, revisions: [3, 3] });
+    expect(acceptingIds(reader)).toEqual(["u2"]);
+  });
+
+  it("keeps a lapsed entry while a sibling does", async () => {
+    seldom.readings.cutOff();
+    await cutOffDuring(reader, () => removeEntry("u1"));
+    fleet.ask(seldom, reader);
+    await fleet.advance(1_000);
+    expect(acceptingIds(seldom)).toEqual(["u1", "u2"]);
+    await fleet.advance(LAPSE_GRACE_MS);
+    fleet.ask(seldom, reader);
+    expect(acceptingIds(seldom)).toEqual(["u2"]);
+  });
+
+  it("keeps an entry that is newer than a sibling's list", async () => {
+    const list = structuredClone(reader.watcher.list());
+    putEntry("u3");
+    await fleet.poll(seldom);
+    seldom.readings.cutOff();
+    seldom.watcher.mergeFromSibling(list);
+    expect(acceptingIds(seldom)).toEqual(["u1", "u2", "u3"]);
+  });
+
+  it("heeds the news of siblings", async () => {
+    seldom.readings.cutOff();
+    removeEntry("u1");
+    putEntry("u2", true);
+    await fleet.poll(reader);
+    fleet.deliverNews();
+    expect(acceptingIds(seldom)).toEqual([]);
+  });
+});
