Upstreams: an entry written after an outage of the store does not lapse

What callers saw (DRAIN): an upstream that left within 2 s after an outage of the store was taken for one whose entry may have lapsed, and got requests until 2.2 to 2.4 s after the outage; a front that reads seldom kept it as long as that after its own read, even if a reader had said that it was gone.

Cause: whether an entry may have lapsed was decided by the time since the outage alone. Only an upstream that could not write during the outage can lapse. One that has written after the store's return reaches the store, so a deletion that follows is a removal. Changes of one key that were read together were reduced to the last before anything looked at their revisions.

Evidence, failed before, in unheard_leaving_test.ts: "is gone if it was written after the outage" and "... and read late": ["u1", "u2"] in place of ["u2"]; on also "is gone as soon as a reader says so".

Ruled out: entries that lapsed are dropped too soon. The tests of the grace are unchanged and green; what is read together with the end of the outage proves nothing, as it may be from before ("may have lapsed if it was written before the outage").

Change: `StoreOutages` knows the revision that the store had when it was read first after a long outage. An entry with a later revision was written after it. A removal that siblings announce counts for every revision from the entry's own.

Not changed: an upstream that has written nothing after the return and leaves in these 2 s is used for up to 2.4 s after the return was noticed.

--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -20,14 +20,10 @@
   UpstreamList,
 } from "./protocol.ts";
 import { idOf, RecentChanges } from "./recent_changes.ts";
+import { StoreOutages } from "./store_outages.ts";
 import { UpstreamRevisions } from "./upstream_revisions.ts";
 
 const SWEEP_INTERVAL_MS = 200;
-/** Entries removed this soon after an outage may have expired leases. */
-const LEASE_EXPIRY_WINDOW_MS = 2_000;
-/** No lease expires during an outage shorter than this. */
-const MIN_OUTAGE_MS = 2_000;
-
 /** Where a front has learned a change of an upstream from, for the log. */
 type ChangeSource = ReadSource | "sibling";
 type ReadSource = "list" | "event";
@@ -56,6 +52,7 @@
   /** Whether an upstream has stated when its process started. */
   #hasStartTimes = false;
   readonly #revisions = new UpstreamRevisions();
+  readonly #outages: StoreOutages;
   readonly #recent: RecentChanges;
   /** All changes up to this revision of the store are known here. */
   #completeTo = 0;
@@ -63,15 +60,12 @@
   #hasListed = false;
   #isReachable = false;
   #lastUpdateAt = 0;
-  /** When the store became unreachable; undefined while it is reachable. */
-  #disconnectedAt: number | undefined;
-  /** End of the last outage that was long enough for leases to expire. */
-  #reconnectedAt = -Infinity;
 
   constructor(opts: UpstreamWatcherOptions) {
     this.#opts = opts;
     this.#invalidEntries = new InvalidEntryLog(opts);
     this.#recent = new RecentChanges(opts.timer);
+    this.#outages = new StoreOutages(opts.timer);
   }
 
   /** Time since the last snapshot or event from the store, in ms. */
@@ -92,15 +86,10 @@
       timer,
       log,
       onSnapshot: (items, revision) => this.#applySnapshot(items, revision),
-      onEvents: (events, revision) => {
-        this.#lastUpdateAt = timer.monotonicNow();
-        this.#recordComplete(revision);
-        for (const event of lastOfEachKey(events)) this.#applyEvent(event);
-        this.#announceRecent();
-      },
+      onEvents: (events, revision) => this.#applyEvents(events, revision),
       onReachable: (isReachable) => {
         this.#isReachable = isReachable;
-        this.#trackOutage(isReachable);
+        this.#outages.track(isReachable);
       },
       ...(maxRetryMs && { maxRetryMs }),
     });
@@ -222,18 +211,6 @@
     });
   }
 
-  #trackOutage(isReachable: boolean): void {
-    const now = this.#opts.timer.monotonicNow();
-    if (!isReachable) {
-      this.#disconnectedAt ??= now;
-      return;
-    }
-    const wasLong = this.#disconnectedAt !== undefined &&
-      now - this.#disconnectedAt > MIN_OUTAGE_MS;
-    if (wasLong) this.#reconnectedAt = now;
-    this.#disconnectedAt = undefined;
-  }
-
   #applySnapshot(items: StoreItem[], revision: number): void {
     const { upstreamRegistry, timer, log, protocol } = this.#opts;
     this.#lastUpdateAt = timer.monotonicNow();
@@ -251,6 +228,25 @@
     log.info(`${items.length} upstreams registered`);
   }
 
+  #applyEvents(events: StoreEvent[], revision: number): void {
+    this.#lastUpdateAt = this.#opts.timer.monotonicNow();
+    this.#outages.recordRevision(revision);
+    this.#recordComplete(revision);
+    const last = new Set(lastOfEachKey(events));
+    for (const event of events) {
+      if (last.has(event)) this.#applyEvent(event);
+      else this.#recordEvent(event);
+    }
+    this.#announceRecent();
+  }
+
+  /** Records the revision of an entry that was replaced or deleted since. */
+  #recordEvent(event: StoreEvent): void {
+    if (event.kind === "delete") return;
+    const { key, modRevision } = event.item;
+    this.#revisions.recordEntry(this.#idOfKey(key), modRevision);
+  }
+
   #applyEvent(event: StoreEvent): void {
     if (event.kind === "put") return this.#applyItem(event.item, "event");
     const { key, revision } = event;
@@ -276,11 +272,11 @@
     const { upstreamRegistry, isStoreReader, log, timer } = this.#opts;
     if (!this.#revisions.recordAbsence(id, revision)) return;
     const known = upstreamRegistry.get(id);
-    if (!known || known.missingSince !== undefined) return;
-    const now = timer.monotonicNow();
-    const isAfterOutage = now - this.#reconnectedAt < LEASE_EXPIRY_WINDOW_MS;
+    if (!known) return;
+    const lapsedBy = this.#outages.lapsedBy(this.#revisions.entry(id));
     // A front that reads seldom does not see every outage of the store.
-    const mayHaveLapsed = isAfterOutage || !isStoreReader();
+    const mayHaveLapsed = lapsedBy !== undefined || !isStoreReader();
+    if (mayHaveLapsed && known.missingSince !== undefined) return;
     const event = source === "list" ? "missing" : "gone";
     log.info(`upstream ${id} was removed from the store`, {
       event,
@@ -290,7 +286,7 @@
       mayHaveLapsed,
     });
     // An expired entry is removed unless it reappears soon after the outage.
-    const missingSince = isAfterOutage ? this.#reconnectedAt : now;
+    const missingSince = lapsedBy ?? timer.monotonicNow();
     if (mayHaveLapsed) upstreamRegistry.markMissing(id, missingSince);
     else this.#removeAbsent(id);
   }
@@ -394,12 +390,11 @@
   }
 }
 
-/** Returns the last event of each key, in the order of these events. */
+/** Returns the last event of each key. */
 function lastOfEachKey(events: StoreEvent[]): StoreEvent[] {
   const last = new Map<string, StoreEvent>();
   for (const event of events) {
     const key = event.kind === "put" ? event.item.key : event.key;
-    last.delete(key);
     last.set(key, event);
   }
   return [...last.values()];
--- a/packages/front/test/unheard_leaving_test.ts
+++ b/packages/front/test/unheard_leaving_test.ts
@@ -241,3 +241,66 @@
     expect(acceptingIds(seldom)).toEqual([]);
   });
 });
+
+describe("an entry that is deleted", () => {
+  // Guards against DRAIN: it was taken for lapsed soon after an outage.
+  it("is gone if it was written after the outage", async () => {
+    await cutOffDuring(reader, () => putEntry("u2"));
+    putEntry("u1");
+    await fleet.poll(reader);
+    removeEntry("u1");
+    await fleet.poll(reader);
+    expect(acceptingIds(reader)).toEqual(["u2"]);
+    expect(reader.announced.map((it) => it.kind)).toEqual(["remove"]);
+  });
+
+  // Guards against DRAIN: the same if both changes are read together.
+  it("is gone if it was written after the outage and read late", async () => {
+    await cutOffDuring(reader, () => putEntry("u2"));
+    putEntry("u1");
+    removeEntry("u1");
+    await fleet.poll(reader);
+    expect(acceptingIds(reader)).toEqual(["u2"]);
+  });
+
+  // Guards against DRAIN: a lapsed entry that was back and left stayed missing.
+  it("is gone if it was back after it had lapsed", async () => {
+    await cutOffDuring(reader, () => removeEntry("u1"));
+    putEntry("u1");
+    removeEntry("u1");
+    await fleet.poll(reader);
+    expect(acceptingIds(reader)).toEqual(["u2"]);
+  });
+
+  it("may have lapsed if it was written before the outage", async () => {
+    await cutOffDuring(reader, () => {
+      putEntry("u1");
+      removeEntry("u1");
+    });
+    expect(acceptingIds(reader)).toEqual(["u1", "u2"]);
+    putEntry("u1");
+    await fleet.poll(reader);
+    await fleet.advance(LAPSE_GRACE_MS);
+    expect(acceptingIds(reader)).toEqual(["u1", "u2"]);
+  });
+
+  // Guards against DRAIN: the news came after the front had read the deletion.
+  it("is gone as soon as a reader says so", async () => {
+    removeEntry("u1");
+    await fleet.poll(seldom);
+    expect(acceptingIds(seldom)).toEqual(["u1", "u2"]);
+    await fleet.poll(reader);
+    fleet.deliverNews();
+    expect(acceptingIds(seldom)).toEqual(["u2"]);
+  });
+
+  // Guards against DRAIN: the same after a list later than the deletion.
+  it("is gone as soon as a reader says so, at an earlier revision", async () => {
+    removeEntry("u1");
+    putEntry("u2");
+    await fleet.end(seldom, "outdated");
+    await fleet.poll(reader);
+    fleet.deliverNews();
+    expect(acceptingIds(seldom)).toEqual(["u2"]);
+  });
+});
