--- a/packages/config_store/src/list_and_watch.ts
+++ b/packages/config_store/src/list_and_watch.ts
@@ -57,9 +57,10 @@
     opts.onReachable?.(value);
   }
 
-  function retry(fn: () => void): void {
+  function retry(fn: (waitedMs: number) => void): void {
     if (isCancelled) return;
-    timer.after(retryMs, fn);
+    const waitedMs = retryMs;
+    timer.after(waitedMs, () => fn(waitedMs));
     const maxRetryMs = opts.maxRetryMs?.() ?? DEFAULT_MAX_RETRY_MS;
     retryMs = Math.min(maxRetryMs, retryMs * 2);
   }
@@ -82,11 +83,12 @@
     }
   }
 
-  function watch(after: number): void {
+  function watch(after: number, waitedMs = 0): void {
     if (isCancelled) return;
     let revision = after;
     subscription = store.watch(prefix, {
       fromRevision: after + 1,
+      waitedMs,
       handlers: {
         onEvents(events, atRevision) {
           if (isCancelled) return;
@@ -109,7 +111,7 @@
             return;
           }
           setReachable(false);
-          retry(() => watch(revision));
+          retry((it) => watch(revision, it));
         },
       },
     });
--- a/packages/config_store/src/store.ts
+++ b/packages/config_store/src/store.ts
@@ -76,6 +76,18 @@
   onEnd(reason?: WatchEndReason): void;
 }
 
+/** Options of a watch. */
+export interface WatchOptions {
+  /** First revision whose changes are reported. */
+  fromRevision: number;
+  handlers: WatchHandlers;
+  /**
+   * Time since the watch before was lost, in ms; counts towards a delay before
+   * the first read.
+   */
+  waitedMs?: number;
+}
+
 /** The platform's key-value service. Failed calls throw `StoreError`. */
 export interface ConfigStore {
   /** Returns the item of a key; undefined if the key is absent. */
@@ -97,8 +109,5 @@
   /** Ends a lease, which deletes its keys. */
   revokeLease(lease: string): Promise<void>;
   /** Reports all changes below a prefix from `fromRevision` on. */
-  watch(
-    prefix: string,
-    opts: { fromRevision: number; handlers: WatchHandlers },
-  ): Subscription;
+  watch(prefix: string, opts: WatchOptions): Subscription;
 }
