--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -13,18 +13,20 @@
 import type { Timer } from "@toucantrestle/timer";
 import { isDeepStrictEqual } from "node:util";
 import { InvalidEntryLog } from "./invalid_entry_log.ts";
-import type { Protocol, UpstreamChange, UpstreamList } from "./protocol.ts";
+import type {
+  MissingEntry,
+  Protocol,
+  UpstreamChange,
+  UpstreamList,
+} from "./protocol.ts";
+import { idOf, RecentChanges } from "./recent_changes.ts";
+import { StoreOutages } from "./store_outages.ts";
+import { UpstreamRevisions } from "./upstream_revisions.ts";
 
 const SWEEP_INTERVAL_MS = 200;
-/** Entries removed this soon after an outage may have expired leases. */
-const LEASE_EXPIRY_WINDOW_MS = 2_000;
-/** No lease expires during an outage shorter than this. */
-const MIN_OUTAGE_MS = 2_000;
-/** Siblings that connect are told the changes of this time. */
-const RECENT_CHANGES_MS = 30_000;
-
 /** Where a front has learned a change of an upstream from, for the log. */
-type ChangeSource = "list" | "event" | "sibling";
+type ChangeSource = ReadSource | "sibling";
+type ReadSource = "list" | "event";
 
 /** Options of `UpstreamWatcher`. */
 export interface UpstreamWatcherOptions {
@@ -49,20 +51,21 @@
   readonly #invalidEntries: InvalidEntryLog;
   /** Whether an upstream has stated when its process started. */
   #hasStartTimes = false;
-  /** Revision of the newest change, by upstream id. */
-  readonly #revisions = new Map<string, number>();
-  /** Recent changes and when they became known here, by upstream id. */
-  readonly #recent = new Map<string, { change: UpstreamChange; at: number }>();
+  readonly #revisions = new UpstreamRevisions();
+  readonly #outages: StoreOutages;
+  readonly #recent: RecentChanges;
+  /** All changes up to this revision of the store are known here. */
+  #completeTo = 0;
+  /** Whether this process has read a list. */
+  #hasListed = false;
   #isReachable = false;
   #lastUpdateAt = 0;
-  /** When the store became unreachable; undefined while it is reachable. */
-  #disconnectedAt: number | undefined;
-  /** End of the last outage that was long enough for leases to expire. */
-  #reconnectedAt = -Infinity;
 
   constructor(opts: UpstreamWatcherOptions) {
     this.#opts = opts;
     this.#invalidEntries = new InvalidEntryLog(opts);
+    this.#recent = new RecentChanges(opts.timer);
+    this.#outages = new StoreOutages(opts.timer);
   }
 
   /** Time since the last snapshot or event from the store, in ms. */
@@ -83,64 +86,111 @@
       timer,
       log,
       onSnapshot: (items, revision) => this.#applySnapshot(items, revision),
-      onEvents: (events) => {
-        this.#lastUpdateAt = timer.monotonicNow();
-        for (const event of lastOfEachKey(events)) this.#applyEvent(event);
-      },
+      onEvents: (events, revision) => this.#applyEvents(events, revision),
       onReachable: (isReachable) => {
         this.#isReachable = isReachable;
-        this.#trackOutage(isReachable);
+        this.#outages.track(isReachable);
       },
       ...(maxRetryMs && { maxRetryMs }),
     });
-    timer.every(SWEEP_INTERVAL_MS, () => this.#sweep());
+    timer.every(SWEEP_INTERVAL_MS, () => {
+      this.#sweep();
+      this.#announceRecent();
+    });
   }
 
   /** Merges a sibling's upstreams; ignored while the store is reachable. */
-  mergeFromSibling({ entries, revisions = [] }: UpstreamList): void {
+  mergeFromSibling(list: UpstreamList): void {
     if (this.#isReachable) return;
-    entries.forEach((entry, i) => {
-      if (!isUpstreamEntry(entry)) return;
-      const known = this.#revisions.get(entry.id) ?? 0;
-      const revision = revisions[i] ?? known;
-      // Neither a removal nor a restart that is known here is undone.
-      if (revision < known) return;
-      this.#revisions.set(entry.id, revision);
-      this.#upsert(entry, "sibling");
-    });
+    const { entries, revisions = [], changes = [], missing = [] } = list;
+    entries.forEach((entry, i) => this.#mergeEntry(entry, revisions[i]));
+    for (const change of changes) this.#merge(change);
+    for (const it of missing) this.#mergeMissing(it);
+    this.#removeUnlisted(list);
   }
 
   /** Returns the upstreams for a sibling that cannot reach the store. */
   list(): UpstreamList {
-    const entries = this.#opts.upstreamRegistry.all()
-      .filter((it) => !it.isSuspended).map((it) => it.entry);
-    const revisions = entries.map((it) => this.#revisions.get(it.id) ?? 0);
-    return { entries, revisions };
+    const all = this.#opts.upstreamRegistry.all();
+    const entries = all.filter((it) => !it.isSuspended).map((it) => it.entry);
+    const suspended = all.filter((it) => it.isSuspended)
+      .map(({ entry: { id } }) => ({
+        kind: "suspend" as const,
+        id,
+        revision: this.#revisions.entry(id),
+      }));
+    const removed = this.#recent.all().filter((it) => it.kind === "remove");
+    const changes = [...suspended, ...removed];
+    const missing = all.filter((it) => it.missingSince !== undefined)
+      .map(({ entry: { id } }) => ({ id, revision: this.revisionOf(id) }));
+    return {
+      entries,
+      revisions: entries.map((it) => this.#revisions.entry(it.id)),
+      ...(changes.length > 0 && { changes }),
+      ...(missing.length > 0 && { missing }),
+      ...(this.#completeTo > 0 && { completeTo: this.#completeTo }),
+    };
   }
 
-  /** Applies a sibling's change. Returns whether it was new here. */
+  /** Applies a sibling's change. Returns whether it must be passed on. */
   applyChange(change: UpstreamChange): boolean {
-    if (change.kind === "put" && !isUpstreamEntry(change.entry)) return false;
-    const id = idOf(change);
-    if (!this.#advance(id, change.revision)) return false;
-    this.#lastUpdateAt = this.#opts.timer.monotonicNow();
-    const isNew = this.#apply(change, "sibling");
-    if (isNew) this.#remember(change);
-    return isNew;
+    const isUsable = change.kind !== "put" ||
+      (isUpstreamEntry(change.entry) && !this.#isReplaced(change.entry));
+    if (!isUsable) return false;
+    this.#merge(change);
+    // Others may rely on this front for what it knows from the store itself.
+    return this.#recent.share(change);
   }
 
   /** Revision of the newest change of an upstream; 0 if none is known. */
   revisionOf(id: string): number {
-    return this.#revisions.get(id) ?? 0;
+    return this.#revisions.newest(id);
   }
 
   /** Returns the changes that became known here a short time ago. */
   recentChanges(): UpstreamChange[] {
-    const since = this.#opts.timer.monotonicNow() - RECENT_CHANGES_MS;
-    for (const [id, { at }] of this.#recent) {
-      if (at < since) this.#recent.delete(id);
+    return this.#recent.all();
+  }
+
+  #merge(change: UpstreamChange): void {
+    if (!this.#recordRevision(change)) return;
+    this.#lastUpdateAt = this.#opts.timer.monotonicNow();
+    if (this.#apply(change, "sibling")) this.#recent.add(change);
+  }
+
+  /** Merges an entry of a sibling's list; `revision` is missing from some. */
+  #mergeEntry(entry: UpstreamEntry, revision: number | undefined): void {
+    if (!isUpstreamEntry(entry)) return;
+    // Neither a removal nor a restart that is known here is undone.
+    const isNew = revision === undefined
+      ? this.revisionOf(entry.id) === 0
+      : this.#revisions.recordEntry(entry.id, revision);
+    if (isNew) this.#upsert(entry, "sibling");
+  }
+
+  #mergeMissing({ id, revision }: MissingEntry): void {
+    const { upstreamRegistry, timer } = this.#opts;
+    if (!this.#revisions.recordAbsence(id, revision)) return;
+    upstreamRegistry.markMissing(id, timer.monotonicNow());
+  }
+
+  /** Removes upstreams that a sibling would know if they were in the store. */
+  #removeUnlisted({ entries, changes = [], completeTo = 0 }: UpstreamList) {
+    const listed = new Set([
+      ...entries.map((it) => it.id),
+      ...changes.map((it) => it.id),
+    ]);
+    for (const { entry: { id } } of this.#opts.upstreamRegistry.all()) {
+      if (listed.has(id)) continue;
+      this.#merge({ kind: "remove", id, revision: completeTo });
     }
-    return [...this.#recent.values()].map((it) => it.change);
+    this.#recordComplete(completeTo);
+  }
+
+  /** Records that all changes up to a revision are known here. */
+  #recordComplete(revision: number): void {
+    if (!Number.isSafeInteger(revision)) return;
+    this.#completeTo = Math.max(this.#completeTo, revision);
   }
 
   #apply(change: UpstreamChange, source: ChangeSource): boolean {
@@ -161,97 +211,84 @@
     });
   }
 
-  #trackOutage(isReachable: boolean): void {
-    const now = this.#opts.timer.monotonicNow();
-    if (!isReachable) {
-      this.#disconnectedAt ??= now;
-      return;
-    }
-    const wasLong = this.#disconnectedAt !== undefined &&
-      now - this.#disconnectedAt > MIN_OUTAGE_MS;
-    if (wasLong) this.#reconnectedAt = now;
-    this.#disconnectedAt = undefined;
-  }
-
   #applySnapshot(items: StoreItem[], revision: number): void {
-    const { upstreamRegistry, timer, log } = this.#opts;
-    const entries: UpstreamEntry[] = [];
-    const invalid: string[] = [];
-    const parse = ({ key, value }: StoreItem) =>
-      this.#opts.protocol.parseUpstream(key, value);
-    this.#hasStartTimes ||= items.some((it) => (parse(it)?.startedAt ?? 0) > 0);
-    for (const { key, value, modRevision } of items) {
-      const entry = this.#parseEntry(key, value);
-      const id = this.#idOfKey(key);
-      if (entry) entries.push(entry);
-      else invalid.push(id);
-      this.#advance(id, modRevision);
-    }
+    const { upstreamRegistry, timer, log, protocol } = this.#opts;
     this.#lastUpdateAt = timer.monotonicNow();
-    // A sibling may have read later changes already.
-    const isNewer = (id: string) => (this.#revisions.get(id) ?? 0) > revision;
-    const newer = upstreamRegistry.all().map((it) => it.entry)
-      .filter((it) => isNewer(it.id));
-    const older = entries.filter((it) => !isNewer(it.id));
-    this.#logLeaving(older, items);
-    const suspended = invalid.filter((id) => !isNewer(id));
-    upstreamRegistry.reconcile(
-      [...older, ...newer],
-      this.#lastUpdateAt,
-      suspended,
+    this.#hasStartTimes ||= items.some(({ key, value }) =>
+      (protocol.parseUpstream(key, value)?.startedAt ?? 0) > 0
     );
-    log.info(`${entries.length} upstreams registered`);
+    for (const item of items) this.#applyItem(item, "list");
+    const listed = new Set(items.map((it) => this.#idOfKey(it.key)));
+    for (const { entry: { id } } of upstreamRegistry.all()) {
+      if (!listed.has(id)) this.#applyAbsence(id, { revision, source: "list" });
+    }
+    this.#hasListed = true;
+    this.#recordComplete(revision);
+    this.#announceRecent();
+    log.info(`${items.length} upstreams registered`);
   }
 
-  /** Logs which upstreams a list shows as leaving or lacks. */
-  #logLeaving(entries: UpstreamEntry[], items: StoreItem[]): void {
-    const { upstreamRegistry } = this.#opts;
-    for (const { id, isDraining } of entries) {
-      const isNew = isDraining &&
-        upstreamRegistry.get(id)?.entry.isDraining === false;
-      if (isNew) this.#logChange(id, "draining", "list");
-    }
-    const listed = new Set(items.map((it) => this.#idOfKey(it.key)));
-    for (const { entry, missingSince } of upstreamRegistry.all()) {
-      const isNew = missingSince === undefined && !listed.has(entry.id);
-      if (isNew) this.#logChange(entry.id, "missing", "list");
+  #applyEvents(events: StoreEvent[], revision: number): void {
+    this.#lastUpdateAt = this.#opts.timer.monotonicNow();
+    this.#outages.recordRevision(revision);
+    this.#recordComplete(revision);
+    const last = new Set(lastOfEachKey(events));
+    for (const event of events) {
+      if (last.has(event)) this.#applyEvent(event);
+      else this.#recordEvent(event);
     }
+    this.#announceRecent();
+  }
+
+  /** Records the revision of an entry that was replaced or deleted since. */
+  #recordEvent(event: StoreEvent): void {
+    if (event.kind === "delete") return;
+    const { key, modRevision } = event.item;
+    this.#revisions.recordEntry(this.#idOfKey(key), modRevision);
   }
 
   #applyEvent(event: StoreEvent): void {
-    if (event.kind === "delete") {
-      const id = this.#idOfKey(event.key);
-      if (this.#advance(id, event.revision)) this.#applyDeletion(id);
-      return;
-    }
-    const { key, value, modRevision } = event.item;
+    if (event.kind === "put") return this.#applyItem(event.item, "event");
+    const { key, revision } = event;
+    this.#applyAbsence(this.#idOfKey(key), { revision, source: "event" });
+  }
+
+  #applyItem({ key, value, modRevision }: StoreItem, source: ReadSource): void {
     const entry = this.#parseEntry(key, value);
     const id = this.#idOfKey(key);
-    if (!this.#advance(id, modRevision)) return;
     const change: UpstreamChange = entry
       ? { kind: "put", entry, revision: modRevision }
       : { kind: "suspend", id, revision: modRevision };
-    if (this.#apply(change, "event")) this.#announce(change);
+    if (!this.#recordRevision(change) || !this.#apply(change, source)) return;
+    // Siblings know what a front finds at its start, but perhaps not who leaves.
+    if (this.#hasListed || entry?.isDraining) this.#recent.add(change);
   }
 
-  #applyDeletion(id: string): void {
+  /** Applies that the store has no entry of an upstream at a revision. */
+  #applyAbsence(
+    id: string,
+    { revision, source }: { revision: number; source: ReadSource },
+  ): void {
     const { upstreamRegistry, isStoreReader, log, timer } = this.#opts;
-    if (!upstreamRegistry.get(id)) return;
-    const now = timer.monotonicNow();
-    const isAfterOutage = now - this.#reconnectedAt < LEASE_EXPIRY_WINDOW_MS;
+    if (!this.#revisions.recordAbsence(id, revision)) return;
+    const known = upstreamRegistry.get(id);
+    if (!known) return;
+    const lapsedBy = this.#outages.lapsedBy(this.#revisions.entry(id));
     // A front that reads seldom does not see every outage of the store.
-    const mayHaveLapsed = isAfterOutage || !isStoreReader();
+    const mayHaveLapsed = lapsedBy !== undefined || !isStoreReader();
+    if (mayHaveLapsed && known.missingSince !== undefined) return;
+    const event = source === "list" ? "missing" : "gone";
     log.info(`upstream ${id} was removed from the store`, {
-      event: "gone",
+      event,
       upstream: id,
-      source: "event",
+      source,
       revision: this.revisionOf(id),
       mayHaveLapsed,
     });
     // An expired entry is removed unless it reappears soon after the outage.
-    const missingSince = isAfterOutage ? this.#reconnectedAt : now;
+    const missingSince = lapsedBy ?? timer.monotonicNow();
     if (mayHaveLapsed) upstreamRegistry.markMissing(id, missingSince);
-    else this.#announceRemoval(id);
+    else this.#removeAbsent(id);
   }
 
   #sweep(): void {
@@ -262,33 +299,41 @@
         `upstream ${id} did not register again after a store outage; removed`,
         { event: "removed", upstream: id, revision: this.revisionOf(id) },
       );
-      this.#announceRemoval(id);
+      this.#removeAbsent(id);
     }
   }
 
-  #announceRemoval(id: string): void {
+  /** Removes an upstream whose entry is known to be gone for good. */
+  #removeAbsent(id: string): void {
     this.#remove(id);
-    const revision = this.#revisions.get(id) ?? 0;
-    this.#announce({ kind: "remove", id, revision });
+    this.#recent.add({ kind: "remove", id, revision: this.revisionOf(id) });
   }
 
-  /** Passes a change on; siblings rely on the fronts that read often. */
-  #announce(change: UpstreamChange): void {
-    this.#remember(change);
-    if (this.#opts.isStoreReader()) this.#opts.onChange(change);
+  /**
+   * Announces the changes that siblings may not know. They rely on the fronts
+   * that read often; one that begins to do so may be the only one that has read
+   * a change.
+   */
+  #announceRecent(): void {
+    if (!this.#opts.isStoreReader()) return;
+    for (const change of this.#recent.all()) {
+      if (this.#recent.share(change)) this.#opts.onChange(change);
+    }
   }
 
-  #remember(change: UpstreamChange): void {
+  /** Records the revision of a change. Returns whether it is the newest. */
+  #recordRevision(change: UpstreamChange): boolean {
     const id = idOf(change);
-    this.#recent.set(id, { change, at: this.#opts.timer.monotonicNow() });
+    const { revision } = change;
+    return change.kind === "remove"
+      ? this.#revisions.recordAbsence(id, revision)
+      : this.#revisions.recordEntry(id, revision);
   }
 
-  /** Records the revision of a change. Returns whether it is the newest. */
-  #advance(id: string, revision: number): boolean {
-    const known = this.#revisions.get(id) ?? 0;
-    if (!Number.isSafeInteger(revision) || revision <= known) return false;
-    this.#revisions.set(id, revision);
-    return true;
+  /** Whether a later process of the upstream is known. */
+  #isReplaced({ id, startedAt }: UpstreamEntry): boolean {
+    const known = this.#opts.upstreamRegistry.get(id);
+    return known !== undefined && startedAt < known.entry.startedAt;
   }
 
   #suspend(id: string): boolean {
@@ -308,9 +353,10 @@
     const known = upstreamRegistry.get(entry.id);
     const before = known?.entry;
     const wasMissing = known?.missingSince !== undefined || known?.isSuspended;
-    if (before && entry.startedAt < before.startedAt) return false;
+    if (this.#isReplaced(entry)) return false;
     const change = upstreamRegistry.put(entry);
-    if (change) {
+    // A list names all upstreams; those that are new in it are only counted.
+    if (change && (change !== "new" || source !== "list")) {
       log.info(
         `upstream ${entry.id} of ${entry.service} at ${entry.address}: ${change}`,
         {
@@ -344,16 +390,11 @@
   }
 }
 
-function idOf(change: UpstreamChange): string {
-  return change.kind === "put" ? change.entry.id : change.id;
-}
-
-/** Returns the last event of each key, in the order of these events. */
+/** Returns the last event of each key. */
 function lastOfEachKey(events: StoreEvent[]): StoreEvent[] {
   const last = new Map<string, StoreEvent>();
   for (const event of events) {
     const key = event.kind === "put" ? event.item.key : event.key;
-    last.delete(key);
     last.set(key, event);
   }
   return [...last.values()];
