Front: other bytes on a connection never cost the answer of a running request

Callers saw: a POST ran and its connection closed without an answer when the next bytes on the connection were garbage, an incomplete, malformed or too large head, or a CONNECT; and a POST behind a 413, a 431 or a response without a length ran and was not answered. Idle connections closed by an older idle timeout than the one in force, or before the announced time. Requests behind the first one of a connection went on running after the caller had left.

Cause: nothing knew which requests are open on a caller's connection. An error of the parser destroyed the socket, `connection: close` ended it whatever was behind, and the server library reports a closed connection to the first open response only.

Ruled out: data behind a request with `connection: close`, an internal error beside other requests, other headers for ordinary requests (tests that passed before, too).

Change: CallerConnection knows the open requests of a connection in order. Errors are answered after the requests before them; nothing that arrives behind an announced end is run; a response without a length is chunked if requests wait behind it; a response that waits for its turn and is broken off ends the connection in place of its first byte.

Changed test: guaranteed_refusal_test.ts, "gets no 408 when the next one on its connection is late" expected that the running request is not answered at all. It now expects its own answer (504), and then the 408 of the next one: the guarantee that a 408 never answers the running request is still checked.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -119,7 +119,10 @@
   function forwardHead(): void {
     if (isForwarding || !head) return;
     isForwarding = true;
-    writeResponseHead(res, head, { isEventStream: isEventStream(head) });
+    writeResponseHead(res, head, {
+      isEventStream: isEventStream(head),
+      isWhole: false,
+    });
     res.flushHeaders();
   }
 
--- a/packages/front/src/call.ts
+++ b/packages/front/src/call.ts
@@ -25,8 +25,8 @@
   recorder: CallRecorder;
   /** Identifies repetitions of the same request. */
   readonly fingerprint: string;
-  /** True once the caller has disconnected. */
+  /** True once the caller has disconnected or this front has given it up. */
   isAbandoned: boolean;
-  /** Called when the caller disconnects. */
+  /** Called when the call is abandoned. */
   onAbandon: (() => void) | undefined;
 }
--- /dev/null
+++ b/packages/front/src/caller_connection.ts
@@ -0,0 +1,225 @@
+/**
+ * Connection of a caller, and what its responses say about its end.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Call } from "./call.ts";
+
+/** While a front stops, an idle connection stays open for this long. */
+const STOPPING_IDLE_S = 1;
+const STOPPING_IDLE_MS = STOPPING_IDLE_S * 1_000;
+/** A caller that does not close its end within this time is disconnected. */
+const LINGER_MS = 100;
+
+const CLOSE = { connection: "close" };
+const KEEP_SHORTLY = { "keep-alive": `timeout=${STOPPING_IDLE_S}` };
+const UNCHANGED = {};
+
+/** A request of a caller whose response has not been sent completely. */
+export interface OpenRequest {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly connection: CallerConnection;
+  /** Undefined until the request has been read and accepted. */
+  call: Call | undefined;
+  /** Called once, when the response is sent or the connection has closed. */
+  onClose: (() => void) | undefined;
+}
+
+/** What all connections of a front have in common. */
+export interface ConnectionPolicy {
+  /** Whether the front stops, so that connections end soon. */
+  isStopping: boolean;
+  /** Time for which an idle connection stays open, in ms. */
+  idleTimeoutMs: number;
+  /** Time within which the head of a request must arrive, in ms. */
+  headTimeoutMs: number;
+}
+
+const openRequests = new WeakMap<ServerResponse, OpenRequest>();
+
+/**
+ * Returns the headers that announce what becomes of the connection after a
+ * response. A response that `isWhole` has its entire body at hand.
+ */
+export function connectionHeaders(
+  res: ServerResponse,
+  { isWhole }: { isWhole: boolean },
+): Readonly<Record<string, string>> {
+  const request = openRequests.get(res);
+  return request?.connection.announce(request, { isWhole }) ?? UNCHANGED;
+}
+
+/**
+ * Lets the connection end after a response. Requests that arrive behind it are
+ * not served. Returns false if there already is one.
+ */
+export function endsConnection(res: ServerResponse): boolean {
+  const request = openRequests.get(res);
+  return request?.connection.endAfter(request) ?? true;
+}
+
+/** Announces that the connection ends after a response, if it can. */
+export function closeAfter(res: ServerResponse): void {
+  if (endsConnection(res)) res.setHeader("connection", "close");
+}
+
+/** A caller's connection with its requests in the order of their arrival. */
+export class CallerConnection {
+  readonly socket: Socket;
+  readonly #policy: ConnectionPolicy;
+  readonly #now: () => number;
+  readonly #open: OpenRequest[] = [];
+  /** Whether requests that arrive from now on are not served. */
+  #isClosing = false;
+  /** Status line of the response to bytes that are no request. */
+  #errorStatus: string | undefined;
+  #hasRequests = false;
+  /** Bytes that had arrived when the last request was complete. */
+  #readBytes = 0;
+  /** Idle timeout that the last response announces, in ms. */
+  #announcedIdleMs = 0;
+  /** Since when nothing is open; kept while the front stops. */
+  #idleSince: number;
+  /** When the front found the beginning of a request on an idle connection. */
+  #partSeenAt: number | undefined;
+  #endedAt: number | undefined;
+
+  constructor(
+    socket: Socket,
+    opts: { policy: ConnectionPolicy; now: () => number },
+  ) {
+    this.socket = socket;
+    this.#policy = opts.policy;
+    this.#now = opts.now;
+    this.#idleSince = opts.policy.isStopping ? opts.now() : -Infinity;
+    socket.on("close", () => this.#removeAll());
+  }
+
+  /** Requests whose responses have not been sent completely, in order. */
+  get open(): readonly OpenRequest[] {
+    return this.#open;
+  }
+
+  /** Takes a request; undefined if the connection ends before its response. */
+  add(req: IncomingMessage, res: ServerResponse): OpenRequest | undefined {
+    if (this.#isClosing) {
+      req.resume();
+      return undefined;
+    }
+    const request: OpenRequest = {
+      req,
+      res,
+      connection: this,
+      call: undefined,
+      onClose: undefined,
+    };
+    openRequests.set(res, request);
+    this.#open.push(request);
+    this.#hasRequests = true;
+    this.#announcedIdleMs = this.#policy.idleTimeoutMs;
+    this.recordRead();
+    res.once("close", () => this.#remove(request));
+    return request;
+  }
+
+  /** Records that all that has arrived belongs to complete requests. */
+  recordRead(): void {
+    this.#readBytes = this.socket.bytesRead;
+    this.#partSeenAt = undefined;
+  }
+
+  /** See `connectionHeaders`. */
+  announce(
+    request: OpenRequest,
+    { isWhole }: { isWhole: boolean },
+  ): Readonly<Record<string, string>> {
+    const isUnchanged = !this.#policy.isStopping || this.#isClosing ||
+      !request.res.shouldKeepAlive;
+    if (isUnchanged) return UNCHANGED;
+    const isOnly = this.#open.length === 1 && this.#open[0] === request;
+    if (!isWhole || !isOnly || this.#isPartlyRead) return KEEP_SHORTLY;
+    this.#isClosing = true;
+    return CLOSE;
+  }
+
+  /** See `endsConnection`. */
+  endAfter(request: OpenRequest): boolean {
+    if (this.#open.at(-1) !== request) return false;
+    this.#isClosing = true;
+    return true;
+  }
+
+  /**
+   * Answers bytes that are no request, after the requests before them, and ends
+   * the connection.
+   */
+  endWithError(status: string): void {
+    if (this.#isClosing) return;
+    this.#isClosing = true;
+    this.#errorStatus = status;
+    if (this.#open.length === 0) this.#sendError();
+  }
+
+  /** Lets an idle connection stay open for the timeout now in force. */
+  extendIdleTimeout(): void {
+    const isIdle = this.#hasRequests && this.#open.length === 0;
+    if (isIdle) this.socket.setTimeout(this.#policy.idleTimeoutMs);
+  }
+
+  /**
+   * Ends the connection of a stopping front if nothing is open, nothing has
+   * partly arrived and what was announced has passed.
+   */
+  endIfIdle(): void {
+    if (this.#open.length > 0) return;
+    const now = this.#now();
+    if (this.#endedAt !== undefined) {
+      if (now - this.#endedAt > LINGER_MS) this.socket.destroy();
+      return;
+    }
+    if (now - this.#idleSince < STOPPING_IDLE_MS) return;
+    if (this.#isPartlyRead) {
+      this.#partSeenAt ??= now;
+      if (now - this.#partSeenAt < this.#policy.headTimeoutMs) return;
+    }
+    this.#isClosing = true;
+    this.#endedAt = now;
+    this.socket.end();
+  }
+
+  get #isPartlyRead(): boolean {
+    return this.socket.bytesRead > this.#readBytes;
+  }
+
+  #remove(request: OpenRequest): void {
+    const index = this.#open.indexOf(request);
+    if (index < 0) return;
+    this.#open.splice(index, 1);
+    request.onClose?.();
+    if (this.#open.length === 0 && !this.socket.destroyed) this.#onIdle();
+  }
+
+  #onIdle(): void {
+    if (this.#errorStatus !== undefined) return this.#sendError();
+    if (this.#policy.isStopping) this.#idleSince = this.#now();
+    // The server library applies the timeout of now, not the announced one.
+    if (this.#announcedIdleMs > this.#policy.idleTimeoutMs) {
+      this.socket.setTimeout(this.#announcedIdleMs);
+    }
+  }
+
+  #sendError(): void {
+    this.socket.write(
+      `HTTP/1.1 ${this.#errorStatus}\r\nConnection: close\r\n\r\n`,
+    );
+    this.socket.destroySoon();
+  }
+
+  /** The server library reports the end of the first response only. */
+  #removeAll(): void {
+    for (const it of [...this.#open]) this.#remove(it);
+  }
+}
--- /dev/null
+++ b/packages/front/src/caller_connections.ts
@@ -0,0 +1,74 @@
+import type { Timer } from "@toucantrestle/timer";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import {
+  CallerConnection,
+  type ConnectionPolicy,
+  type OpenRequest,
+} from "./caller_connection.ts";
+
+/** The server library's defaults, until there is a configuration. */
+const DEFAULT_IDLE_TIMEOUT_MS = 5_000;
+const DEFAULT_HEAD_TIMEOUT_MS = 60_000;
+
+/** Connections of the callers of a front. */
+export class CallerConnections {
+  readonly #connections = new Map<Socket, CallerConnection>();
+  readonly #policy: ConnectionPolicy = {
+    isStopping: false,
+    idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
+    headTimeoutMs: DEFAULT_HEAD_TIMEOUT_MS,
+  };
+  readonly #server: Server;
+
+  constructor({ server, timer }: { server: Server; timer: Timer }) {
+    this.#server = server;
+    const opts = { policy: this.#policy, now: () => timer.monotonicNow() };
+    server.on("connection", (socket: Socket) => {
+      this.#connections.set(socket, new CallerConnection(socket, opts));
+      socket.on("close", () => this.#connections.delete(socket));
+    });
+  }
+
+  /** Number of open connections. */
+  get count(): number {
+    return this.#connections.size;
+  }
+
+  /** Requests whose responses have not been sent completely. */
+  get openRequests(): OpenRequest[] {
+    return [...this.#connections.values()].flatMap((it) => it.open);
+  }
+
+  /** Takes a request; undefined if its connection ends before its response. */
+  add(req: IncomingMessage, res: ServerResponse): OpenRequest | undefined {
+    return this.#connections.get(req.socket)?.add(req, res);
+  }
+
+  of(socket: Socket): CallerConnection | undefined {
+    return this.#connections.get(socket);
+  }
+
+  /**
+   * Sets the timeouts of idle connections and of heads, in ms. A higher timeout
+   * holds for connections that are idle already.
+   */
+  setTimeouts(opts: { idleTimeoutMs: number; headTimeoutMs: number }): void {
+    const isHigher = opts.idleTimeoutMs > this.#policy.idleTimeoutMs;
+    Object.assign(this.#policy, opts);
+    this.#server.headersTimeout = opts.headTimeoutMs;
+    this.#server.keepAliveTimeout = opts.idleTimeoutMs;
+    if (!isHigher) return;
+    for (const it of this.#connections.values()) it.extendIdleTimeout();
+  }
+
+  /** From now on responses announce that connections end soon. */
+  startStopping(): void {
+    this.#policy.isStopping = true;
+  }
+
+  /** Ends the connections that are idle, of a front that stops. */
+  endIdle(): void {
+    for (const it of this.#connections.values()) it.endIfIdle();
+  }
+}
--- a/packages/front/src/finish_call.ts
+++ b/packages/front/src/finish_call.ts
@@ -26,8 +26,13 @@
     respondNotPersisted(call, opts.turnStore);
     return;
   }
+  // The front may have answered the call while the turn was persisted.
+  if (res.writableEnded) return;
   if (!res.headersSent) {
-    writeResponseHead(res, head, { isEventStream: isCompletedTurn });
+    writeResponseHead(res, head, {
+      isEventStream: isCompletedTurn,
+      isWhole: true,
+    });
   }
   turn?.settle();
   for (const part of unsentBody) res.write(part);
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -10,6 +10,8 @@
 import type { Socket } from "node:net";
 import { neverAttempted } from "./attempt_ledger.ts";
 import { abortResponse, refuse, sendText } from "./responses.ts";
+import { closeAfter } from "./caller_connection.ts";
+import { CallerConnections } from "./caller_connections.ts";
 import { answerClientErrors } from "./client_errors.ts";
 import { serveAuxiliary } from "./auxiliary.ts";
 import type { Call } from "./call.ts";
@@ -66,6 +68,7 @@
   readonly #serveOptions: ServeOptions;
   readonly #keyRefusals: KeyRefusals;
   readonly #callerServer: Server;
+  readonly #connections: CallerConnections;
   readonly #auxiliaryServers: Server[] = [];
   readonly #activeCalls = new Set<Call>();
   readonly #memoryGuard: MemoryGuard;
@@ -94,7 +97,11 @@
     this.#callerServer = this.#createServer((req, res) =>
       this.#onCall(req, res)
     );
-    answerClientErrors(this.#callerServer);
+    this.#connections = new CallerConnections({
+      server: this.#callerServer,
+      timer: opts.timer,
+    });
+    answerClientErrors(this.#callerServer, this.#connections);
     this.#memoryGuard = new MemoryGuard({
       memoryBytes: opts.memoryBytes ?? Infinity,
       calls: () => this.#activeCalls,
@@ -295,9 +302,10 @@
   }
 
   #applyLimits(config: RoutingConfig): void {
-    this.#callerServer.headersTimeout = config.limits.headerTimeoutMs;
-    this.#callerServer.keepAliveTimeout = config.limits.idleTimeoutMs +
-      KEEP_ALIVE_MARGIN_MS;
+    this.#connections.setTimeouts({
+      headTimeoutMs: config.limits.headerTimeoutMs,
+      idleTimeoutMs: config.limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS,
+    });
   }
 
   #onAuxiliaryRequest(req: IncomingMessage, res: ServerResponse): void {
@@ -318,6 +326,8 @@
   }
 
   async #onCall(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const request = this.#connections.add(req, res);
+    if (!request) return;
     if (this.#isStopping) res.setHeader("connection", "close");
     if (this.#memoryGuard.isRefusing) return refuseUnread(res);
     try {
@@ -327,9 +337,11 @@
         keyRefusals: this.#keyRefusals,
         log: this.#opts.loggers("call"),
       });
-      if (!call || res.closed) return;
+      if (!call || res.closed || res.writableEnded) return;
+      request.connection.recordRead();
+      request.call = call;
       this.#activeCalls.add(call);
-      res.on("close", () => this.#onResponseClose(call));
+      request.onClose = () => this.#onResponseClose(call);
       await serveCall(call, this.#serveOptions);
     } catch (err) {
       const text = err instanceof Error ? err.stack ?? err.message : err;
@@ -381,6 +393,6 @@
 
 /** Refuses a request whose body is not read. */
 function refuseUnread(res: ServerResponse): void {
-  res.setHeader("connection", "close");
+  closeAfter(res);
   refuse(res, "memory_full", { proof: neverAttempted() });
 }
--- a/packages/front/src/read_call.ts
+++ b/packages/front/src/read_call.ts
@@ -11,6 +11,7 @@
 import type { Timer } from "@toucantrestle/timer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { refuse, sendText } from "./responses.ts";
+import { closeAfter } from "./caller_connection.ts";
 import { AttemptLedger, neverAttempted } from "./attempt_ledger.ts";
 import type { Call } from "./call.ts";
 import { MAX_HEADER_BYTES } from "./listen.ts";
@@ -120,7 +121,7 @@
   limits: RoutingConfig["limits"] | undefined,
 ): Promise<Buffer | undefined> {
   if (limits && headerSize(req) > limits.headerBytes) {
-    res.setHeader("connection", "close");
+    closeAfter(res);
     sendText(res, 431, `request header exceeds ${limits.headerBytes} bytes`);
     return undefined;
   }
@@ -128,7 +129,7 @@
   const result = await readBody(req, limit);
   if (result.kind === "whole") return result.body;
   if (result.kind === "too_large") {
-    res.setHeader("connection", "close");
+    closeAfter(res);
     sendText(res, 413, `request body exceeds ${limit} bytes`);
   }
   return undefined;
--- a/packages/front/src/response_head.ts
+++ b/packages/front/src/response_head.ts
@@ -1,25 +1,34 @@
 import type { ResponseHead } from "@toucantrestle/upstream_channel";
 import type { ServerResponse } from "node:http";
+import { connectionHeaders, endsConnection } from "./caller_connection.ts";
 import { connectionHeaderNames, HOP_BY_HOP } from "./headers.ts";
 
 /**
  * Writes the head of an upstream's response to the caller. If only the end of
  * the upstream's connection marks the end of the body, the caller's response
  * has no other mark either: a length or chunks would state that the body is
- * complete, which this front cannot know. An event stream is always chunked,
- * because its events show whether it is complete.
+ * complete, which this front cannot know. It is chunked if requests wait behind
+ * it on the caller's connection, which then may not end. An event stream is
+ * always chunked, because its events show whether it is complete.
  */
 export function writeResponseHead(
   res: ServerResponse,
   head: ResponseHead,
-  opts: { isEventStream: boolean },
+  opts: {
+    isEventStream: boolean;
+    /** Whether the entire body is at hand. */
+    isWhole: boolean;
+  },
 ): void {
-  const { isEventStream } = opts;
+  const { isEventStream, isWhole } = opts;
   const headers = responseHeaders(head, isEventStream);
-  if (head.bodyDelimiter === "close" && !isEventStream) {
+  const hasNoEndMark = head.bodyDelimiter === "close" && !isEventStream;
+  if (hasNoEndMark && endsConnection(res)) {
     res.removeHeader("transfer-encoding");
     headers.push("connection", "close");
   }
+  const added = connectionHeaders(res, { isWhole });
+  for (const name in added) headers.push(name, String(added[name]));
   res.writeHead(head.status, headers);
 }
 
--- a/packages/front/src/responses.ts
+++ b/packages/front/src/responses.ts
@@ -3,6 +3,7 @@
 import type { ServerResponse } from "node:http";
 import type { NotRunProof } from "./attempt_ledger.ts";
 import type { Call } from "./call.ts";
+import { connectionHeaders } from "./caller_connection.ts";
 
 /**
  * Statuses of own responses. They do not assure a caller that its request has
@@ -108,14 +109,17 @@
   });
 }
 
-/** Ends the connection, so that the response does not look complete. */
+/**
+ * Ends the connection, so that the response does not look complete. One that is
+ * complete is left alone.
+ */
 export function abortResponse(call: Call, reason: string): void {
   call.recorder.recordOutcome("cut_off", {
     status: 0,
     verdict: "may_have_run",
     reason,
   });
-  interrupt(call.res);
+  if (!call.res.writableEnded) breakOff(call.res);
 }
 
 /**
@@ -133,10 +137,12 @@
 
 /**
  * Ends the connection of a response that has begun. Closing it would look like
- * the end of a body without a length or chunks, so it is reset in that case.
+ * the end of a body without a length or chunks, so it is reset in that case. A
+ * response behind others ends the connection in place of its first byte.
  */
-function interrupt(res: ServerResponse): void {
-  if (res.headersSent && !res.chunkedEncoding) res.socket?.resetAndDestroy();
+export function breakOff(res: ServerResponse): void {
+  const isOnWire = res.headersSent && res.socket !== null;
+  if (isOnWire && !res.chunkedEncoding) res.socket?.resetAndDestroy();
   else res.destroy();
 }
 
@@ -161,8 +167,9 @@
   text: string,
   headers: Record<string, string>,
 ): void {
+  if (res.writableEnded) return;
   if (res.headersSent || res.destroyed) {
-    interrupt(res);
+    breakOff(res);
     return;
   }
   const body = Buffer.from(`${text}\n`);
@@ -170,6 +177,7 @@
     "content-type": "text/plain",
     "content-length": String(body.length),
     ...headers,
+    ...connectionHeaders(res, { isWhole: true }),
   });
   res.end(body);
 }
--- a/packages/front/test/guaranteed_refusal_test.ts
+++ b/packages/front/test/guaranteed_refusal_test.ts
@@ -4,6 +4,7 @@
 import { connect } from "node:net";
 import { after, before, describe, it } from "node:test";
 import { AttemptLedger } from "../src/attempt_ledger.ts";
+import { RawCaller } from "./raw_caller.ts";
 import { TestCluster } from "./test_cluster.ts";
 
 const HEADER_TIMEOUT_MS = 300;
@@ -70,17 +71,14 @@
 
   // Guards against a 408 for the next request that answers the running one.
   it("gets no 408 when the next one on its connection is late", async () => {
-    const [host = "", port] = (cluster.callerAddresses[0] ?? "").split(":");
-    const socket = connect(Number(port), host);
-    let received = "";
-    socket.on("data", (chunk) => received += chunk);
-    socket.write(
+    const caller = new RawCaller(cluster.callerAddresses[0] ?? "");
+    caller.send(
       "POST /held/a HTTP/1.1\r\nhost: x.example\r\nx-id: a\r\n" +
         "content-length: 0\r\n\r\nPOST /held/b HTTP/1.1\r\nhost: x",
     );
-    await new Promise((resolve) => socket.on("close", resolve));
+    await caller.closed;
     expect(running.length).toEqual(1);
-    expect(received).toEqual("");
+    expect(caller.statuses).toEqual([504, 408]);
   });
 
   it("a connection without one still gets the 408", async () => {
