Front: a response without a length gets no mark of its end that it lacks

Chunks state that the body is whole, which a front cannot know if only the end of the upstream's connection ends the body (docs/promises.md). Such a response is now answered with 502, as one that may have run, and the requests behind it are answered; alone or last on its connection it is passed on as before.

Ruled out: holding requests back behind a response until its head is known; that would make all pipelined requests run one after another.

RawCaller moves to stand_ins, for tests of the platform too.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -8,7 +8,7 @@
 import type { PathFailure } from "./path_failure.ts";
 import type { Protocol } from "./protocol.ts";
 import { isWholeStream, type ReceivedBody } from "./response_body.ts";
-import { writeResponseHead } from "./response_head.ts";
+import { reserveEnd, writeResponseHead } from "./response_head.ts";
 import type { UpstreamPath } from "./upstream_paths.ts";
 
 /** Result of one attempt on an upstream. */
@@ -163,6 +163,9 @@
     buffered.push(Buffer.from(chunk));
     bufferedBytes += chunk.length;
     if (bufferedBytes <= MAX_BUFFERED_BYTES) return;
+    if (head && !reserveEnd(res, head, { isEventStream: false })) {
+      return fail(endUnmarked);
+    }
     for (const part of buffered) write(part);
     buffered = [];
   }
@@ -254,6 +257,8 @@
   hasDeliveredHead: false,
 };
 
+const endUnmarked: PathFailure = { ...badResponse, reason: "end_unmarked" };
+
 /**
  * Returns the failure of a stream that is not whole. If only the end of the
  * connection marks the end of the body, the connection ended too early.
--- a/packages/front/src/finish_call.ts
+++ b/packages/front/src/finish_call.ts
@@ -1,8 +1,8 @@
 import type { TurnStoreClient } from "@toucantrestle/turn_store";
-import { abortResponse, respond } from "./responses.ts";
+import { abortResponse, respond, respondFailed } from "./responses.ts";
 import type { AttemptResult } from "./attempt.ts";
 import type { Call } from "./call.ts";
-import { writeResponseHead } from "./response_head.ts";
+import { reserveEnd, writeResponseHead } from "./response_head.ts";
 import type { TurnState } from "./turn_state.ts";
 
 /** Options of `finishCall`, for a call with a complete upstream response. */
@@ -29,10 +29,11 @@
   // The front may have answered the call while the turn was persisted.
   if (res.writableEnded) return;
   if (!res.headersSent) {
-    writeResponseHead(res, head, {
-      isEventStream: isCompletedTurn,
-      isWhole: true,
-    });
+    const isEventStream = isCompletedTurn;
+    if (!reserveEnd(res, head, { isEventStream })) {
+      return respondFailed(call, "end of the response cannot be marked");
+    }
+    writeResponseHead(res, head, { isEventStream, isWhole: true });
   }
   turn?.settle();
   for (const part of unsentBody) res.write(part);
--- a/packages/front/src/path_failure.ts
+++ b/packages/front/src/path_failure.ts
@@ -11,7 +11,9 @@
   /** The sibling that forwarded the exchange was lost. */
   | "relay_lost"
   /** The sibling does not forward the exchange. */
-  | "relay_refused";
+  | "relay_refused"
+  /** Only the end of the caller's connection could end the body. */
+  | "end_unmarked";
 
 /** Failure of an exchange with an upstream. */
 export type PathFailure = ChannelFailure<PathFailureReason>;
--- a/packages/front/src/response_head.ts
+++ b/packages/front/src/response_head.ts
@@ -3,13 +3,24 @@
 import { connectionHeaders, endsConnection } from "./caller_connection.ts";
 import { connectionHeaderNames, HOP_BY_HOP } from "./headers.ts";
 
+/**
+ * Lets the caller's connection end after a response, if only its end can mark
+ * the end of the body. Returns false if requests wait behind the response.
+ */
+export function reserveEnd(
+  res: ServerResponse,
+  head: ResponseHead,
+  { isEventStream }: { isEventStream: boolean },
+): boolean {
+  return !endsWithConnection(head, isEventStream) || endsConnection(res);
+}
+
 /**
  * Writes the head of an upstream's response to the caller. If only the end of
  * the upstream's connection marks the end of the body, the caller's response
  * has no other mark either: a length or chunks would state that the body is
- * complete, which this front cannot know. It is chunked if requests wait behind
- * it on the caller's connection, which then may not end. An event stream is
- * always chunked, because its events show whether it is complete.
+ * complete, which this front cannot know. An event stream is always chunked,
+ * because its events show whether it is complete.
  */
 export function writeResponseHead(
   res: ServerResponse,
@@ -22,8 +33,7 @@
 ): void {
   const { isEventStream, isWhole } = opts;
   const headers = responseHeaders(head, isEventStream);
-  const hasNoEndMark = head.bodyDelimiter === "close" && !isEventStream;
-  if (hasNoEndMark && endsConnection(res)) {
+  if (endsWithConnection(head, isEventStream)) {
     res.removeHeader("transfer-encoding");
     headers.push("connection", "close");
   }
@@ -32,6 +42,13 @@
   res.writeHead(head.status, headers);
 }
 
+function endsWithConnection(
+  head: ResponseHead,
+  isEventStream: boolean,
+): boolean {
+  return head.bodyDelimiter === "close" && !isEventStream;
+}
+
 /** Builds the headers of the caller's response from those of the upstream's. */
 function responseHeaders(
   head: ResponseHead,
--- a/packages/front/test/guaranteed_refusal_test.ts
+++ b/packages/front/test/guaranteed_refusal_test.ts
@@ -1,10 +1,10 @@
+import { RawCaller } from "@toucantrestle/stand_ins";
 import { expect } from "earl";
 import fc from "fast-check";
 import type { ServerResponse } from "node:http";
 import { connect } from "node:net";
 import { after, before, describe, it } from "node:test";
 import { AttemptLedger } from "../src/attempt_ledger.ts";
-import { RawCaller } from "./raw_caller.ts";
 import { TestCluster } from "./test_cluster.ts";
 
 const HEADER_TIMEOUT_MS = 300;
--- a/stand_ins/src/mod.ts
+++ b/stand_ins/src/mod.ts
@@ -16,6 +16,12 @@
 export { type CacheChange, PrefixCache } from "./engine/prefix_cache.ts";
 export { type ManagedProcess, startProcess } from "./harness/process.ts";
 export { findFreePorts } from "./harness/ports.ts";
+export {
+  RawCaller,
+  rawRequest,
+  type RawRequestOptions,
+  type RawResponse,
+} from "./harness/raw_caller.ts";
 export { TcpProxy } from "./harness/tcp_proxy.ts";
 export {
   type DaemonProcess,
