Front: a stop loses no answer of a request that runs

Callers saw, around a SIGTERM of the front that they were connected to: requests that ran and were never answered. Eight POSTs in one packet on a kept connection 2.3 s after the signal: all ran, one was answered. Also lost: bodies that were still arriving, answers that a slow caller had not read, all that was in progress at a second SIGTERM, and at the end of the grace period.

Cause: the stop waited for calls, not for connections. `connection: close` stood on each response, also with requests behind it; closeIdleConnections (also within close()) destroys connections whose responses have ended and are not sent; a request counted only once its body had been read; stop() returned at once when it had begun; requests were taken that could not end before the process, and those without an answer at the end got none.

Change: Shutdown waits for the connections of callers and for a list of other work, refuses what cannot end in time, answers what is left, and sends that before the process ends. The process ends as soon as before if nothing is left to do.

--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -1,5 +1,4 @@
 import type { RoutingConfig } from "@toucantrestle/routing";
-import { sleep } from "@toucantrestle/timer";
 import type { TurnStoreClient } from "@toucantrestle/turn_store";
 import {
   createServer,
@@ -7,9 +6,9 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
+import { Server as TcpServer, type Socket } from "node:net";
 import { neverAttempted } from "./attempt_ledger.ts";
-import { abortResponse, refuse, sendText } from "./responses.ts";
+import { refuse, refuseCall, sendText } from "./responses.ts";
 import { closeAfter } from "./caller_connection.ts";
 import { CallerConnections } from "./caller_connections.ts";
 import { answerClientErrors } from "./client_errors.ts";
@@ -28,6 +27,7 @@
 import { readCall } from "./read_call.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServeOptions } from "./serve_options.ts";
+import { Shutdown, type Work } from "./shutdown.ts";
 import type { Siblings } from "./siblings/siblings.ts";
 import type { StoreReaders, StoreReading } from "./siblings/store_readers.ts";
 import type { UpstreamContact } from "./upstream_contact.ts";
@@ -38,17 +38,6 @@
 const AUXILIARY_CHECK_INTERVAL_MS = 5_000;
 /** Idle connections outlive the configured timeout by this margin. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
-/**
- * New connections are accepted for this long after the stop signal. Callers
- * cache a directory response for 2 s, and only a few cache it longer; a host
- * that restarts soon serves more calls than one that waits for those few.
- */
-const ACCEPT_AFTER_STOP_MS = 2_600;
-/** Draining ends this long before the process is killed. */
-const EXIT_MARGIN_MS = 800;
-const DRAIN_POLL_INTERVAL_MS = 50;
-/** Time between two log lines of a front that stops. */
-const DRAIN_LOG_INTERVAL_MS = 1_000;
 const SWEEP_INTERVAL_MS = 10_000;
 /** Siblings learn within this time that this front is ready, or not any more. */
 const READY_CHECK_INTERVAL_MS = 200;
@@ -73,7 +62,12 @@
   readonly #activeCalls = new Set<Call>();
   readonly #memoryGuard: MemoryGuard;
   #graceMs: number;
-  #isStopping = false;
+  /** What a front that stops waits for. */
+  readonly #work: Work[] = [
+    { name: "calls", count: () => this.#activeCalls.size },
+  ];
+  #shutdown: Shutdown | undefined;
+  #stopped: Promise<void> | undefined;
   /** Readiness as the siblings know it. */
   #wasReady = false;
 
@@ -126,6 +120,7 @@
     this.#serveOptions.directPath.onCut((cut) => this.#onPathCut(cut));
     this.#serveOptions.directPath.start();
     await this.#siblings.start();
+    if (this.isStopping) return;
     await listen(this.#callerServer, this.#opts.callerAddress);
     await this.#listenAuxiliary(this.#opts.readyAddress);
     await this.#listenAuxiliary(this.#opts.directoryAddress);
@@ -134,6 +129,11 @@
     timer.every(SWEEP_INTERVAL_MS, () => this.#sweep());
   }
 
+  /** Whether the front has been asked to stop. */
+  get isStopping(): boolean {
+    return this.#shutdown !== undefined;
+  }
+
   /** Applies settings that may change at runtime. */
   applySettings(settings: { graceMs: number; seeds: string[] }): void {
     this.#graceMs = settings.graceMs;
@@ -142,56 +142,33 @@
 
   /**
    * Drains the front: announces that it stops, accepts connections for a short
-   * time, and then waits for the calls in progress until shortly before the end
-   * of the grace period. Resolves when the process may exit.
+   * time, and then waits for what is in progress until shortly before the end of
+   * the grace period, which later settings do not change. Resolves when the
+   * process may exit, however often it is called.
    */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return;
-    this.#isStopping = true;
-    const { timer, fleet, loggers } = this.#opts;
-    const graceMs = this.#graceMs;
-    loggers("front").info(
-      `stopping, ${this.#activeCalls.size} calls in progress`,
-    );
-    this.#siblings.reportNow();
-    const startedAt = timer.monotonicNow();
-    const progress = timer.every(
-      DRAIN_LOG_INTERVAL_MS,
-      () => this.#logStopping(timer.monotonicNow() - startedAt),
-    );
-    const deregistration = fleet.deregister();
-    const drainDeadline = timer.monotonicNow() + graceMs - EXIT_MARGIN_MS;
-    await sleep(timer, Math.min(ACCEPT_AFTER_STOP_MS, graceMs / 2));
-    this.#callerServer.close();
-    while (this.#activeCalls.size > 0 && timer.monotonicNow() < drainDeadline) {
-      this.#callerServer.closeIdleConnections();
-      await sleep(timer, DRAIN_POLL_INTERVAL_MS);
-    }
-    this.#callerServer.closeIdleConnections();
-    await Promise.race([deregistration, sleep(timer, 100)]);
-    loggers("front").info(
-      `stopped with ${this.#activeCalls.size} calls in progress`,
-    );
-    progress.cancel();
-    this.#abortBegunResponses();
+  stop(): Promise<void> {
+    this.#stopped ??= this.#drain();
+    return this.#stopped;
   }
 
-  /** Logs what a front that stops waits for. */
-  #logStopping(stoppingMs: number): void {
-    const calls = [...this.#activeCalls];
-    this.#opts.loggers("front").info("stopping", {
-      event: "stopping",
-      stoppingMs: Math.round(stoppingMs),
-      calls: calls.length,
-      begun: calls.filter((it) => it.res.headersSent).length,
+  #drain(): Promise<void> {
+    const { timer, fleet, loggers } = this.#opts;
+    this.#shutdown = new Shutdown({
+      graceMs: this.#graceMs,
+      connections: this.#connections,
+      work: this.#work,
+      stopListening: () => this.#stopListening(),
+      deregistration: fleet.deregister(),
+      timer,
+      log: loggers("front"),
     });
+    this.#siblings.reportNow();
+    return this.#shutdown.run();
   }
 
-  /** Aborts responses in progress: the end of the process would close them. */
-  #abortBegunResponses(): void {
-    for (const call of this.#activeCalls) {
-      if (call.res.headersSent) abortResponse(call, "front stopped");
-    }
+  /** The close of an HTTP server would cut responses that are not sent yet. */
+  #stopListening(): void {
+    TcpServer.prototype.close.call(this.#callerServer);
   }
 
   /** How this front reads the platform's store. */
@@ -245,13 +222,13 @@
 
   get #state(): FrontState {
     if (this.#isReady) return "ready";
-    return this.#isStopping ? "stopping" : "starting";
+    return this.isStopping ? "stopping" : "starting";
   }
 
   get #isReady(): boolean {
     const canPersistTurns = this.#turnStore.isQuorumReachable ||
       this.#siblings.requests.canRelay;
-    return !this.#isStopping && canPersistTurns &&
+    return !this.isStopping && canPersistTurns &&
       this.#configWatcher.config !== undefined;
   }
 
@@ -328,7 +305,6 @@
   async #onCall(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const request = this.#connections.add(req, res);
     if (!request) return;
-    if (this.#isStopping) res.setHeader("connection", "close");
     if (this.#memoryGuard.isRefusing) return refuseUnread(res);
     try {
       const call = await readCall(req, res, {
@@ -340,6 +316,9 @@
       if (!call || res.closed || res.writableEnded) return;
       request.connection.recordRead();
       request.call = call;
+      if (this.#shutdown?.refuses(call.deadlineAt)) {
+        return refuseCall(call, "stopping");
+      }
       this.#activeCalls.add(call);
       request.onClose = () => this.#onResponseClose(call);
       await serveCall(call, this.#serveOptions);
@@ -362,7 +341,7 @@
       reason: isClosedByCaller ? "caller disconnected" : "connection closed",
       closedBy: isClosedByCaller ? "caller" : "front",
       openOnConnection: this.#openCallsOn(call.req.socket),
-      isStopping: this.#isStopping,
+      isStopping: this.isStopping,
     });
     call.isAbandoned = true;
     call.onAbandon?.();
