--- a/packages/front/src/exchange_relay.ts
+++ b/packages/front/src/exchange_relay.ts
@@ -69,7 +69,7 @@
   /** Whether this front reaches upstreams itself. */
   canReachUpstreams: () => boolean;
   /** Returns how long this front still runs what it takes on, in ms. */
-  drainLeftMs: () => number;
+  runLeftMs: () => number;
   timer: Timer;
 }
 
@@ -165,7 +165,7 @@
   const isUsable = upstream && upstreamRegistry.acceptsRequests(upstream) &&
     (startedAt ?? upstream.entry.startedAt) === upstream.entry.startedAt &&
     timer.monotonicNow() >= upstream.backoffUntil;
-  const canFinish = timeLeftMs <= opts.drainLeftMs();
+  const canFinish = timeLeftMs <= opts.runLeftMs();
   if (!isUsable || !canFinish || !opts.canReachUpstreams()) {
     receiver.send({ kind: "failure", failure: REFUSED });
     receiver.end();
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -46,7 +46,7 @@
 export interface FrontHooks {
   report: () => FrontReport;
   /** Returns how long the front still runs what it takes on, in ms. */
-  drainLeftMs: () => number;
+  runLeftMs: () => number;
 }
 
 /** Creates the parts of a front. */
@@ -152,7 +152,7 @@
         pools,
         noticeReader,
         canReachUpstreams: () => !directPath.isCut,
-        drainLeftMs: hooks.drainLeftMs,
+        runLeftMs: hooks.runLeftMs,
         timer,
       }),
     upstreams: () => upstreamWatcher.list(),
