Front: a call that waited is not sent to an upstream that leaves

Cause: between the choice and the request a call waits for turn stores (the origin of a stream), for a permit, for a token of a quota, and up to 700 ms for a new connection. Afterwards the front looked only whether the process was still the same one (after the origin and the permit), or at nothing (after the token and the connection).

Ruled out: a removal while the origin is recorded was noticed before.

Change: `UpstreamRegistry.mayReceive` says whether the chosen process is current and takes requests. It is asked after each wait, and once more when a connection is established; the request then fails as `not_wanted` (not run) and goes to another upstream. A token that was taken for a request that was not sent is used for the next attempt.

--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -77,6 +77,7 @@
 
   /** Attempts the call on one upstream after another until it is finished. */
   async run(): Promise<void> {
+    let hasToken = this.#quota === undefined;
     while (!this.#call.isAbandoned) {
       const upstream = await this.#choice.choose();
       const choice = upstream ?? await this.#chooseOutOfReach();
@@ -84,13 +85,15 @@
       if (!choice) return this.#respondWithoutUpstream();
       const { entry } = choice;
       if (!await this.#recordOrigin(entry)) return;
-      // A process that has replaced the chosen one may run other software.
-      if (!this.#opts.upstreamRegistry.isCurrent(entry)) continue;
+      if (!this.#opts.upstreamRegistry.mayReceive(entry)) continue;
       const avoidsDirect = upstream === undefined;
       const path = this.#opts.paths.pathTo(choice, { avoidsDirect });
       if (!path) return this.#respondWithoutUpstream();
-      const quota = this.#quota;
-      if (quota && !await quota.useToken()) return;
+      hasToken ||= await this.#quota?.useToken() === true;
+      if (!hasToken) return;
+      // The chosen one may have left meanwhile, or another have replaced it.
+      if (!this.#opts.upstreamRegistry.mayReceive(entry)) continue;
+      hasToken = this.#quota === undefined;
       const result = await this.#attempt(choice, path);
       const isFinished = await this.#handleResult(entry, {
         result,
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -63,6 +63,7 @@
     log: loggers("upstream"),
     dial,
     contact,
+    mayReceive: (process) => upstreamRegistry.mayReceive(process),
     echoedRequestId: (head) => protocol.echoedRequestId(head),
   });
   const upstreamRegistry = new UpstreamRegistry({
--- a/packages/front/src/upstream_choice.ts
+++ b/packages/front/src/upstream_choice.ts
@@ -108,8 +108,8 @@
       if (!upstream) return undefined;
       const { entry } = upstream;
       const isGranted = await permits.ask(entry, { kind, weight });
-      // A process that has replaced the chosen one was not considered.
-      if (!this.#opts.upstreamRegistry.isCurrent(entry)) continue;
+      // The chosen one may have left meanwhile, or another have replaced it.
+      if (!this.#opts.upstreamRegistry.mayReceive(entry)) continue;
       if (isGranted) return upstream;
       denied.add(entry.id);
     }
--- a/packages/front/src/upstream_pools.ts
+++ b/packages/front/src/upstream_pools.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "@toucantrestle/log";
-import type { TrackedUpstream } from "@toucantrestle/routing";
+import type { TrackedUpstream, UpstreamProcess } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
 import {
   ChannelPool,
@@ -14,6 +14,8 @@
   log: Logger;
   dial: Dial;
   contact: UpstreamContact;
+  /** Whether a process of an upstream takes new requests. */
+  mayReceive: (process: UpstreamProcess) => boolean;
   echoedRequestId: (head: ResponseHead) => string | undefined;
 }
 
@@ -54,11 +56,12 @@
       known.startedAt === startedAt;
     if (isCurrent) return known.pool;
     this.remove(id);
-    const { contact, ...opts } = this.#opts;
+    const { contact, mayReceive, ...opts } = this.#opts;
     const pool = new ChannelPool({
       address,
       ...opts,
       contact: contact.listenerOf(id),
+      maySend: () => mayReceive({ id, startedAt }),
     });
     this.#pools.set(id, { address, startedAt, pool });
     return pool;
--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -188,6 +188,15 @@
     return !isSuspended && !entry.isDraining && !this.notices.isLeaving(entry);
   }
 
+  /**
+   * Whether the process that a choice fell on is still the current one and
+   * takes new requests.
+   */
+  mayReceive(process: UpstreamProcess): boolean {
+    const known = this.#current(process);
+    return known !== undefined && this.acceptsRequests(known);
+  }
+
   /** Addresses of the upstreams of these services that take new requests. */
   acceptingAddresses(hasService: (service: string) => boolean): string[] {
     return this.all()
--- a/packages/service/src/service_client.ts
+++ b/packages/service/src/service_client.ts
@@ -154,6 +154,7 @@
 > = {
   connect_refused: (name) => `service ${name} refused the connection`,
   connect_timeout: (name) => `service ${name} did not accept the connection`,
+  not_wanted: (name) => `request to service ${name} was not sent`,
   connection_lost: (name) =>
     `service ${name} closed the connection before the response was complete`,
   bad_answer: (name) => `service ${name} sent a malformed response`,
--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -26,6 +26,8 @@
    * one that is due.
    */
   echoedRequestId?: (head: ResponseHead) => string | undefined;
+  /** Whether a request that waited for the connection may still be sent. */
+  maySend: () => boolean;
   /** Called once the connection is closed, before a failure is reported. */
   onClosed: (channel: Channel) => void;
   /** Called when the connection can be reused for another request. */
@@ -141,7 +143,9 @@
     this.#isConnected = true;
     this.#opts.contact.onConnected();
     this.#idleSince = this.#opts.timer.monotonicNow();
-    if (this.#exchange) this.#write();
+    if (!this.#exchange) return;
+    if (this.#opts.maySend()) this.#write();
+    else this.#close("not_wanted");
   }
 
   #write(): void {
--- a/packages/upstream_channel/src/channel_pool.ts
+++ b/packages/upstream_channel/src/channel_pool.ts
@@ -19,6 +19,11 @@
   /** Opens connections; TCP by default. */
   dial?: Dial;
   contact?: ContactListener;
+  /**
+   * Whether a request that waited for a new connection may still be sent; it
+   * always is by default.
+   */
+  maySend?: () => boolean;
   /**
    * Returns the request id that a response echoes; undefined if none. A
    * response that echoes no id, or another one, belongs to no request. Missing
@@ -119,6 +124,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       dial: this.#opts.dial ?? dialTcp,
       contact: this.#opts.contact ?? NO_LISTENER,
+      maySend: this.#opts.maySend ?? (() => true),
       echoedRequestId: this.#opts.echoedRequestId,
       onIdle: (it) => this.#isRetired ? it.close() : this.#idle.push(it),
       onClosed: (it) => this.#remove(it),
--- a/packages/upstream_channel/src/exchange.ts
+++ b/packages/upstream_channel/src/exchange.ts
@@ -36,6 +36,8 @@
   | "connect_timeout"
   | "connection_lost"
   | "bad_answer"
+  /** The request waited for a connection and was not to be sent any more. */
+  | "not_wanted"
   | "cancelled";
 
 /** Failure of an exchange; `R` are the possible reasons. */
