Turn stores: a store that stops finishes what it works on

Fronts lost the replies of the store and had to ask another one.

Cause: the handler of SIGTERM ended the process at once.

A second signal changes nothing.

--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -25,6 +25,8 @@
 export { type CallResult, sendRequest } from "./send_request.ts";
 
 const READY_TIMEOUT_MS = 8_000;
+/** Grace period of fronts and turn stores. */
+const GRACE_MS = 3_000;
 /** Header limit of upstreams, above the limit for callers, in bytes. */
 const MAX_UPSTREAM_HEADER_BYTES = 65_536;
 
@@ -109,6 +111,15 @@
     for (const { host } of stopped) await this.#startTurnStore(host);
   }
 
+  /** Stops a turn store as SIGTERM does, and starts it with its disk after some time. */
+  async restartTurnStore(host: string, downMs: number): Promise<void> {
+    const index = this.#turnStores.findIndex((it) => it.host === host);
+    const [stopped] = this.#turnStores.splice(index, 1);
+    await stopped?.server.stop(GRACE_MS);
+    await new Promise((resolve) => setTimeout(resolve, downMs));
+    await this.#startTurnStore(host);
+  }
+
   async addFront(
     opts: {
       dial?: Dial;
@@ -142,7 +153,7 @@
       directoryAddress,
       linkAddress,
       seeds: [],
-      graceMs: 3_000,
+      graceMs: GRACE_MS,
       chooser: "expected_finish",
       disabled: new Set(),
       protocol: testProtocol,
--- a/packages/turn_store/src/messages.ts
+++ b/packages/turn_store/src/messages.ts
@@ -16,7 +16,7 @@
   | { status: "behind" }
   /**
    * The replica does not store the key in its current view, or has not copied
-   * the records that it needs to serve the request.
+   * the records that it needs to serve the request, or stops.
    */
   | { status: "copying" };
 
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -6,7 +6,7 @@
 import { LinkServer } from "@toucantrestle/link";
 import type { Logger, LoggerFactory } from "@toucantrestle/log";
 import type { Metrics } from "@toucantrestle/metrics";
-import type { Timer } from "@toucantrestle/timer";
+import { sleep, type Timer } from "@toucantrestle/timer";
 import { Journal, readState, writeState } from "@toucantrestle/turn_journal";
 import {
   keyOfRecord,
@@ -68,6 +68,9 @@
 const AGEING_SHARE = 0.5;
 /** Size of prompts after which a reply to a copying replica is cut off. */
 const MAX_FETCH_BYTES = 2_000_000;
+/** Requests that were sent before a store stops have arrived by then. */
+const STOP_NOTICE_MS = 100;
+const STOP_POLL_INTERVAL_MS = 20;
 
 /** Serves one replica and its journal over links. */
 export class TurnStoreServer {
@@ -79,6 +82,8 @@
   readonly #viewManager: ViewManager;
   #pendingSave: Promise<void> = Promise.resolve();
   #isSweeping = false;
+  /** Set once the store stops; resolves when it has. */
+  #stopped: Promise<void> | undefined;
 
   constructor(opts: TurnStoreServerOptions) {
     this.#opts = opts;
@@ -164,6 +169,38 @@
     metrics.gauge("view_complete", Number(this.#replica.isComplete));
   }
 
+  /**
+   * Stops the store: refuses further requests for records, so that they go to
+   * other replicas, finishes those that have begun, and syncs the journal.
+   * Resolves when the process may exit, after `timeoutMs` at the latest. Further
+   * calls change nothing.
+   */
+  stop(timeoutMs: number): Promise<void> {
+    this.#stopped ??= this.#finish(timeoutMs);
+    return this.#stopped;
+  }
+
+  async #finish(timeoutMs: number): Promise<void> {
+    const { timer } = this.#opts;
+    const deadline = timer.monotonicNow() + timeoutMs;
+    this.#log.info(
+      `stopping, ${this.#server.inProgressCount} requests in progress`,
+    );
+    this.#viewManager.stop();
+    await sleep(timer, Math.min(STOP_NOTICE_MS, timeoutMs));
+    const isBusy = () => this.#server.inProgressCount > 0;
+    while (isBusy() && timer.monotonicNow() < deadline) {
+      await sleep(timer, STOP_POLL_INTERVAL_MS);
+    }
+    const leftMs = Math.max(0, deadline - timer.monotonicNow());
+    const saved = Promise.all([this.#journal.close(), this.#pendingSave]);
+    await Promise.race([saved, sleep(timer, leftMs)]);
+    this.#log.info(
+      `stopped with ${this.#server.inProgressCount} requests in progress`,
+    );
+    this.#server.close();
+  }
+
   /** Stops the view manager and closes the server. */
   close(): void {
     this.#viewManager.stop();
@@ -174,19 +211,23 @@
     return new LinkServer<StoreMethods, StoreNotices>({
       log: this.#log,
       methods: {
-        reserve: (args) => this.#reserve(args),
+        reserve: (args) => this.#unlessStopping(() => this.#reserve(args)),
         spending: (args) =>
-          this.#serveRead(
-            args.viewNumber,
-            args.program,
-            () => this.#spendingOf(args),
+          this.#unlessStopping(() =>
+            this.#serveRead(
+              args.viewNumber,
+              args.program,
+              () => this.#spendingOf(args),
+            )
           ),
-        retain: (args) => this.#retain(args),
+        retain: (args) => this.#unlessStopping(() => this.#retain(args)),
         find: (args) =>
-          this.#serveRead(args.viewNumber, args.id, () => ({
-            turn: this.#replica.findTurn(args.id),
-          })),
-        put: (args) => this.#put(args),
+          this.#unlessStopping(() =>
+            this.#serveRead(args.viewNumber, args.id, () => ({
+              turn: this.#replica.findTurn(args.id),
+            }))
+          ),
+        put: (args) => this.#unlessStopping(() => this.#put(args)),
         inventory: ({ view, member }) => this.#inventory(view, member),
         fetch: ({ ids }) => ({ turns: this.#fetch(ids) }),
         status: ({ id }) => {
@@ -206,6 +247,11 @@
     });
   }
 
+  /** Serves a request for records, which another replica serves as well. */
+  #unlessStopping<T>(serve: () => T): T | Refusal {
+    return this.#stopped ? { status: "copying" } : serve();
+  }
+
   #spendingOf(
     { program, resumed, keepMs }: SpendingArgs,
   ): ProgramSpending {
