Front: the last responses are sent while siblings hear of the end

The notice to siblings (100 ms) and the deregistration came before the last answers, and with a grace period of 2 s nothing was left of the margin (285 ms) to send them. Now the answers come first and all three are awaited together.

leaving_while_waiting_test: its stand-in of a call told the start of an attempt by the first look at the clock, which the way to an upstream now needs before; it is told by the first question of the attempt itself. What it checks is unchanged.

--- a/packages/front/src/shutdown.ts
+++ b/packages/front/src/shutdown.ts
@@ -110,8 +110,13 @@
     await this.#sleepUntil(this.#acceptUntil);
     this.#opts.stopListening();
     await this.#awaitWork();
-    await this.#endForwarding();
-    await this.#awaitDeregistration();
+    for (const it of connections.openRequests) answerUnbegun(it);
+    await Promise.all([
+      this.#endForwarding(),
+      this.#awaitDeregistration(),
+      this.#awaitSending(),
+    ]);
+    // Requests may have arrived meanwhile.
     for (const it of connections.openRequests) answerUnbegun(it);
     await this.#awaitSending();
     progress.cancel();
--- a/packages/front/test/leaving_while_waiting_test.ts
+++ b/packages/front/test/leaving_while_waiting_test.ts
@@ -27,6 +27,10 @@
           registry.all().find((it) => registry.acceptsRequests(it)),
         ),
       hasEvents: false,
+      /** Asked for first when an attempt starts. */
+      uncachedTokens() {
+        throw new Error(SENT);
+      },
     } as never,
     turn: { recordOrigin: () => waitHere("for the origin") } as never,
     quota: { useToken: () => waitHere("for a token") } as never,
@@ -38,12 +42,7 @@
           return { kind: "direct", send: () => undefined };
         },
       },
-      timer: {
-        /** The start of an attempt is the first to ask for the time. */
-        monotonicNow() {
-          throw new Error(SENT);
-        },
-      },
+      timer: { monotonicNow: () => 0 },
     } as never,
   });
   await expect(runner.run()).toBeRejectedWith(SENT);
