Front: a request that is refused while the front stops ends its connection

A stopping front took a request whose body came in two parts, and that it refused (404, 400, 401), for one with more bytes behind it: it announced `keep-alive` and waited for the rest, up to headerTimeoutMs. What has been read counts from the end of the body now, also if the request is refused.

Tests of what was ruled out: a caller of HTTP/1.0 that goes on behind its request, a configuration without the route and with shorter timeouts while a request runs and while a body arrives. Whether a connection ends after a request is read from the request, not from a field of the library that its documentation does not name.

--- a/packages/front/src/caller_connection.ts
+++ b/packages/front/src/caller_connection.ts
@@ -61,6 +61,11 @@
   return request?.connection.endAfter(request) ?? true;
 }
 
+/** Records that the request of a response has been read whole. */
+export function recordRead(res: ServerResponse): void {
+  openRequests.get(res)?.connection.recordRead();
+}
+
 /** Announces that the connection ends after a response, if it can. */
 export function closeAfter(res: ServerResponse): void {
   if (endsConnection(res)) res.setHeader("connection", "close");
@@ -125,7 +130,7 @@
     return request;
   }
 
-  /** Records that all that has arrived belongs to complete requests. */
+  /** Records that what has arrived belongs to requests, as far as known. */
   recordRead(): void {
     this.#readBytes = this.socket.bytesRead;
     this.#partSeenAt = undefined;
@@ -137,7 +142,7 @@
     { isWhole }: { isWhole: boolean },
   ): Readonly<Record<string, string>> {
     const isUnchanged = !this.#policy.isStopping || this.#isClosing ||
-      !request.res.shouldKeepAlive;
+      !keepsOpen(request.req);
     if (isUnchanged) return UNCHANGED;
     const isOnly = this.#open.length === 1 && this.#open[0] === request;
     if (!isWhole || !isOnly || this.#isPartlyRead) return KEEP_SHORTLY;
@@ -223,3 +228,8 @@
     for (const it of [...this.#open]) this.#remove(it);
   }
 }
+
+/** Whether a caller expects that its connection stays open. */
+function keepsOpen({ httpVersion, headers }: IncomingMessage): boolean {
+  return httpVersion === "1.1" && headers.connection?.toLowerCase() !== "close";
+}
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -314,7 +314,6 @@
         log: this.#opts.loggers("call"),
       });
       if (!call || res.closed || res.writableEnded) return;
-      request.connection.recordRead();
       request.call = call;
       if (this.#shutdown?.refuses(call.deadlineAt)) {
         return refuseCall(call, "stopping");
--- a/packages/front/src/read_call.ts
+++ b/packages/front/src/read_call.ts
@@ -11,7 +11,7 @@
 import type { Timer } from "@toucantrestle/timer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { refuse, sendText } from "./responses.ts";
-import { closeAfter } from "./caller_connection.ts";
+import { closeAfter, recordRead } from "./caller_connection.ts";
 import { AttemptLedger, neverAttempted } from "./attempt_ledger.ts";
 import type { Call } from "./call.ts";
 import { MAX_HEADER_BYTES } from "./listen.ts";
@@ -127,7 +127,10 @@
   }
   const limit = limits?.bodyBytes ?? MAX_HEADER_BYTES;
   const result = await readBody(req, limit);
-  if (result.kind === "whole") return result.body;
+  if (result.kind === "whole") {
+    recordRead(res);
+    return result.body;
+  }
   if (result.kind === "too_large") {
     closeAfter(res);
     sendText(res, 413, `request body exceeds ${limit} bytes`);
--- a/packages/front/test/caller_connections_test.ts
+++ b/packages/front/test/caller_connections_test.ts
@@ -1,5 +1,6 @@
 import { RawCaller, rawRequest } from "@toucantrestle/stand_ins";
 import { createNoopMetrics } from "@toucantrestle/metrics";
+import type { RoutingConfig } from "@toucantrestle/routing";
 import { expect } from "earl";
 import type { ServerResponse } from "node:http";
 import { after, before, describe, it } from "node:test";
@@ -18,6 +19,7 @@
 
 const cluster = new TestCluster();
 let version = 100;
+let config: RoutingConfig;
 let address: string;
 let openRuns = 0;
 
@@ -26,9 +28,13 @@
     { prefix: "/once/", kind: "non_idempotent", maxRuns: 1, timeoutMs: 5_000 },
     { prefix: "/boom/", name: "boom" },
     { prefix: "/warm/" },
+    { prefix: "/leaving/", kind: "non_idempotent", maxRuns: 1 },
   ]);
   await cluster.addUpstream("u", serve, { slots: 1_000 });
-  await setLimits({ idleTimeoutMs: 5_000 });
+  const item = await cluster.store.get("config");
+  config = JSON.parse(item?.value ?? "");
+  config.limits.headerTimeoutMs = HEADER_TIMEOUT_MS;
+  configure({});
   await cluster.addFront({ metrics: throwingMetrics() });
   await cluster.waitUntilReady("/warm/x");
   address = cluster.callerAddresses[0] ?? "";
@@ -58,13 +64,17 @@
   };
 }
 
-/** Stores a version of the configuration with these limits. */
-async function setLimits(limits: Record<string, number>): Promise<void> {
-  const item = await cluster.store.get("config");
-  const config = JSON.parse(item?.value ?? "");
-  Object.assign(config.limits, { headerTimeoutMs: HEADER_TIMEOUT_MS }, limits);
-  config.version = ++version;
-  cluster.store.put("config", config);
+/** Stores a version of the configuration, without some of the routes. */
+function configure(
+  limits: Record<string, number>,
+  removedPrefixes: string[] = [],
+): void {
+  cluster.store.put("config", {
+    ...config,
+    version: ++version,
+    routes: config.routes.filter((it) => !removedPrefixes.includes(it.prefix)),
+    limits: { ...config.limits, ...limits },
+  });
 }
 
 /** Waits until responses announce this idle timeout. */
@@ -135,6 +145,40 @@
     expect(runsOf("/once/beyond")).toEqual(0);
   });
 
+  // Guards against an answer that is lost by a request behind the last one.
+  it("is answered to a caller of HTTP/1.0 that goes on", async () => {
+    const caller = new RawCaller(address);
+    caller.send(
+      rawRequest("/once/older/500").replace("HTTP/1.1", "HTTP/1.0") +
+        rawRequest("/once/older_beyond"),
+    );
+    await caller.closed;
+    expect(caller.statuses).toEqual([200]);
+    expect(runsOf("/once/older_beyond")).toEqual(0);
+  });
+
+  // Guards against answers that are lost by a change of the configuration.
+  it("is answered, and read on, if the configuration changes", async () => {
+    const [running, arriving] = [
+      new RawCaller(address),
+      new RawCaller(address),
+    ];
+    const request = rawRequest("/once/arriving", { body: "b".repeat(100) });
+    running.send(rawRequest("/leaving/x/1000"));
+    arriving.send(request.slice(0, -50));
+    while (runsOf("/leaving/x/1000") === 0) await delay(5);
+    configure({ idleTimeoutMs: 500, headerTimeoutMs: 100 }, ["/leaving/"]);
+    await untilAnnounced(1);
+    await delay(500);
+    arriving.send(request.slice(-50));
+    await Promise.all([running, arriving].map((it) => it.untilAnswered(1)));
+    expect([running, arriving].map((it) => it.statuses)).toEqual([[200], [
+      200,
+    ]]);
+    configure({ idleTimeoutMs: 5_000 });
+    await untilAnnounced(6);
+  });
+
   for (const kind of ["no_length", "short_no_length"]) {
     // Guards against an answer that is lost by one without a length before it,
     // and against a mark of its end that its upstream has not given.
@@ -193,12 +237,12 @@
 describe("a connection that is idle", () => {
   // Guards against callers that reuse a connection by the limit in force.
   it("outlives its timeout if a higher one comes into force", async () => {
-    await setLimits({ idleTimeoutMs: 500 });
+    configure({ idleTimeoutMs: 500 });
     await untilAnnounced(1);
     const caller = new RawCaller(address);
     caller.send(rawRequest("/warm/x"));
     await caller.untilAnswered(1);
-    await setLimits({ idleTimeoutMs: 5_000 });
+    configure({ idleTimeoutMs: 5_000 });
     await untilAnnounced(6);
     await delay(3_000);
     caller.send(rawRequest("/warm/x"));
@@ -208,12 +252,12 @@
 
   // Guards against callers that rely on the timeout that was announced.
   it("stays open for the announced time if a lower one is in force", async () => {
-    await setLimits({ idleTimeoutMs: 5_000 });
+    configure({ idleTimeoutMs: 5_000 });
     await untilAnnounced(6);
     const caller = new RawCaller(address);
     caller.send(rawRequest("/once/lowered/2000"));
     await delay(100);
-    await setLimits({ idleTimeoutMs: 500 });
+    configure({ idleTimeoutMs: 500 });
     await untilAnnounced(1);
     await caller.untilAnswered(1);
     await delay(3_000);
@@ -226,7 +270,7 @@
 describe("an ordinary request", () => {
   // Guards against changed headers of callers that send one at a time.
   it("is answered with the headers it was always answered with", async () => {
-    await setLimits({ idleTimeoutMs: 5_000 });
+    configure({ idleTimeoutMs: 5_000 });
     await untilAnnounced(6);
     const headers = { "x-id": "ordinary", connection: "keep-alive" };
     const result = await sendRequest(address, "/warm/x", { headers });
--- a/packages/front/test/stopping_connections_test.ts
+++ b/packages/front/test/stopping_connections_test.ts
@@ -252,6 +252,24 @@
   });
 });
 
+describe("connection of a request whose body came in two parts", () => {
+  // Guards against a stop that waits for the rest of a request that is whole.
+  it("is announced to close, also if the request is not served", async () => {
+    const { front, address } = await addFront();
+    const caller = new RawCaller(address);
+    const stopped = front.stop();
+    const request = rawRequest("/none/x", { body: "b".repeat(100) });
+    caller.send(request.slice(0, -50));
+    await delay(200);
+    caller.send(request.slice(-50));
+    await caller.untilAnswered(1);
+    const [answer] = caller.responses;
+    expect(answer?.status).toEqual(404);
+    expect(answer?.headers.get("connection")).toEqual("close");
+    await stopped;
+  });
+});
+
 describe("stop of a front", CONCURRENTLY, () => {
   // Guards against the end of the process at a second signal.
   it("lasts as long however often it is asked for", async () => {
