Front: a begun attempt is given up only if something takes its place

What callers saw: while all upstreams of a service stood still for a second, streams that had begun were cut ("no upstream left to resume the stream") and idempotent calls got 502 ("no upstream left to retry the call").

Cause: an attempt was ended first, and only then another way was looked for: after 400 ms of silence and failed probes each attempt that may run again, and after six times the mean each idempotent one.

Ruled out: non-idempotent calls; none was lost, before or after.

Change: a sibling is asked whether it reaches an upstream at that moment, and only then attempts are interrupted (Detour). A slow attempt is stopped only if another upstream has an idle connection or accepts one. A call that has begun and is left without an upstream waits up to 2 s for one.

--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -4,6 +4,8 @@
   type TrackedUpstream,
   type UpstreamEntry,
 } from "@toucantrestle/routing";
+import { sleep } from "@toucantrestle/timer";
+import { isListening } from "@toucantrestle/upstream_channel";
 import {
   abortResponse,
   refuseCall,
@@ -29,6 +31,7 @@
 import { recordRouted } from "./record_routed.ts";
 import { RunCount } from "./run_count.ts";
 import type { ServeOptions } from "./serve_options.ts";
+import { stopWhenSlow } from "./slow_attempt.ts";
 import type { PathKind, UpstreamPath } from "./upstream_paths.ts";
 import type { TurnState } from "./turn_state.ts";
 import {
@@ -45,6 +48,9 @@
  */
 const SLOW_FACTOR = 6;
 const MIN_SLOW_ATTEMPT_MS = 300;
+/** A call that has begun waits so long for an upstream in its stead. */
+const MAX_UPSTREAM_WAIT_MS = 2_000;
+const UPSTREAM_POLL_INTERVAL_MS = 50;
 
 /** Runs one call: chooses upstreams, makes attempts and retries. */
 export class CallRunner {
@@ -56,6 +62,8 @@
   readonly #count: RunCount;
   /** Id of the last event forwarded to the caller. */
   #lastEventId: string | undefined;
+  /** Until when the call waits for an upstream, once none was left. */
+  #waitUntil: number | undefined;
 
   constructor(
     call: Call,
@@ -81,19 +89,23 @@
       const upstream = await this.#choice.choose();
       const choice = upstream ?? await this.#chooseOutOfReach();
       if (this.#call.isAbandoned) return;
-      if (!choice) return this.#respondWithoutUpstream();
+      if (!choice) {
+        if (await this.#awaitUpstream()) continue;
+        return this.#respondWithoutUpstream();
+      }
       const { entry } = choice;
       if (!await this.#recordOrigin(entry)) return;
       // A process that has replaced the chosen one may run other software.
       if (!this.#opts.upstreamRegistry.isCurrent(entry)) continue;
       const avoidsDirect = upstream === undefined;
-      const timeLeftMs = this.#call.deadlineAt -
-        this.#opts.timer.monotonicNow();
       const path = this.#opts.paths.pathTo(choice, {
         avoidsDirect,
-        timeLeftMs,
+        timeLeftMs: this.#timeLeftMs,
       });
-      if (!path) return this.#respondWithoutUpstream();
+      if (!path) {
+        if (await this.#awaitUpstream()) continue;
+        return this.#respondWithoutUpstream();
+      }
       const quota = this.#quota;
       if (quota && !await quota.useToken()) return;
       const result = await this.#attempt(choice, path);
@@ -120,6 +132,27 @@
     return false;
   }
 
+  get #timeLeftMs(): number {
+    return this.#call.deadlineAt - this.#opts.timer.monotonicNow();
+  }
+
+  /**
+   * Waits a moment if the call has begun and an upstream may soon be reached
+   * again. Returns false if there is no time left to wait.
+   */
+  async #awaitUpstream(): Promise<boolean> {
+    const { timer } = this.#opts;
+    const hasBegun = this.#call.res.headersSent || this.#count.runs > 0;
+    if (!hasBegun || !isRetrySafe(this.#call.route)) return false;
+    const now = timer.monotonicNow();
+    this.#waitUntil ??= now + MAX_UPSTREAM_WAIT_MS;
+    const endsAt = Math.min(this.#waitUntil, this.#call.deadlineAt);
+    if (now + UPSTREAM_POLL_INTERVAL_MS >= endsAt) return false;
+    this.#choice.excluded.clear();
+    await sleep(timer, UPSTREAM_POLL_INTERVAL_MS);
+    return true;
+  }
+
   /** Chooses an upstream that only a sibling may be able to connect to. */
   async #chooseOutOfReach(): Promise<TrackedUpstream | undefined> {
     if (!this.#opts.paths.hasRelay) return undefined;
@@ -158,7 +191,11 @@
       },
     });
     const stopWatching = this.#watchPath(attempt, path.kind);
-    const result = await this.#awaitResult(attempt, timeLeftMs);
+    const result = await this.#awaitResult(attempt, {
+      timeLeftMs,
+      hasOtherWay: () => this.#hasOtherWay(id, path.kind),
+    });
+    this.#waitUntil = undefined;
     endAttempt(verdictOf(result));
     stopWatching();
     start.load.end();
@@ -199,38 +236,55 @@
   }
 
   /**
-   * Interrupts a direct attempt that may run again when the way to all
-   * upstreams turns out to be cut. Returns a function that ends this.
+   * Interrupts a direct attempt that may run again when only a sibling reaches
+   * the upstreams. Returns a function that ends this.
    */
   #watchPath(attempt: Attempt, path: PathKind): () => void {
     const mayRunAgain = isRetrySafe(this.#call.route);
     if (path !== "direct" || !mayRunAgain) return () => {};
-    return this.#opts.directPath.onCut(({ isSilent }) => {
-      if (isSilent) attempt.interrupt();
-    });
+    return this.#opts.detour.onFound(() => attempt.interrupt());
+  }
+
+  /** Whether another upstream than that of an attempt can take the call now. */
+  async #hasOtherWay(id: string, path: PathKind): Promise<boolean> {
+    const { directPath, pools, dial } = this.#opts;
+    const others = this.#choice.alternativesTo(id);
+    const [first] = others;
+    if (!first) return false;
+    if (path === "sibling") return true;
+    // A sibling that reaches upstreams is found by the detour.
+    if (directPath.isCut) return false;
+    if (others.some((it) => pools.hasIdle(it.entry.id))) return true;
+    return await isListening(first.entry.address, dial);
   }
 
   /**
    * Waits for the result of an attempt. Stops the attempt when the caller
-   * disconnects, the deadline passes or the attempt is slow.
+   * disconnects, the deadline passes, or it is slow and there is another way.
    */
   async #awaitResult(
     attempt: Attempt,
-    timeLeftMs: number,
+    { timeLeftMs, hasOtherWay }: {
+      timeLeftMs: number;
+      hasOtherWay: () => Promise<boolean>;
+    },
   ): Promise<AttemptResult> {
     const { timer } = this.#opts;
     const call = this.#call;
-    const timers = [
-      timer.after(Math.max(0, timeLeftMs), () => attempt.stop("deadline")),
-    ];
-    const slowMs = this.#slowAttemptMs();
-    if (slowMs < timeLeftMs) {
-      timers.push(timer.after(slowMs, () => attempt.stop("slow")));
-    }
+    const deadline = timer.after(
+      Math.max(0, timeLeftMs),
+      () => attempt.stop("deadline"),
+    );
+    const endSlowCheck = stopWhenSlow(attempt, {
+      slowMs: this.#slowAttemptMs(),
+      hasOtherWay,
+      timer,
+    });
     call.onAbandon = () => attempt.stop("abandoned");
     const result = await attempt.result;
     call.onAbandon = undefined;
-    for (const it of timers) it.cancel();
+    deadline.cancel();
+    endSlowCheck();
     return result;
   }
 
--- /dev/null
+++ b/packages/front/src/detour.ts
@@ -0,0 +1,59 @@
+import type { Logger } from "@toucantrestle/log";
+import { sleep, type Timer } from "@toucantrestle/timer";
+import type { DirectPath } from "./direct_path.ts";
+
+/** Options of `Detour`. */
+export interface DetourOptions {
+  directPath: Pick<DirectPath, "onCut" | "isSilent">;
+  /** Asks a sibling whether it reaches an upstream now. */
+  confirm: () => Promise<boolean>;
+  timer: Timer;
+  log: Logger;
+}
+
+/** Time between two questions to siblings. */
+const ASK_INTERVAL_MS = 200;
+
+/**
+ * Finds a sibling that reaches upstreams while this front reaches none and hears
+ * none. Only then is it of use to give up a request that has been sent: all
+ * upstreams may just stand still, and will go on.
+ */
+export class Detour {
+  readonly #opts: DetourOptions;
+  readonly #listeners = new Set<() => void>();
+  #isAsking = false;
+
+  constructor(opts: DetourOptions) {
+    this.#opts = opts;
+    opts.directPath.onCut(() => this.#ask());
+  }
+
+  /** Subscribes `fn` to finding one; returns how to unsubscribe. */
+  onFound(fn: () => void): () => void {
+    this.#listeners.add(fn);
+    return () => this.#listeners.delete(fn);
+  }
+
+  /** Asks until a sibling reaches an upstream, or this front hears one. */
+  async #ask(): Promise<void> {
+    const { directPath, confirm, timer } = this.#opts;
+    if (this.#isAsking) return;
+    this.#isAsking = true;
+    while (directPath.isSilent) {
+      const isConfirmed = await confirm();
+      if (isConfirmed && directPath.isSilent) this.#notify();
+      await sleep(timer, ASK_INTERVAL_MS);
+    }
+    this.#isAsking = false;
+  }
+
+  #notify(): void {
+    if (this.#listeners.size === 0) return;
+    this.#opts.log.info("requests leave for a sibling that reaches upstreams", {
+      event: "detour",
+      requests: this.#listeners.size,
+    });
+    for (const fn of [...this.#listeners]) fn();
+  }
+}
--- a/packages/front/src/direct_path.ts
+++ b/packages/front/src/direct_path.ts
@@ -26,6 +26,8 @@
 const SILENCE_MS = 400;
 /** Failed connections in a row, to different upstreams, that call for probes. */
 const SUSPICIOUS_FAILURES = 2;
+/** Contact that is not older proves that an upstream can be reached. */
+const RECENT_CONTACT_MS = 200;
 /** Upstreams that are probed at once after a first probe has failed. */
 const CONFIRMING_PROBES = 2;
 /** Time between two series of probes. */
@@ -42,6 +44,8 @@
   /** Start times of the requests in flight. */
   readonly #inFlight = new Map<symbol, number>();
   #isCut = false;
+  /** When the cut was found, in ms. */
+  #cutAt = 0;
   #isProbing = false;
   #probedAt = -Infinity;
 
@@ -54,6 +58,20 @@
     return this.#isCut;
   }
 
+  /** Whether the way is cut and open connections carry nothing either. */
+  get isSilent(): boolean {
+    const { receivedAt } = this.#opts.contact;
+    return this.#isCut && receivedAt <= this.#cutAt - SILENCE_MS;
+  }
+
+  /** Returns whether an upstream can be reached now. */
+  async reachesNow(): Promise<boolean> {
+    const { timer, contact } = this.#opts;
+    const contactMs = timer.monotonicNow() - contact.receivedAt;
+    if (contactMs < RECENT_CONTACT_MS) return true;
+    return await this.#reachesAny(this.#drawAddresses());
+  }
+
   /** Starts checking. */
   start(): void {
     this.#opts.timer.every(CHECK_INTERVAL_MS, () => this.#check());
@@ -122,6 +140,7 @@
 
   #setCut(isCut: boolean, now: number): void {
     this.#isCut = isCut;
+    this.#cutAt = now;
     const heardMs = Math.round(now - this.#opts.contact.receivedAt);
     this.#opts.log.warn(
       isCut
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -9,6 +9,7 @@
 import { randomUUID } from "node:crypto";
 import { Collectors } from "./collectors.ts";
 import { ConfigWatcher } from "./config_watcher.ts";
+import { Detour } from "./detour.ts";
 import { DirectPath } from "./direct_path.ts";
 import { serveRelayedExchange } from "./exchange_relay.ts";
 import { FleetShare } from "./fleet_share.ts";
@@ -146,6 +147,7 @@
     forwardSettle: ({ memberId, notice }) => {
       turnStore.links.forwardSettle(memberId, notice);
     },
+    reachesUpstreams: () => directPath.reachesNow(),
     serveExchange: (args, receiver) =>
       serveRelayedExchange(args, receiver, {
         upstreamRegistry,
@@ -232,6 +234,12 @@
     pools,
     dial,
     directPath,
+    detour: new Detour({
+      directPath,
+      confirm: () => siblings.requests.confirmExchangeRelay(),
+      timer,
+      log: loggers("upstream"),
+    }),
     paths: new UpstreamPaths({
       pools,
       directPath,
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -202,6 +202,11 @@
     args: { memberId: string; name: RecordMethod; args: unknown };
     result: unknown;
   };
+  /** Returns whether the sibling reaches an upstream at this moment. */
+  reaches_upstreams: {
+    args: Record<string, never>;
+    result: { isReached: boolean };
+  };
   /** Returns the unparsed text of the configuration in effect. */
   config: { args: Record<string, never>; result: { text: string } };
   fleet: { args: Record<string, never>; result: FleetSnapshot };
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -9,6 +9,7 @@
 } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
 import type { TurnStoreClient } from "@toucantrestle/turn_store";
+import type { Detour } from "./detour.ts";
 import type { DirectPath } from "./direct_path.ts";
 import type { NoticeReader } from "./notice_reader.ts";
 import type { Dial } from "@toucantrestle/upstream_channel";
@@ -35,6 +36,7 @@
   recentPrograms: RecentPrograms;
   pools: UpstreamPools;
   directPath: DirectPath;
+  detour: Detour;
   paths: UpstreamPaths;
   dial: Dial;
   turnStore: TurnStoreClient;
--- a/packages/front/src/siblings/sibling_requests.ts
+++ b/packages/front/src/siblings/sibling_requests.ts
@@ -24,6 +24,8 @@
 
 const LINK_TIMEOUT_MS = 700;
 const RELAY_TIMEOUT_MS = 1_000;
+/** Covers two probes of the sibling, one after the other. */
+const PROBE_TIMEOUT_MS = 900;
 
 /** Siblings of a lower rank are preferred as relays. */
 const RELAY_RANKS: Record<FrontState, number> = {
@@ -86,6 +88,27 @@
       ((args, handlers) => link.open("exchange", args, handlers));
   }
 
+  /**
+   * Returns whether a sibling that may forward requests to upstreams reaches one
+   * now. One of an earlier build cannot say so.
+   */
+  async confirmExchangeRelay(): Promise<boolean> {
+    const host = pickRandom(this.#relays((it) => it.reachesUpstreams));
+    const link = host === undefined ? undefined : this.#opts.links.open(host);
+    if (!link) return false;
+    try {
+      const reply = await link.request(
+        "reaches_upstreams",
+        {},
+        PROBE_TIMEOUT_MS,
+      );
+      return reply.isReached;
+    } catch (err) {
+      this.#opts.log.debug(`front ${host} reaches no upstream: ${String(err)}`);
+      return false;
+    }
+  }
+
   /**
    * Returns the siblings of the lowest rank with an open link whose report
    * fits. If a sibling without a link has a lower rank, dials it for later.
--- a/packages/front/src/siblings/siblings.ts
+++ b/packages/front/src/siblings/siblings.ts
@@ -60,6 +60,8 @@
   /** Forwards a sibling's request to a turn store. */
   forward: (it: FrontMethods["relay"]["args"]) => Promise<unknown>;
   forwardSettle: (it: FrontNotices["settle"]) => void;
+  /** Returns whether this front reaches an upstream at this moment. */
+  reachesUpstreams: () => Promise<boolean>;
   /** Forwards a sibling's request to an upstream. */
   serveExchange: (
     args: RelayedRequest,
@@ -221,6 +223,9 @@
         permit: (query) => opts.answerPermit(query),
         quota: (query) => opts.answerQuota(query),
         relay: (it) => opts.forward(it),
+        reaches_upstreams: async () => ({
+          isReached: await opts.reachesUpstreams(),
+        }),
       },
       notices: {
         gossip: (body, from) => this.#applyGossip(body, from),
--- /dev/null
+++ b/packages/front/src/slow_attempt.ts
@@ -0,0 +1,39 @@
+import { sleep, type Timer } from "@toucantrestle/timer";
+import type { Attempt } from "./attempt.ts";
+
+/** Options of `stopWhenSlow`. */
+export interface SlowAttemptOptions {
+  /** Time after which the attempt counts as slow, in ms; may be infinite. */
+  slowMs: number;
+  /** Returns whether another upstream can take the call now. */
+  hasOtherWay: () => Promise<boolean>;
+  timer: Timer;
+}
+
+/** Time between two looks for another way. */
+const RECHECK_INTERVAL_MS = 200;
+
+/**
+ * Stops an attempt that is slow, once another upstream can take its call: if all
+ * stand still, the attempt goes on with the others. Returns a function that ends
+ * this.
+ */
+export function stopWhenSlow(
+  attempt: Pick<Attempt, "stop">,
+  { slowMs, hasOtherWay, timer }: SlowAttemptOptions,
+): () => void {
+  if (slowMs === Infinity) return () => {};
+  let isOver = false;
+  const mayStop = () => !isOver;
+  const start = timer.after(slowMs, async () => {
+    while (mayStop()) {
+      const isFound = await hasOtherWay();
+      if (isFound && mayStop()) return attempt.stop("slow");
+      await sleep(timer, RECHECK_INTERVAL_MS);
+    }
+  });
+  return () => {
+    isOver = true;
+    start.cancel();
+  };
+}
--- a/packages/front/src/upstream_choice.ts
+++ b/packages/front/src/upstream_choice.ts
@@ -116,6 +116,11 @@
     return undefined;
   }
 
+  /** Returns the other upstreams that may take the call, apart from limits. */
+  alternativesTo(id: string): TrackedUpstream[] {
+    return this.#candidates().filter((it) => it.entry.id !== id);
+  }
+
   /** Returns the upstream that would be chosen on what is known locally. */
   likely(): UpstreamEntry | undefined {
     const all = this.#candidates();
