Front: a response that the caller has a part of is not cut as slow

What callers saw: a large response of an idempotent call was cut off when it took over 300 ms and six times the mean of its route, also if only the caller read slowly.

Cause: the timer that gives up a slow attempt did not look whether the head of its response had been delivered. Nothing can follow then but a cut.

Change: an attempt whose head is delivered is never stopped as slow. The caller's deadline and the route's timeout hold as before.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -69,6 +69,8 @@
 /** An attempt in progress. */
 export interface Attempt {
   result: Promise<AttemptResult>;
+  /** Whether the caller has the head of the response. */
+  readonly hasDeliveredHead: boolean;
   stop(reason: StopReason): void;
   /** Fails the attempt because the way to its upstream is cut. */
   interrupt(): void;
@@ -234,6 +236,9 @@
   );
   return {
     result,
+    get hasDeliveredHead() {
+      return isForwarding;
+    },
     stop(reason) {
       stopReason = reason;
       exchange.cancel();
--- a/packages/front/src/slow_attempt.ts
+++ b/packages/front/src/slow_attempt.ts
@@ -15,16 +15,16 @@
 
 /**
  * Stops an attempt that is slow, once another upstream can take its call: if all
- * stand still, the attempt goes on with the others. Returns a function that ends
- * this.
+ * stand still, the attempt goes on with the others. One of whose response the
+ * caller has the head is never stopped. Returns a function that ends this.
  */
 export function stopWhenSlow(
-  attempt: Pick<Attempt, "stop">,
+  attempt: Pick<Attempt, "stop" | "hasDeliveredHead">,
   { slowMs, hasOtherWay, timer }: SlowAttemptOptions,
 ): () => void {
   if (slowMs === Infinity) return () => {};
   let isOver = false;
-  const mayStop = () => !isOver;
+  const mayStop = () => !isOver && !attempt.hasDeliveredHead;
   const start = timer.after(slowMs, async () => {
     while (mayStop()) {
       const isFound = await hasOtherWay();
