--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -72,17 +72,20 @@
   /** Stores a new version of the configuration with these routes. */
   configure(
     routes: Partial<Route>[],
-    opts: { organisations?: OrganisationEntry[] } = {},
+    { serviceNames = ["s"], ...opts }: {
+      organisations?: OrganisationEntry[];
+      serviceNames?: string[];
+    } = {},
   ): void {
     this.#version += 1;
     this.store.put(testProtocol.configKey, {
       version: this.#version,
       routes: routes.map((it) => ({ ...defaultRoute, ...it })),
-      services: [{
-        name: "s",
+      services: serviceNames.map((name) => ({
+        name,
         maxConnections: 100,
         engine: { slots: 4, cacheTokens: 1_000, tokensPerEvent: 1 },
-      }],
+      })),
       limits: {
         headerBytes: 16_384,
         bodyBytes: 100_000,
