HTTP server: a drain sends what is due, then closes each connection

What callers saw: a response that its caller had not read to the end was cut when a daemon drained. The drain lasted as long as any caller kept a connection open that had been in use when it began.

Cause: the server library counts a connection as idle as soon as its last response has been ended, sent or not. Idle connections were closed once.

Ruled out: that requests sent in a row lose their responses; none of them ended the connection before.

Change: the responses that are due are counted by connection. The last one says "connection: close", and the connection is closed when it is sent; a request that comes after that is not run.

--- a/packages/http/src/server.ts
+++ b/packages/http/src/server.ts
@@ -10,8 +10,10 @@
 import FindMyWay from "find-my-way";
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { ServerResponse } from "node:http";
+import { Server as NetServer } from "node:net";
 import { createServer as createTlsServer } from "node:https";
 import type { z } from "zod";
+import { Connections } from "./connections.ts";
 import { sendJson, sendProblem } from "./response.ts";
 import { parseJson, readBody } from "./body.ts";
 import type { Principal, Role } from "./principal.ts";
@@ -60,7 +62,10 @@
   listen(address: string): Promise<void>;
   /** Replaces the certificate for new connections. */
   setTls(tls: HttpTls): void;
-  /** Stops accepting connections and waits until all responses are sent. */
+  /**
+   * Stops accepting connections and waits until all responses are sent. Each
+   * connection ends after the last response that is due on it.
+   */
   drain(): Promise<void>;
 }
 
@@ -88,18 +93,23 @@
       });
     });
   }
-  const listener = (req: IncomingMessage, res: ServerResponse) =>
-    router.lookup(req, res);
+  const listener = (req: IncomingMessage, res: ServerResponse) => {
+    if (connections.take(req, res)) router.lookup(req, res);
+  };
   const server = opts.tls
     ? createTlsServer(opts.tls, listener)
     : createServer(listener);
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+  const connections = new Connections(
+    server,
+    opts.tls ? "secureConnection" : "connection",
+  );
   return {
     listen: (address) => listen(server, address),
     setTls: (tls) => {
       if ("setSecureContext" in server) server.setSecureContext(tls);
     },
-    drain: () => drain(server),
+    drain: () => drain(server, connections),
   };
 }
 
@@ -188,9 +198,12 @@
   });
 }
 
-function drain(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
-  });
+async function drain(
+  server: Server,
+  connections: Connections,
+): Promise<void> {
+  // The method of HTTP servers also closes connections whose last response has
+  // been ended but not sent.
+  NetServer.prototype.close.call(server);
+  await connections.drain();
 }
