Daemon: a stop waits for requests of siblings, and ends in its time

What callers saw: the response of a call that another daemon ran was lost when that one stopped before it was sent. A stop never ended behind a response that nobody read.

Cause: the links were closed without a look at what was in progress on them, and the time of the stop did not hold for the drain of callers.

Ruled out by reading only, not by a run: a second SIGTERM, for which stop() returns without effect. Calls of programs were waited for before as well.

Change: SiblingNet.drain waits until the requests of siblings are handled and their responses sent; both drains end with the time of the stop.

links_test: createNet takes handlers; nothing else of it changed.

--- a/packages/daemon/src/graceful_stop.ts
+++ b/packages/daemon/src/graceful_stop.ts
@@ -11,12 +11,12 @@
 export interface StopComponents {
   timer: Timer;
   log: Logger;
-  lease: LeaseManager;
-  ownership: Ownership;
-  http: HttpServer;
-  flusher: Flusher;
-  view: StoreView;
-  net: SiblingNet;
+  lease: Pick<LeaseManager, "setState" | "close">;
+  ownership: Pick<Ownership, "stop">;
+  http: Pick<HttpServer, "drain">;
+  flusher: Pick<Flusher, "flushAll" | "close">;
+  view: Pick<StoreView, "close">;
+  net: Pick<SiblingNet, "drain" | "close">;
 }
 
 const STOP_TIMEOUT_MS = 60_000;
@@ -24,8 +24,8 @@
 const LEAVE_NOTICE_MS = 500;
 
 /**
- * Stops a daemon: registers as leaving, hands its shards over, drains HTTP
- * requests in flight, flushes the journal and revokes the lease.
+ * Stops a daemon: registers as leaving, hands its shards over, drains requests
+ * of callers and siblings in flight, flushes the journal and revokes the lease.
  */
 export async function stopGracefully(
   components: StopComponents,
@@ -36,9 +36,11 @@
   await sleep(timer, LEAVE_NOTICE_MS);
   const deadline = timer.now() + STOP_TIMEOUT_MS;
   await components.ownership.stop(deadline);
-  await components.http.drain();
-  const timeout = sleep(timer, Math.max(0, deadline - timer.now()));
+  const leftMs = () => Math.max(0, deadline - timer.now());
+  const timeout = sleep(timer, leftMs());
+  await Promise.race([components.http.drain(), timeout]);
   await Promise.race([components.flusher.flushAll().catch(() => {}), timeout]);
+  await components.net.drain(leftMs());
   await lease.close().catch(() => {});
   components.view.close();
   components.flusher.close();
--- a/packages/sibling/src/incoming.ts
+++ b/packages/sibling/src/incoming.ts
@@ -16,6 +16,7 @@
   readonly #channel: SiblingChannel;
   readonly #from: HostRun;
   readonly #handlers: PeerHandlers;
+  #handledCount = 0;
 
   constructor(
     opts: { channel: SiblingChannel; from: HostRun; handlers: PeerHandlers },
@@ -25,6 +26,11 @@
     this.#handlers = opts.handlers;
   }
 
+  /** Whether a request is being handled, or its response is not sent yet. */
+  get isBusy(): boolean {
+    return this.#handledCount > 0 || this.#channel.hasUnsent;
+  }
+
   /** Dispatches a message to its handler. */
   receive(message: SiblingMessage): void {
     switch (message.t) {
@@ -61,6 +67,7 @@
 
   async #handleRpc(message: RpcRequest): Promise<void> {
     const { id, name } = message;
+    this.#handledCount += 1;
     try {
       const handler = this.#handlers.rpcs[name] as (
         args: unknown,
@@ -71,16 +78,19 @@
     } catch (err) {
       this.#channel.send({ t: "rpc_failure", id, problem: toProblem(err) });
     }
+    this.#handledCount -= 1;
   }
 
   async #handleCall(message: CallStart): Promise<void> {
     const { id } = message;
     const sink = createChannelSink(this.#channel, id);
+    this.#handledCount += 1;
     try {
       await this.#handlers.onCall(message.caller, message.request, sink);
     } catch (err) {
       this.#channel.send({ t: "call_failure", id, problem: toProblem(err) });
     }
+    this.#handledCount -= 1;
   }
 }
 
--- a/packages/sibling/src/sibling_channel.ts
+++ b/packages/sibling/src/sibling_channel.ts
@@ -69,6 +69,13 @@
     else this.#enqueue(message);
   }
 
+  /** Whether a message waits to be sent; a closed link sends none. */
+  get hasUnsent(): boolean {
+    const isOpen = this.#socket.readyState === this.#socket.OPEN;
+    return isOpen &&
+      (this.#queue.length > 0 || this.#socket.bufferedAmount > 0);
+  }
+
   close(): void {
     this.#socket.terminate();
   }
--- a/packages/sibling/src/sibling_net.ts
+++ b/packages/sibling/src/sibling_net.ts
@@ -1,6 +1,6 @@
 import type { Logger } from "@toucantrestle/log";
 import { type HostRun, SILENCE_LIMIT_MS } from "@toucantrestle/membership";
-import type { Subscription, Timer } from "@toucantrestle/timer";
+import { sleep, type Subscription, type Timer } from "@toucantrestle/timer";
 import { UnavailableError, type Verdict } from "@toucantrestle/verdict";
 import { createHash } from "node:crypto";
 import { createServer, type Server } from "node:http";
@@ -56,6 +56,7 @@
 /** Time from dialling to the hello of the other side. */
 const HELLO_TIMEOUT_MS = 2_000;
 const MAX_MESSAGE_BYTES = 64_000_000;
+const DRAIN_POLL_INTERVAL_MS = 20;
 
 /**
  * Links to siblings. Each pair of daemons has up to two links, one dialled by
@@ -66,6 +67,8 @@
   readonly #server: Server;
   readonly #sockets: WebSocketServer;
   readonly #links = new Map<string, Link>();
+  /** Sessions on links that siblings have dialled. */
+  readonly #incoming = new Set<IncomingSession>();
   readonly #lastReceivedAt = new Map<string, number>();
   readonly #runsByAddress = new Map<string, HostRun>();
   #heartbeatTimer: Subscription | undefined;
@@ -161,6 +164,19 @@
     return this.#bytesSent;
   }
 
+  /**
+   * Waits until all requests of siblings have been handled and their responses
+   * sent, for `timeoutMs` at most.
+   */
+  async drain(timeoutMs: number): Promise<void> {
+    const { timer } = this.#opts;
+    const deadline = timer.monotonicNow() + timeoutMs;
+    const isBusy = () => [...this.#incoming].some((it) => it.isBusy);
+    while (isBusy() && timer.monotonicNow() < deadline) {
+      await sleep(timer, DRAIN_POLL_INTERVAL_MS);
+    }
+  }
+
   /** Closes all links and the server. */
   async close(): Promise<void> {
     this.#heartbeatTimer?.cancel();
@@ -313,9 +329,12 @@
         from = message.run;
         const { handlers } = this.#opts;
         session = new IncomingSession({ channel, from, handlers });
+        this.#incoming.add(session);
         channel.send(this.#createHello(""));
       },
-      onClose: () => {},
+      onClose: () => {
+        if (session) this.#incoming.delete(session);
+      },
     });
   }
 
--- a/packages/sibling/test/links_test.ts
+++ b/packages/sibling/test/links_test.ts
@@ -5,12 +5,15 @@
 import { pack } from "msgpackr";
 import { type AddressInfo, createServer } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { generate } from "selfsigned";
 import { WebSocket, WebSocketServer } from "ws";
 import { PROTOCOL_VERSION } from "../src/messages.ts";
 import { type PeerHandlers, SiblingNet, type SiblingTls } from "../src/mod.ts";
 
 const LINK_TIMEOUT_MS = 5_000;
+const POLL_MS = 5;
+const LARGE_TEXT = "x".repeat(8_000_000);
 /** An array of two elements, of which one is missing. */
 const TRUNCATED_MESSAGE = Buffer.from([0x92, 0x01]);
 
@@ -18,6 +21,7 @@
   key?: string;
   tls?: SiblingTls;
   cut?: Set<string>;
+  onCall?: PeerHandlers["onCall"];
 }
 
 const nets: SiblingNet[] = [];
@@ -45,7 +49,7 @@
     self,
     key: opts.key ?? "the-sibling-key",
     timer: createSystemTimer(),
-    handlers: createHandlers(host),
+    handlers: { ...createHandlers(host), ...opts },
     heartbeat: () => ({ stamp: { ms: 0, count: 0 }, tableRevision: 0 }),
     isCut: (other) => opts.cut?.has(other) ?? false,
     isSiblingKey: () => false,
@@ -105,6 +109,37 @@
     expect(silentMs).toEqual(3);
   });
 
+  // Guards against LOST: a host ended before what it had answered was sent.
+  it("sends the responses of siblings' calls before it closes", async () => {
+    const calls: (() => void)[] = [];
+    const a = await createNet("a");
+    const b = await createNet("b", {
+      onCall: (_caller, _request, sink) =>
+        new Promise((resolve) => {
+          calls.push(() => {
+            sink.data(LARGE_TEXT);
+            sink.end();
+            resolve();
+          });
+        }),
+    });
+    a.net.setTargets([b.self.siblingAddress]);
+    expect(await waitForLink(a.net, b.self)).toEqual(true);
+    let received = "";
+    const call = a.net.requireSession(b.self).call("caller", {} as never, {
+      hasStarted: true,
+      head() {},
+      data: (text) => received += text,
+      end() {},
+    });
+    while (calls.length === 0) await delay(POLL_MS);
+    const closed = b.net.drain(LINK_TIMEOUT_MS).then(() => b.net.close());
+    calls[0]?.();
+    await call;
+    expect(received.length).toEqual(LARGE_TEXT.length);
+    await closed;
+  });
+
   it("rejects a link with a wrong sibling key", async () => {
     const a = await createNet("a", { key: "another-key" });
     const b = await createNet("b");
