Store readers: each data centre has one before any has two

What callers may see (DRAIN): no front reads the store often for as long as the others take to notice that all four readers are gone.

Cause: the four readers were the first by hashing, so in a fleet of two data centres about one in eight had all four in one of them, which may be cut off or stop as a whole. Until others read, a front could wait 250 ms for the choice, 400 ms for the pace of its watches and 300 ms within the delay of a watch, after up to 1.9 s until silent neighbours are known.

Evidence, failed before: "are spread over the data centres", 1 in place of 2.

Ruled out: readers that end leave no such gap ("hears of it when all readers end before they could tell", green before).

Change: the first by hashing of each data centre come first. The number of readers and of calls is unchanged.

--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -161,6 +161,7 @@
   const storeReaders = new StoreReaders({
     self: host,
     timer,
+    dataCentreOf: (it) => fleet.front(it)?.dataCentre,
     candidates: () => siblings.storeReaderCandidates,
     log: loggers("sibling"),
   });
--- a/packages/front/src/siblings/store_readers.ts
+++ b/packages/front/src/siblings/store_readers.ts
@@ -13,6 +13,8 @@
 export interface StoreReadersOptions {
   self: string;
   timer: Timer;
+  /** Returns the data centre of a front; undefined if it is unknown. */
+  dataCentreOf: (host: string) => string | undefined;
   /** Names of the connected siblings that reach the store. */
   candidates: () => string[];
   log: Logger;
@@ -22,7 +24,7 @@
 const MAX_COMPLETE_FLEET = 13;
 /** Readers of a larger fleet, enough that some are left when hosts fail. */
 const READER_COUNT = 4;
-const REFRESH_INTERVAL_MS = 250;
+const REFRESH_INTERVAL_MS = 150;
 /** Longest delay between two tries to reach the store again. */
 const READER_MAX_RETRY_MS = 800;
 const OTHER_MAX_RETRY_MS = 5_000;
@@ -81,8 +83,20 @@
     }
     if (hasSameMembers(fronts, this.#rankedFronts)) return this.#reading;
     this.#rankedFronts = fronts;
-    const readers = rankByRendezvous("store-reader", fronts)
-      .slice(0, READER_COUNT);
-    return readers.includes(self) ? "reader" : "seldom";
+    return this.#chooseReaders(fronts).includes(self) ? "reader" : "seldom";
+  }
+
+  /** The first of each data centre come first: one may fail as a whole. */
+  #chooseReaders(fronts: string[]): string[] {
+    const ranked = rankByRendezvous("store-reader", fronts);
+    const seen = new Set<string | undefined>();
+    const first: string[] = [];
+    const others: string[] = [];
+    for (const host of ranked) {
+      const dataCentre = this.#opts.dataCentreOf(host);
+      (seen.has(dataCentre) ? others : first).push(host);
+      seen.add(dataCentre);
+    }
+    return [...first, ...others].slice(0, READER_COUNT);
   }
 }
--- a/packages/front/test/store_readers_test.ts
+++ b/packages/front/test/store_readers_test.ts
@@ -5,7 +5,7 @@
 import { StoreReaders } from "../src/siblings/store_readers.ts";
 
 /** Creates the fronts of a fleet; those in `cutOff` do not reach the store. */
-function createReaders(count: number) {
+function createReaders(count: number, dataCentres = 1) {
   const timer = createManualTimer();
   const hosts = Array.from({ length: count }, (_, i) => `front-${i}`);
   const cutOff = new Set<string>();
@@ -15,6 +15,7 @@
     readers: new StoreReaders({
       self,
       timer,
+      dataCentreOf: (host) => dataCentreOf(host, dataCentres),
       log: createNoopLoggers()("sibling"),
       candidates: () =>
         isolated.has(self)
@@ -31,6 +32,10 @@
   };
 }
 
+function dataCentreOf(host: string, count: number): string {
+  return `dc-${Number(host.split("-")[1]) % count}`;
+}
+
 // Answers the calls to the store that grow with the number of fronts.
 describe("readers of the store", () => {
   it("are all fronts of a small fleet", () => {
@@ -50,6 +55,19 @@
     expect(others.length).toEqual(4);
   });
 
+  // Guards against DRAIN: all readers are cut off with their data centre.
+  it("are spread over the data centres", () => {
+    for (const dataCentres of [2, 3, 4, 5]) {
+      for (let count = 14; count < 60; count++) {
+        const fleet = createReaders(count, dataCentres);
+        const chosen = fleet.names();
+        expect(chosen.length).toEqual(4);
+        const places = chosen.map((it) => dataCentreOf(it, dataCentres));
+        expect(new Set(places).size).toEqual(Math.min(4, dataCentres));
+      }
+    }
+  });
+
   it("include a front that is connected to no other", () => {
     const fleet = createReaders(171);
     fleet.isolated.add("front-9");
