Links: a message that cannot be handled ends no process

What callers saw: nothing was reported. A front ended (LOST) when another process sent it a message that no build sends, such as null in a notice.

Cause: only requests were handled within a try. Handlers were looked up in objects with a prototype, so that a stream "constructor" had one.

Why it works: an error of a handler is logged. A notice is dropped; for anything else the link is closed and its streams are lost at once, so that none goes on with a gap.

--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -215,7 +215,7 @@
     socket.on("open", () => this.#onOpen(socket));
     socket.on("message", (data) => {
       const message = decodeMessage(data);
-      if (message) this.#receive(message);
+      if (message) this.#handle(socket, message);
     });
     socket.on("error", () => socket.terminate());
     socket.on("close", () => this.#onClose());
@@ -290,6 +290,21 @@
     for (const handlers of streams) handlers.onLost();
   }
 
+  /** Handles a message; a stream must not go on after one that went wrong. */
+  #handle(socket: WebSocket, message: LinkMessage): void {
+    try {
+      this.#receive(message);
+    } catch (err) {
+      const reason = err instanceof Error ? err.stack : String(err);
+      this.#opts.log.error(
+        `cannot handle a ${message.t} from ${this.address}: ${reason}`,
+      );
+      // Messages that have been received already follow.
+      this.#loseStreams();
+      socket.terminate();
+    }
+  }
+
   #receive(message: LinkMessage): void {
     this.#lastReceivedAt = this.#opts.timer.monotonicNow();
     if (message.t === "part") {
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -108,23 +108,44 @@
       const message = decodeMessage(data);
       if (!message) {
         this.#opts.log.warn(
-          `closed the link from host "${from}": message is malformed`,
+          `closed the link from host ${
+            JSON.stringify(from)
+          }: message is malformed`,
         );
         socket.terminate();
         return;
       }
-      if (message.t === "hello") from = message.host;
-      else this.#dispatch({ socket, streams, from }, message);
+      if (message.t === "hello") from = String(message.host);
+      else this.#handle({ socket, streams, from }, message);
     });
   }
 
+  /**
+   * Handles a message; what goes wrong concerns its sender alone. A notice may
+   * be lost, while the streams of a link must not go on with a gap.
+   */
+  #handle(connection: Connection, message: LinkMessage): void {
+    try {
+      this.#dispatch(connection, message);
+    } catch (err) {
+      const { from, socket } = connection;
+      const reason = err instanceof Error ? err.stack : String(err);
+      this.#opts.log.error(
+        `cannot handle a ${message.t} of host ${
+          JSON.stringify(from)
+        }: ${reason}`,
+      );
+      if (message.t !== "notice") socket.terminate();
+    }
+  }
+
   #dispatch(connection: Connection, message: LinkMessage): void {
     const { socket, streams, from } = connection;
     switch (message.t) {
       case "ping":
         return sendMessage(socket, { t: "pong" });
       case "notice":
-        return this.#opts.notices[message.name]?.(
+        return ownEntry(this.#opts.notices, message.name)?.(
           message.body as N[string],
           from,
         );
@@ -144,7 +165,7 @@
     { socket, streams }: Connection,
     { id, name, args }: Extract<LinkMessage, { t: "open" }>,
   ): void {
-    const serve = this.#opts.streams?.[name];
+    const serve = this.#opts.streams && ownEntry(this.#opts.streams, name);
     if (!serve) {
       this.#opts.log.warn(`stream "${name}" is unknown`);
       return sendMessage(socket, { t: "end", id });
@@ -173,7 +194,7 @@
   ): Promise<void> {
     const { id, name } = message;
     try {
-      const handler = this.#opts.methods[name];
+      const handler = ownEntry(this.#opts.methods, name);
       if (!handler) throw new Error(`request "${name}" is unknown`);
       const result = await handler(message.args as M[string]["args"], from);
       sendMessage(socket, { t: "result", id, result });
@@ -183,3 +204,11 @@
     }
   }
 }
+
+/** Returns the entry of a name that a message gives; not one of all objects. */
+function ownEntry<T extends object>(
+  table: T,
+  name: string,
+): T[keyof T] | undefined {
+  return Object.hasOwn(table, name) ? table[name as keyof T] : undefined;
+}
--- a/packages/link/src/socket.ts
+++ b/packages/link/src/socket.ts
@@ -20,11 +20,17 @@
   socket.send(packr.pack(message));
 }
 
-/** Decodes a message. Returns undefined if the bytes are malformed. */
+/** Decodes a message. Returns undefined if the bytes are none. */
 export function decodeMessage(data: RawData): LinkMessage | undefined {
   try {
-    return packr.unpack(data as Uint8Array) as LinkMessage;
+    const message = packr.unpack(data as Uint8Array) as unknown;
+    return isMessage(message) ? message : undefined;
   } catch {
     return undefined;
   }
 }
+
+function isMessage(value: unknown): value is LinkMessage {
+  return typeof value === "object" && value !== null &&
+    "t" in value && typeof value.t === "string";
+}
--- a/packages/link/test/link_test.ts
+++ b/packages/link/test/link_test.ts
@@ -127,6 +127,23 @@
   }
 });
 
+describe("a notice whose handler fails", () => {
+  // Guards against a message that ends the process that gets it (LOST).
+  it("is dropped, and the link delivers the next ones", async () => {
+    await listen((text) => {
+      if (text === "odd") throw new Error("odd notice");
+      receivedNews.push(text);
+    });
+    const client = dial();
+    await waitUntil(() => client.isOpen);
+    client.notify("news", "odd");
+    client.notify("toString" as "news", "odd");
+    client.notify("news", "hello");
+    expect(await client.request("double", 21, REQUEST_TIMEOUT_MS)).toEqual(42);
+    expect(receivedNews).toEqual(["hello"]);
+  });
+});
+
 describe("an address of a link", () => {
   it("is a host with a port", () => {
     for (const it of ["10.1.0.38:65535", "localhost:1", "[::1]:8144"]) {
@@ -135,11 +152,13 @@
   });
 });
 
-async function listen(): Promise<LinkServer<Methods, Notices>> {
+async function listen(
+  onNews = (text: string) => void receivedNews.push(text),
+): Promise<LinkServer<Methods, Notices>> {
   const server = new LinkServer<Methods, Notices>({
     log,
     methods: { double: (n) => 2 * n },
-    notices: { news: (text) => receivedNews.push(text) },
+    notices: { news: onNews },
   });
   servers.push(server);
   await server.listen(address);
--- a/packages/link/test/stream_test.ts
+++ b/packages/link/test/stream_test.ts
@@ -55,6 +55,38 @@
     pair.close();
   });
 
+  // Guards against a stream that goes on with a gap, and against a process that
+  // a part ends (ORDER, LOST).
+  it("is lost with its connection if a part cannot be handled", async () => {
+    const pair = await createPair((last, receiver) => {
+      for (let i = 1; i <= last; i++) receiver.send(i);
+      receiver.end();
+    });
+    const seen: unknown[] = [];
+    pair.client.open("count", 3, {
+      onPart(part) {
+        if (part === 2) throw new Error("odd part");
+        seen.push(part);
+      },
+      onEnd: () => seen.push("end"),
+      onLost: () => seen.push("lost"),
+    });
+    await pair.waitFor(() => seen.includes("lost"));
+    expect(seen).toEqual([1, "lost"]);
+    pair.close();
+  });
+
+  it("is lost with its connection if it cannot be served", async () => {
+    const pair = await createPair(() => {
+      throw new Error("odd arguments");
+    });
+    let isLost = false;
+    const onLost = () => isLost = true;
+    pair.client.open("count", 1, { ...createHandlers(), onLost });
+    await pair.waitFor(() => isLost);
+    pair.close();
+  });
+
   it("is not opened while the link is down", async () => {
     const pair = await createPair(() => {});
     pair.client.close();
