Crashing requests: a front that starts or is linked again knows the convictions

Cause: a crash counts for 120 s, but a front that is linked was told only the crashes of the last 10 s. News had no age, so that handing over all of them would have renewed a conviction at each hand-over.

In the new test a front that starts 5 s after the crashes refuses the request (3 of 3), one that starts 11 s after them runs it. Failed before: forgotten_convictions_test, "The value 502 is not equal to 503". With the new code and a window of 10 s: the same, 5 of 5; crash_news_test, "[true, false, false] is not equal to [true, true, true]".

Ruled out: links that open too late (the front was connected, a neighbour's first message has the news); crashes that arrive and are not counted (those of 5 s are).

Why it works: news of a crash have an age; the earliest time that is reported counts, whatever the order and the repetitions (property tests). A neighbour that is linked gets each crash that still counts, so that whoever is connected knows it. Records, crashes of a record and reports are bounded. News without an age, of an earlier build, count from their arrival as before.

Tests changed: the two cases of CrashTracker moved from routing_test to crash_tracker_test with the new arguments; "expire even when siblings keep reporting" now checks the moment of expiry too. TestCluster.addFront takes a timer.

--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -22,6 +22,7 @@
 import { RecentPrograms } from "./recent_programs.ts";
 import { RequestPermits } from "./request_permits.ts";
 import type { ServeOptions } from "./serve_options.ts";
+import { toCrashNews } from "./siblings/crash_news.ts";
 import { FleetNews } from "./siblings/fleet_news.ts";
 import { Siblings } from "./siblings/siblings.ts";
 import { StoreReaders } from "./siblings/store_readers.ts";
@@ -217,9 +218,10 @@
     prefixIndex,
     crashTracker,
     recordCrash(fingerprint, upstream) {
+      const report = { fingerprint, upstream, ageMs: 0 };
       const now = timer.monotonicNow();
-      if (!crashTracker.recordCrash(fingerprint, upstream, now)) return;
-      siblings.publish({ kind: "crash", fingerprint, upstream });
+      if (!crashTracker.recordCrash(report, now)) return;
+      siblings.publish(toCrashNews(report));
     },
     noticeReader,
     permits,
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -123,12 +123,21 @@
   | { kind: "config"; version: number }
   /** An upstream is or was limited, or is leaving. */
   | { kind: "notice"; notice: SharedNotice }
-  /** A request has crashed an upstream. */
-  | { kind: "crash"; fingerprint: string; upstream: string }
+  | CrashNews
   | { kind: "upstream"; change: Exclude<UpstreamChange, SuspendChange> }
   /** Sent apart: earlier builds would take the change for a removal. */
   | { kind: "suspended_upstream"; change: SuspendChange };
 
+/** A request has crashed an upstream. */
+export interface CrashNews {
+  kind: "crash";
+  fingerprint: string;
+  /** Key of the process that crashed. */
+  upstream: string;
+  /** Time since the crash, in ms; missing from fronts of earlier builds. */
+  ageMs?: number;
+}
+
 /** Change of a registered upstream, as the platform's store reported it. */
 export type UpstreamChange =
   | { kind: "put"; entry: UpstreamEntry; revision: number }
--- a/packages/front/src/siblings/fleet_news.ts
+++ b/packages/front/src/siblings/fleet_news.ts
@@ -5,6 +5,7 @@
 import type { NoticeReader } from "../notice_reader.ts";
 import type { UpstreamWatcher } from "../upstream_watcher.ts";
 import { type FrontNews, toNews } from "../protocol.ts";
+import { readCrashNews, toCrashNews } from "./crash_news.ts";
 
 /** Options of `FleetNews`. */
 export interface FleetNewsOptions {
@@ -25,9 +26,6 @@
   ) => boolean;
 };
 
-/** A front that is linked gets the crashes of this time. */
-const CRASH_WINDOW_MS = 10_000;
-
 /** Applies the news of siblings, and collects those for a new neighbour. */
 export class FleetNews {
   readonly #opts: FleetNewsOptions;
@@ -42,10 +40,9 @@
         return false;
       },
       notice: ({ notice }) => opts.noticeReader.merge(notice),
-      crash: ({ fingerprint, upstream }) =>
+      crash: (news) =>
         opts.crashTracker.recordCrash(
-          fingerprint,
-          upstream,
+          readCrashNews(news),
           opts.timer.monotonicNow(),
         ),
       upstream: ({ change }) => opts.upstreamWatcher.applyChange(change),
@@ -73,21 +70,13 @@
   /** Returns what a front that was out of touch may have missed. */
   recent(): FrontNews[] {
     const { noticeReader, crashTracker, upstreamWatcher, timer } = this.#opts;
-    const since = timer.monotonicNow() - CRASH_WINDOW_MS;
     return [
       { kind: "config", version: this.#configVersion },
       ...noticeReader.recentNews().map((notice) => ({
         kind: "notice" as const,
         notice,
       })),
-      ...crashTracker.crashesSince(since).flatMap(
-        ({ fingerprint, upstreams }) =>
-          upstreams.map((upstream) => ({
-            kind: "crash" as const,
-            fingerprint,
-            upstream,
-          })),
-      ),
+      ...crashTracker.reports(timer.monotonicNow()).map(toCrashNews),
       ...upstreamWatcher.recentChanges().map(toNews),
     ];
   }
--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -4,7 +4,11 @@
 import { createNoopMetrics, type Metrics } from "@toucantrestle/metrics";
 import type { OrganisationEntry } from "@toucantrestle/organisations";
 import type { Route, UpstreamEntry } from "@toucantrestle/routing";
-import { createSystemTimer, createTimerScope } from "@toucantrestle/timer";
+import {
+  createSystemTimer,
+  createTimerScope,
+  type Timer,
+} from "@toucantrestle/timer";
 import { writeState } from "@toucantrestle/turn_journal";
 import { TurnStoreServer } from "@toucantrestle/turn_store";
 import type { BodyDelimiter, Dial } from "@toucantrestle/upstream_channel";
@@ -115,6 +119,7 @@
       store?: ConfigStore;
       metrics?: Metrics;
       memoryBytes?: number;
+      timer?: Timer;
     } = {},
   ): Promise<Front> {
     const [callerAddress, readyAddress, directoryAddress, linkAddress] =
