--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -192,7 +192,7 @@
     }
     const endWork = this.#beginWork();
     let isEnded = false;
-    const handlers = serve(args as S[string]["args"], {
+    const receiver: StreamReceiver<S[string]["part"]> = {
       send: (body) => {
         if (!isEnded) sendMessage(socket, { t: "part", id, body });
       },
@@ -204,8 +204,14 @@
       get bufferedBytes() {
         return socket.bufferedAmount;
       },
-    });
-    if (!isEnded) streams.set(id, { handlers, endWork });
+    };
+    try {
+      const handlers = serve(args as S[string]["args"], receiver);
+      if (!isEnded) streams.set(id, { handlers, endWork });
+    } catch (err) {
+      endWork();
+      throw err;
+    }
   }
 
   /** Counts a request or a stream as in progress until the result is called. */
--- a/packages/link/test/stream_test.ts
+++ b/packages/link/test/stream_test.ts
@@ -107,6 +107,7 @@
     const onLost = () => isLost = true;
     pair.client.open("count", 1, { ...createHandlers(), onLost });
     await pair.waitFor(() => isLost);
+    expect(pair.inProgressCount()).toEqual(0);
     pair.close();
   });
 
