Front tests: what a failure of two tests under load means can be told

malformed_response_test, first case of its file, "The value 3 is not equal to 1" (requests that upstreams received), once at a load of 40: calls that only let a front notice its cut were still on their way when the test began to count. The fixture now awaits them.

It now also checks the status, so that a response of the front itself (504) can be told from a body that ended early.

--- a/packages/front/test/begun_response_test.ts
+++ b/packages/front/test/begun_response_test.ts
@@ -113,6 +113,7 @@
 
 /** A response that a caller reads in its own time. */
 interface SlowResult {
+  status: number;
   bytes: number;
   /** False if the response looks cut. */
   looksComplete: boolean;
@@ -126,8 +127,14 @@
   const headers = { host: "x.example", "x-id": `slow-${path}-${delimiter}` };
   const before = bytesInFront();
   return new Promise((resolve) => {
-    const result = { bytes: 0, looksComplete: true, mostHeldBytes: 0 };
+    const result = {
+      status: 0,
+      bytes: 0,
+      looksComplete: true,
+      mostHeldBytes: 0,
+    };
     const req = request({ host, port, path, headers, agent: false }, (res) => {
+      result.status = res.statusCode ?? 0;
       res.on("data", async (chunk: Buffer) => {
         result.bytes += chunk.length;
         const held = bytesInFront() - before;
@@ -160,9 +167,9 @@
     // Guards against an answer that is cut by us and looks complete.
     it(`looks cut when its deadline passes: ${it_}`, async () => {
       delimiter = it_;
-      const result = await readSlowly("/short/a", 20);
-      expect(result.bytes).toBeLessThan(BODY_BYTES);
-      expect(result.looksComplete).toEqual(false);
+      const { status, bytes, looksComplete } = await readSlowly("/short/a", 20);
+      expect(bytes).toBeLessThan(BODY_BYTES);
+      expect([status, looksComplete]).toEqual([200, false]);
     });
   }
 
--- a/packages/front/test/malformed_response_test.ts
+++ b/packages/front/test/malformed_response_test.ts
@@ -267,10 +267,12 @@
 /** Calls the second front until it has noticed that it reaches no upstream. */
 async function settleCut(): Promise<void> {
   const end = performance.now() + CUT_DETECTION_MS;
+  const calls: Promise<unknown>[] = [];
   while (performance.now() < end) {
-    call("/plain/", 1).catch(() => {});
+    calls.push(call("/plain/", 1));
     await delay(100);
   }
+  await Promise.allSettled(calls);
 }
 
 function call(path: string, front: number): Promise<CallResult> {
