Notices: an upstream that says it is leaving is believed without its mark

Cause: notices were read only from responses with the upstream's mark or that state that the request did not run. A failure without a mark is passed on to the caller all the same. Apart from that, a front that is linked anew, for instance after a restart, was told the notices of the last 10 s only, while an upstream that leaves may go on for many seconds and gets no calls to say it again.

Evidence, failed before, leaving_upstream_test.ts: "gets no further calls after a failure without its mark": [500, 500] in place of [500, 503]; "is told which upstreams said that they are leaving": [] in place of ["a"].

Ruled out by reading: declined responses, status 421 and heads that are refused as bad are read before they are judged; both the asking front and the one that relays read the notice; a notice outlives the entry of its upstream (existing test "stays so when its entry is written again or comes back").

Change: `isLeaving` counts whatever the response is; a limit still needs the mark. Notices of leaving are told to newly linked fronts for 60 s.

--- a/packages/front/src/notice_reader.ts
+++ b/packages/front/src/notice_reader.ts
@@ -26,6 +26,8 @@
 
 /** Siblings are told what was heard this recently. */
 const NEWS_WINDOW_MS = 10_000;
+/** An upstream that leaves may go on for long, and gets no calls to say more. */
+const LEAVING_WINDOW_MS = 60_000;
 
 const CHANGE_TEXTS: Record<NoticeChange, string> = {
   limited: "limits its requests",
@@ -41,15 +43,22 @@
     this.#opts = opts;
   }
 
-  /** Records the notice in a response; one without an upstream's mark has none. */
+  /**
+   * Records the notice in a response. One without an upstream's mark is heeded
+   * only if it says that the upstream is leaving.
+   */
   read(entry: UpstreamEntry, head: ResponseHead): void {
-    const { protocol, timer } = this.#opts;
+    const { protocol, notices, timer } = this.#opts;
     const isFromUpstream = protocol.hasUpstreamMark(head) ||
       protocol.isDeclined(head);
-    if (!isFromUpstream) return;
+    const { isLeaving, maxRequestsPerS } = protocol.parseNotice(head);
+    if (!isFromUpstream && !isLeaving) return;
     const now = timer.monotonicNow();
     const notice: ReceivedNotice = {
-      ...protocol.parseNotice(head),
+      isLeaving,
+      maxRequestsPerS: isFromUpstream
+        ? maxRequestsPerS
+        : notices.maxRequestsPerS(entry),
       upstream: entry.id,
       startedAt: entry.startedAt,
       at: now,
@@ -66,7 +75,8 @@
   /** Returns the recent news for the siblings. */
   recentNews(): SharedNotice[] {
     const now = this.#opts.timer.monotonicNow();
-    return this.#opts.notices.newsSince(now - NEWS_WINDOW_MS)
+    return this.#opts.notices.newsSince(now - LEAVING_WINDOW_MS)
+      .filter((it) => it.isLeaving || now - it.at <= NEWS_WINDOW_MS)
       .map((it) => toSharedNotice(it, now));
   }
 
--- a/packages/front/test/leaving_upstream_test.ts
+++ b/packages/front/test/leaving_upstream_test.ts
@@ -1,6 +1,11 @@
+import { createNoopLoggers } from "@toucantrestle/log";
+import { UpstreamNotices } from "@toucantrestle/routing";
+import { createManualTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
 import { after, before, beforeEach, describe, it } from "node:test";
+import { NoticeReader } from "../src/notice_reader.ts";
 import { TestCluster } from "./test_cluster.ts";
+import { testProtocol } from "./test_protocol.ts";
 
 /** Time in which fronts pass news to each other. */
 const NEWS_MS = 600;
@@ -18,6 +23,7 @@
   cluster.configure([
     { prefix: "/x/" },
     { prefix: "/warm/", services: [{ service: "w", weight: 1 }] },
+    { prefix: "/failing/", services: [{ service: "f", weight: 1 }] },
   ]);
   leaving = new Set();
   for (const id of ["a", "b", "warm"]) {
@@ -26,6 +32,10 @@
       setTimeout(() => res.end("done"), RESPONSE_DELAY_MS);
     }, { service: id === "warm" ? "w" : "s" });
   }
+  await cluster.addUpstream("failing", (_received, res) => {
+    res.removeHeader("x-mark");
+    res.writeHead(500, { "x-leaving": "1" }).end("failed");
+  }, { service: "f" });
   await cluster.addFront();
   await cluster.addFront();
   await cluster.waitUntilReady("/warm/x");
@@ -83,4 +93,39 @@
     expect(await callMany(0)).toEqual(["a", "b"]);
     expect(await callMany(1)).toEqual(["a", "b"]);
   });
+
+  // Guards against DRAIN: a failure without the upstream's mark was passed on,
+  // and what it said was not heeded.
+  it("gets no further calls after a failure without its mark", async () => {
+    const statuses: number[] = [];
+    for (const id of ["failing-1", "failing-2"]) {
+      const headers = { "x-id": id };
+      statuses.push((await cluster.call("/failing/x", { headers })).status);
+    }
+    expect(statuses).toEqual([500, 503]);
+  });
+});
+
+describe("a front that is linked anew", () => {
+  // Guards against DRAIN: a front that starts was told of the last 10 s only,
+  // while an upstream that leaves may go on for long.
+  it("is told which upstreams said that they are leaving", () => {
+    const timer = createManualTimer();
+    const reader = new NoticeReader({
+      protocol: testProtocol,
+      notices: new UpstreamNotices(),
+      timer,
+      onNews: () => {},
+      log: createNoopLoggers()("upstream"),
+    });
+    reader.merge({
+      upstream: "a",
+      startedAt: 0,
+      isLeaving: true,
+      maxRequestsPerS: undefined,
+      ageMs: 0,
+    });
+    timer.advance(30_000);
+    expect(reader.recentNews().map((it) => it.upstream)).toEqual(["a"]);
+  });
 });
