Upstreams: a front that starts in an outage takes lapsed entries for lapsed

What callers would see: after an outage of the store in which entries lapsed, one front that was started meanwhile reads a list without them, takes them for removed and tells all others, which drop upstreams that are well for up to 2 s.

Cause: the outage was counted from the loss of the store, and a process that starts in it has never had it.

Evidence, failed before: "may have lapsed if the front started in the outage", [] in place of ["u1"].

Change: the time before the first contact counts as an outage.

--- a/packages/front/src/store_outages.ts
+++ b/packages/front/src/store_outages.ts
@@ -23,6 +23,8 @@
 
   constructor(timer: Timer) {
     this.#timer = timer;
+    // A process may start in an outage.
+    this.#disconnectedAt = timer.monotonicNow();
   }
 
   /** Records whether the store is reachable. */
--- a/packages/front/test/unheard_leaving_test.ts
+++ b/packages/front/test/unheard_leaving_test.ts
@@ -303,4 +303,24 @@
     fleet.deliverNews();
     expect(acceptingIds(seldom)).toEqual(["u2"]);
   });
+
+  // Guards against upstreams that all fronts drop after an outage.
+  it("may have lapsed if the front started in the outage", async () => {
+    const starting = new WatcherFleet(["reader", "reader"]);
+    const [first, late] = starting.fronts as [WatchingFront, WatchingFront];
+    starting.store.put(upstreamKey("u1"), createUpstreamEntry("u1"));
+    first.watcher.start(first.readings);
+    await starting.settle();
+    late.readings.isCutOff = true;
+    late.watcher.start(late.readings);
+    starting.ask(late, first);
+    await starting.advance(LONG_OUTAGE_MS);
+    starting.store.delete(upstreamKey("u1"));
+    late.readings.isCutOff = false;
+    await starting.advance(RETRY_MS);
+    expect(acceptingIds(late)).toEqual(["u1"]);
+    expect(late.announced).toEqual([]);
+    await starting.advance(LAPSE_GRACE_MS);
+    expect(acceptingIds(late)).toEqual([]);
+  });
 });
