Kept turns: a stream that its caller takes up is begun anew, not kept in part

Cause: the front that takes a stream up keeps only what it forwards itself. The events before are with the front that forwarded them, until the turn is complete.

Ruled out: events that are lost when a front resumes a stream itself (the turn's state lives on).

Why it works: such a request is refused with 503, events_unknown, before anything is reserved or run; begun anew, the turn is kept whole. To go on instead, events would have to be kept outside of the front while the stream runs.

--- a/packages/front/src/serve_call.ts
+++ b/packages/front/src/serve_call.ts
@@ -64,6 +64,11 @@
     refuseCall(call, refusal);
     return false;
   }
+  if (isResumption(call) && call.route.keepsTurns) {
+    // The turn would be kept without the events that the caller has already.
+    refuseCall(call, "events_unknown");
+    return false;
+  }
   const startFailure = await turn?.prepare(
     call.route.isResumable ? choice.likely() : undefined,
   );
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -6,6 +6,7 @@
   | "upstreams_limited"
   | "turns_unknown"
   | "origin_unknown"
+  | "events_unknown"
   | "memory_full"
   | "suspected"
   | "convicted"
@@ -19,6 +20,7 @@
   upstreams_limited: 120,
   turns_unknown: 250,
   origin_unknown: 250,
+  events_unknown: 250,
   memory_full: 500,
   // It is known by then whether the upstreams have crashed.
   suspected: 1_000,
