--- a/packages/front/src/serve_call.ts
+++ b/packages/front/src/serve_call.ts
@@ -56,11 +56,17 @@
     opts: ServeOptions;
   },
 ): Promise<boolean> {
-  const { crashTracker, timer } = opts;
-  const isQuarantined = !crashTracker.isEmpty &&
-    crashTracker.isQuarantined(call.fingerprint, timer.monotonicNow());
-  if (isQuarantined) {
-    refuseCall(call, "convicted");
+  const { crashSuspicions } = opts;
+  const refusal = crashSuspicions.isEmpty
+    ? undefined
+    : crashSuspicions.refusalOf(call.fingerprint);
+  if (refusal) {
+    refuseCall(call, refusal);
+    return false;
+  }
+  if (isResumption(call) && call.route.keepsTurns) {
+    // The turn would be kept without the events that the caller has already.
+    refuseCall(call, "events_unknown");
     return false;
   }
   const startFailure = await turn?.prepare(
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -6,7 +6,9 @@
   | "upstreams_limited"
   | "turns_unknown"
   | "origin_unknown"
+  | "events_unknown"
   | "memory_full"
+  | "suspected"
   | "convicted"
   | "over_quota"
   | "stopping";
@@ -18,7 +20,10 @@
   upstreams_limited: 120,
   turns_unknown: 250,
   origin_unknown: 250,
+  events_unknown: 250,
   memory_full: 500,
+  // It is known by then whether the upstreams have crashed.
+  suspected: 1_000,
   convicted: 5_000,
   // The allocator's estimate is spread already.
   over_quota: 0,
