Front: siblings are asked for a way only for requests that would take it

A front that is cut off asked a sibling each 200 ms as long as the cut lasted, also with no request left to move, and a sibling that knows no upstream said that it reaches one. Found on reading the change again; no fault was seen.

--- a/packages/front/src/detour.ts
+++ b/packages/front/src/detour.ts
@@ -35,21 +35,20 @@
     return () => this.#listeners.delete(fn);
   }
 
-  /** Asks until a sibling reaches an upstream, or this front hears one. */
+  /** Asks for whoever listens, until this front reaches an upstream itself. */
   async #ask(): Promise<void> {
     const { directPath, confirm, timer } = this.#opts;
     if (this.#isAsking) return;
     this.#isAsking = true;
     while (directPath.isSilent) {
-      const isConfirmed = await confirm();
-      if (isConfirmed && directPath.isSilent) this.#notify();
+      const isFound = this.#listeners.size > 0 && await confirm();
+      if (isFound && directPath.isSilent) this.#notify();
       await sleep(timer, ASK_INTERVAL_MS);
     }
     this.#isAsking = false;
   }
 
   #notify(): void {
-    if (this.#listeners.size === 0) return;
     this.#opts.log.info("requests leave for a sibling that reaches upstreams", {
       event: "detour",
       requests: this.#listeners.size,
--- a/packages/front/src/direct_path.ts
+++ b/packages/front/src/direct_path.ts
@@ -69,7 +69,8 @@
     const { timer, contact } = this.#opts;
     const contactMs = timer.monotonicNow() - contact.receivedAt;
     if (contactMs < RECENT_CONTACT_MS) return true;
-    return await this.#reachesAny(this.#drawAddresses());
+    const addresses = this.#drawAddresses();
+    return addresses.length > 0 && await this.#reachesAny(addresses);
   }
 
   /** Starts checking. */
--- a/packages/front/test/detour_test.ts
+++ b/packages/front/test/detour_test.ts
@@ -31,6 +31,14 @@
     expect(detour.foundCount()).toEqual(0);
   });
 
+  it("is not asked for while no request would take it", async () => {
+    const detour = createDetour();
+    detour.leave();
+    detour.cut({ isSilent: true });
+    await detour.pass(1_000);
+    expect(detour.askCount()).toEqual(0);
+  });
+
   it("is not found any more once upstreams are heard again", async () => {
     const detour = createDetour();
     detour.cut({ isSilent: true });
@@ -47,10 +55,12 @@
   const timer = createManualTimer();
   let isSilent = false;
   let foundCount = 0;
+  let askCount = 0;
   let onCut: (cut: PathCut) => void = () => {};
   const fixture = {
     isConfirmed: false,
     foundCount: () => foundCount,
+    askCount: () => askCount,
     cut(cut: PathCut) {
       isSilent = cut.isSilent;
       onCut(cut);
@@ -74,10 +84,13 @@
         return () => {};
       },
     },
-    confirm: () => Promise.resolve(fixture.isConfirmed),
+    confirm: () => {
+      askCount += 1;
+      return Promise.resolve(fixture.isConfirmed);
+    },
     timer,
     log: createNoopLoggers()("upstream"),
   });
-  detour.onFound(() => foundCount += 1);
-  return fixture;
+  const leave = detour.onFound(() => foundCount += 1);
+  return Object.assign(fixture, { leave });
 }
