Front: a request that crosses the end of an idle connection stays unread

A stopping front ended an idle connection with a FIN and went on reading for 0.1 s: a request that crossed it was read and dropped, so its caller could not know that it may be sent again. It also outlives the announced second by 0.25 s, for a request on its way.

--- a/packages/front/src/caller_connection.ts
+++ b/packages/front/src/caller_connection.ts
@@ -7,11 +7,10 @@
 import type { Socket } from "node:net";
 import type { Call } from "./call.ts";
 
-/** While a front stops, an idle connection stays open for this long. */
+/** Idle time that a front announces while it stops. */
 const STOPPING_IDLE_S = 1;
-const STOPPING_IDLE_MS = STOPPING_IDLE_S * 1_000;
-/** A caller that does not close its end within this time is disconnected. */
-const LINGER_MS = 100;
+/** Idle connections outlive it by the time that a request may be on its way. */
+const STOPPING_IDLE_MS = STOPPING_IDLE_S * 1_000 + 250;
 
 const CLOSE = { connection: "close" };
 const KEEP_SHORTLY = { "keep-alive": `timeout=${STOPPING_IDLE_S}` };
@@ -90,7 +89,6 @@
   #idleSince: number;
   /** When the front found the beginning of a request on an idle connection. */
   #partSeenAt: number | undefined;
-  #endedAt: number | undefined;
 
   constructor(
     socket: Socket,
@@ -181,18 +179,13 @@
   endIfIdle(): void {
     if (this.#open.length > 0) return;
     const now = this.#now();
-    if (this.#endedAt !== undefined) {
-      if (now - this.#endedAt > LINGER_MS) this.socket.destroy();
-      return;
-    }
     if (now - this.#idleSince < STOPPING_IDLE_MS) return;
     if (this.#isPartlyRead) {
       this.#partSeenAt ??= now;
       if (now - this.#partSeenAt < this.#policy.headTimeoutMs) return;
     }
-    this.#isClosing = true;
-    this.#endedAt = now;
-    this.socket.end();
+    // A request that crosses this stays unread, so that it can be sent again.
+    this.socket.destroy();
   }
 
   get #isPartlyRead(): boolean {
