Front: the last answers of a stop are sent on a busy machine, too

On a machine with a load of 51 a stopping front gave its last answers and broke their connections off in the same step, because the time to send them was over: "answers all that has not begun to be answered at its end: [502] is not equal to [502, 502]". It now lets the loop run at least once. With a grace period of 1 s the wait for the deregistration took it beyond its end: shutdown_test.ts, failed before, "1010 is not less than 1000".

--- a/packages/front/src/shutdown.ts
+++ b/packages/front/src/shutdown.ts
@@ -114,10 +114,9 @@
 
   async #awaitDeregistration(): Promise<void> {
     const { deregistration, timer } = this.#opts;
-    await Promise.race([
-      deregistration,
-      sleep(timer, DEREGISTRATION_TIMEOUT_MS),
-    ]);
+    const timeLeftMs = this.#sendUntil - timer.monotonicNow();
+    const waitMs = Math.min(DEREGISTRATION_TIMEOUT_MS, timeLeftMs);
+    await Promise.race([deregistration, sleep(timer, Math.max(0, waitMs))]);
   }
 
   /** Waits until the last responses are sent that can be sent. */
@@ -127,9 +126,9 @@
       connections.openRequests.some(({ res, connection }) =>
         res.writableEnded && connection.open[0]?.res.writableEnded
       );
-    while (isSending() && timer.monotonicNow() < this.#sendUntil) {
+    do {
       await sleep(timer, FLUSH_POLL_INTERVAL_MS);
-    }
+    } while (isSending() && timer.monotonicNow() < this.#sendUntil);
   }
 
   async #sleepUntil(time: number): Promise<void> {
