--- a/packages/overlay/test/gossip_test.ts
+++ b/packages/overlay/test/gossip_test.ts
@@ -9,6 +9,12 @@
 /** Time until a host that dies, freezes or returns is known as such. */
 const DETECTION_MS = 3_500;
 const START_MS = 5_000;
+/**
+ * Time until all know that hosts are frozen: whoever takes over their reading of
+ * the store needs some 0.8 s more, and the news of an upstream that leaves must
+ * be everywhere after 3 s.
+ */
+const FROZEN_KNOWN_MS = 2_200;
 /** Links of a process beside those that it has in use. */
 const MAX_LINKS = 24;
 const SIZES = [6, 54, 171, 330];
@@ -150,6 +156,35 @@
     expect(fleet.connected("host-1").size).toEqual(170);
   });
 
+  it("news reach all others at once while some hosts are frozen", () => {
+    const fleet = createFleet(54);
+    const frozen = ["host-7", "host-20", "host-33", "host-46"];
+    for (const name of frozen) fleet.freeze(name, 4_000);
+    fleet.publish("host-1", "while frozen");
+    fleet.timer.advance(NEWS_MS);
+    const learned = fleet.learnedAt("while frozen");
+    const late = fleet.names.filter((name, i) =>
+      learned[i] === undefined && !frozen.includes(name)
+    );
+    expect(late).toEqual([]);
+  });
+
+  it("four hosts that freeze at once are missing for all in time", () => {
+    for (const count of [14, 54]) {
+      const fleet = createFleet(count);
+      for (let first = 0; first < 4; first++) {
+        const frozen = [0, 1, 2, 3].map((i) => `host-${first + i}`);
+        for (const name of frozen) fleet.freeze(name, 6_000);
+        fleet.timer.advance(FROZEN_KNOWN_MS);
+        for (const name of fleet.names.filter((it) => !frozen.includes(it))) {
+          const known = frozen.filter((it) => fleet.connected(name).has(it));
+          expect(known).toEqual([]);
+        }
+        fleet.timer.advance(6_000 + DETECTION_MS);
+      }
+    }
+  });
+
   it("herd: half of the hosts die at once, the others stay connected", () => {
     const fleet = createFleet(171);
     const stopped = fleet.names.filter((_, i) => i % 9 < 5);
