--- a/packages/front/test/bad_input_test.ts
+++ b/packages/front/test/bad_input_test.ts
@@ -22,6 +22,20 @@
   cluster.received.length = 0;
 });
 
+describe("seeds that cannot be dialled", () => {
+  // Guards against a settings file that ends the process (LOST).
+  it("are left out while the front goes on", async () => {
+    const seeds = ["127.0.0.1:65536", "no address", "", "127.0.0.1:1"];
+    const [front] = cluster.fronts;
+    front?.applySettings({ graceMs: 3_000, seeds });
+    const { status } = await cluster.call("/plain/x", {
+      headers: { "x-id": "seeds" },
+    });
+    expect(status).toEqual(200);
+    front?.applySettings({ graceMs: 3_000, seeds: [] });
+  });
+});
+
 describe("a malformed request", () => {
   it("gets status 431 when its header is too large", async () => {
     const result = await sendRaw([
