--- a/packages/turn_journal/src/journal.ts
+++ b/packages/turn_journal/src/journal.ts
@@ -88,6 +88,7 @@
   #activeSegment: ActiveSegment | undefined;
   #pending: PendingAppend[] = [];
   #isWriting = false;
+  #isClosed = false;
   #syncCount = 0;
 
   constructor(opts: JournalOptions<R>) {
@@ -151,6 +152,9 @@
   }
 
   #enqueue(record: R, maxBytes: number): Promise<void> {
+    if (this.#isClosed) {
+      return Promise.reject(new Error("the journal is closed"));
+    }
     const metadata = this.#opts.metadataOf(record);
     const frame = encodeFrame(metadata, record);
     if (this.bytes + frame.length > maxBytes) {
@@ -167,8 +171,12 @@
     });
   }
 
-  /** Writes pending appends, then closes the active segment. */
+  /**
+   * Writes pending appends, then closes the active segment. Later appends are
+   * rejected: the next process may already use the folder.
+   */
   async close(): Promise<void> {
+    this.#isClosed = true;
     while (this.#isWriting) {
       await new Promise((resolve) => setImmediate(resolve));
     }
--- a/packages/turn_journal/test/journal_test.ts
+++ b/packages/turn_journal/test/journal_test.ts
@@ -215,3 +215,16 @@
     expect(await readState<{ id: string }>(folder)).toEqual({ id: "y" });
   });
 });
+
+// Guards against two processes that write to the same segment.
+describe("a closed journal", () => {
+  it("rejects further records and writes no segment", async () => {
+    const { journal } = await openJournal();
+    await journal.append({ name: "a", expiresAt: 1 });
+    await journal.close();
+    const names = await readdir(folder);
+    await expect(journal.append({ name: "b", expiresAt: 1 }))
+      .toBeRejectedWith("the journal is closed");
+    expect(await readdir(folder)).toEqual(names);
+  });
+});
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -164,10 +164,13 @@
     metrics.gauge("view_complete", Number(this.#replica.isComplete));
   }
 
-  /** Stops the view manager and closes the server. */
+  /** Stops the view manager and closes the server and the journal. */
   close(): void {
     this.#viewManager.stop();
     this.#server.close();
+    this.#journal.close().catch((err) =>
+      this.#log.warn(`cannot close the journal: ${String(err)}`)
+    );
   }
 
   #createServer(): LinkServer<StoreMethods, StoreNotices> {
--- a/packages/turn_store/test/spending_retention_test.ts
+++ b/packages/turn_store/test/spending_retention_test.ts
@@ -10,6 +10,7 @@
 } from "@toucantrestle/timer";
 import { readState, writeState } from "@toucantrestle/turn_journal";
 import { expect } from "earl";
+import { readdirSync, readlinkSync } from "node:fs";
 import { mkdtemp, readdir, rm } from "node:fs/promises";
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -26,6 +27,8 @@
 const POLL_INTERVAL_MS = 20;
 const WAIT_TIMEOUT_MS = 8_000;
 const CALL_TIMEOUT_MS = 3_000;
+/** Folder of the system with a link for each file that this process has open. */
+const OPEN_FILES = "/proc/self/fd";
 /** Longer than the turn stores take to sweep. */
 const SWEEP_WAIT_MS = 5_500;
 
@@ -75,6 +78,18 @@
     it?.scope.end();
   }
 
+  /** Number of files that this process has open in the folder of a host. */
+  openFileCount(host: string): number {
+    const { folder } = this.#hosts.get(host) as TestHost;
+    return readdirSync(OPEN_FILES).filter((it) => {
+      try {
+        return readlinkSync(join(OPEN_FILES, it)).startsWith(folder);
+      } catch {
+        return false;
+      }
+    }).length;
+  }
+
   async restart(host: string): Promise<void> {
     this.stop(host);
     const { folder, address } = this.#hosts.get(host) as TestHost;
@@ -223,6 +238,18 @@
 /** From there on, the first turns have expired and the last one has not. */
 const RETURN_MS = 55_000;
 
+// Guards against a file of the journal that the garbage collector closes.
+describe("a turn store that is closed", () => {
+  it("keeps no file open", async () => {
+    await stores.spendAll(["t1"]);
+    const count = () =>
+      HOSTS.map((it) => stores.openFileCount(it)).reduce((a, b) => a + b);
+    expect(count()).toBeGreaterThan(0);
+    for (const host of HOSTS) stores.stop(host);
+    await waitUntil(() => count() === 0);
+  });
+});
+
 describe("what a program has spent", () => {
   // Guards against a budget that is granted again because a restart drops the
   // records of a program one by one.
