--- a/packages/front/src/shutdown.ts
+++ b/packages/front/src/shutdown.ts
@@ -137,18 +137,22 @@
 
   /** Takes nothing more from siblings, and finishes what they have sent. */
   async #endForwarding(): Promise<void> {
-    const { announce, timer } = this.#opts;
     this.#isForwarding = false;
-    announce();
-    await sleep(timer, FORWARDING_NOTICE_MS);
+    this.#opts.announce();
+    await sleep(this.#opts.timer, this.#boundedMs(FORWARDING_NOTICE_MS));
     await this.#awaitWork();
   }
 
   async #awaitDeregistration(): Promise<void> {
     const { deregistration, timer } = this.#opts;
-    const timeLeftMs = this.#sendUntil - timer.monotonicNow();
-    const waitMs = Math.min(DEREGISTRATION_TIMEOUT_MS, timeLeftMs);
-    await Promise.race([deregistration, sleep(timer, Math.max(0, waitMs))]);
+    const timeoutMs = this.#boundedMs(DEREGISTRATION_TIMEOUT_MS);
+    await Promise.race([deregistration, sleep(timer, timeoutMs)]);
+  }
+
+  /** Returns a time, or what is left to send the last responses if it is less. */
+  #boundedMs(ms: number): number {
+    const timeLeftMs = this.#sendUntil - this.#opts.timer.monotonicNow();
+    return Math.max(0, Math.min(ms, timeLeftMs));
   }
 
   /** Waits until the last responses are sent that can be sent. */
--- a/packages/front/test/shutdown_test.ts
+++ b/packages/front/test/shutdown_test.ts
@@ -21,6 +21,7 @@
     graceMs,
     connections: new CallerConnections({ server: createServer(), timer }),
     work: [{ name: "work", count: () => work }],
+    announce() {},
     stopListening() {},
     deregistration: deregisters ? Promise.resolve() : new Promise(() => {}),
     timer,
