Store readers: chosen anew when the data centre of a front becomes known

What callers may see (DRAIN): fewer fronts than four read the store often. No deployment has shown it.

Cause: a front chooses the readers anew only when the connected fronts change. The choice also depends on their data centres, which it learns from the registry, often later than it is connected. A front that chose before keeps another choice than the others until a front comes or goes.

Evidence, failed before, store_readers_test.ts: "are chosen anew when data centres become known": 5 fronts read in place of 4.

Change: the last choice counts only if the data centres are the same, too.

--- a/packages/front/src/siblings/store_readers.ts
+++ b/packages/front/src/siblings/store_readers.ts
@@ -1,7 +1,6 @@
 import { rankByRendezvous } from "@toucantrestle/membership";
 import type { Logger } from "@toucantrestle/log";
 import type { Timer } from "@toucantrestle/timer";
-import { hasSameMembers } from "../same_members.ts";
 
 /**
  * How a front reads the platform's store: like `all` others in a small fleet,
@@ -37,8 +36,8 @@
 export class StoreReaders {
   readonly #opts: StoreReadersOptions;
   #reading: StoreReading = "all";
-  /** Fronts from which the readers were chosen last. */
-  #rankedFronts: string[] = [];
+  /** Fronts from which the readers were chosen last, by their data centre. */
+  #ranked: ReadonlyMap<string, string | undefined> = new Map();
   #refreshedAt = -Infinity;
 
   constructor(opts: StoreReadersOptions) {
@@ -78,14 +77,24 @@
     const { self, candidates } = this.#opts;
     const fronts = [self, ...candidates()];
     if (fronts.length <= MAX_COMPLETE_FLEET) {
-      this.#rankedFronts = [];
+      this.#ranked = new Map();
       return "all";
     }
-    if (hasSameMembers(fronts, this.#rankedFronts)) return this.#reading;
-    this.#rankedFronts = fronts;
+    if (this.#isRanked(fronts)) return this.#reading;
+    const { dataCentreOf } = this.#opts;
+    this.#ranked = new Map(fronts.map((it) => [it, dataCentreOf(it)]));
     return this.#chooseReaders(fronts).includes(self) ? "reader" : "seldom";
   }
 
+  /** Whether the readers were chosen from these fronts, where they are now. */
+  #isRanked(fronts: string[]): boolean {
+    const { dataCentreOf } = this.#opts;
+    return fronts.length === this.#ranked.size &&
+      fronts.every((it) =>
+        this.#ranked.has(it) && this.#ranked.get(it) === dataCentreOf(it)
+      );
+  }
+
   /** The first of each data centre come first: one may fail as a whole. */
   #chooseReaders(fronts: string[]): string[] {
     const ranked = rankByRendezvous("store-reader", fronts);
@@ -93,7 +102,7 @@
     const first: string[] = [];
     const others: string[] = [];
     for (const host of ranked) {
-      const dataCentre = this.#opts.dataCentreOf(host);
+      const dataCentre = this.#ranked.get(host);
       (seen.has(dataCentre) ? others : first).push(host);
       seen.add(dataCentre);
     }
--- a/packages/front/test/store_readers_test.ts
+++ b/packages/front/test/store_readers_test.ts
@@ -4,18 +4,23 @@
 import { describe, it } from "node:test";
 import { StoreReaders } from "../src/siblings/store_readers.ts";
 
-/** Creates the fronts of a fleet; those in `cutOff` do not reach the store. */
+/**
+ * Creates the fronts of a fleet; those in `cutOff` do not reach the store, and
+ * those that `isKnownTo` names know the data centres.
+ */
 function createReaders(count: number, dataCentres = 1) {
   const timer = createManualTimer();
   const hosts = Array.from({ length: count }, (_, i) => `front-${i}`);
   const cutOff = new Set<string>();
   const isolated = new Set<string>();
+  const places = { isKnownTo: (_host: string) => true };
   const readers = hosts.map((self) => ({
     self,
     readers: new StoreReaders({
       self,
       timer,
-      dataCentreOf: (host) => dataCentreOf(host, dataCentres),
+      dataCentreOf: (host) =>
+        places.isKnownTo(self) ? dataCentreOf(host, dataCentres) : undefined,
       log: createNoopLoggers()("sibling"),
       candidates: () =>
         isolated.has(self)
@@ -23,13 +28,13 @@
           : hosts.filter((it) => it !== self && !cutOff.has(it)),
     }),
   }));
-  return {
+  return Object.assign(places, {
     timer,
     cutOff,
     isolated,
     names: () =>
       readers.filter((it) => it.readers.isReader).map((it) => it.self),
-  };
+  });
 }
 
 function dataCentreOf(host: string, count: number): string {
@@ -68,6 +73,20 @@
     }
   });
 
+  // Guards against DRAIN: fronts that learn data centres at different times
+  // choose different readers, so that too few read.
+  it("are chosen anew when data centres become known", () => {
+    for (let count = 14; count < 40; count++) {
+      const fleet = createReaders(count, 4);
+      // The fronts with an even number learn them later than the others.
+      fleet.isKnownTo = (host) => Number(host.split("-")[1]) % 2 > 0;
+      fleet.names();
+      fleet.isKnownTo = () => true;
+      fleet.timer.advance(250);
+      expect(fleet.names()).toEqual(createReaders(count, 4).names());
+    }
+  });
+
   it("include a front that is connected to no other", () => {
     const fleet = createReaders(171);
     fleet.isolated.add("front-9");
