Upstreams: a drain that is read together with a removal is not passed over

What callers may see (DRAIN): a front goes on for 2.2 s to send requests to an upstream that has drained and is gone.

Cause: of several events of an entry that are read at once only the last is applied. If that is a deletion that may be a lapse, which it is for a front that reads seldom and for one that was cut off from the store, the upstream counts as missing in the state known before, which is ready. News of the drain are ignored after that, because its revision is recorded.

Evidence, failed before, unheard_leaving_test.ts: "gets nothing more from a front that reads seldom" and "gets nothing more from a front that was cut off", both ["u1", "u2"] in place of ["u2"].

Ruled out: that it stays so; the grace of a lapse ends it (upstream_orders_test.ts was green before).

Change: an entry that drains is applied also if it was replaced or deleted since. Other entries that were replaced are still only recorded.

--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -240,11 +240,14 @@
     this.#announceRecent();
   }
 
-  /** Records the revision of an entry that was replaced or deleted since. */
+  /** Records an entry that was replaced or deleted since. */
   #recordEvent(event: StoreEvent): void {
     if (event.kind === "delete") return;
-    const { key, modRevision } = event.item;
-    this.#revisions.recordEntry(this.#idOfKey(key), modRevision);
+    const { key, value, modRevision } = event.item;
+    // What left before its entry went missing is not used until it is back.
+    const isDraining = this.#parseEntry(key, value)?.isDraining;
+    if (isDraining) this.#applyItem(event.item, "event");
+    else this.#revisions.recordEntry(this.#idOfKey(key), modRevision);
   }
 
   #applyEvent(event: StoreEvent): void {
--- a/packages/front/test/unheard_leaving_test.ts
+++ b/packages/front/test/unheard_leaving_test.ts
@@ -47,6 +47,25 @@
   fleet.deliverNews();
 });
 
+describe("an upstream that drained before its entry went missing", () => {
+  // Guards against DRAIN: of several changes read at once only the last counted.
+  it("gets nothing more from a front that reads seldom", async () => {
+    putEntry("u1", true);
+    removeEntry("u1");
+    await fleet.poll(seldom);
+    expect(acceptingIds(seldom)).toEqual(["u2"]);
+  });
+
+  // Guards against DRAIN: as above, where the entry may have lapsed.
+  it("gets nothing more from a front that was cut off", async () => {
+    await cutOffDuring(reader, () => {
+      putEntry("u1", true);
+      removeEntry("u1");
+    });
+    expect(acceptingIds(reader)).toEqual(["u2"]);
+  });
+});
+
 describe("what a reader of the store learns from a list", () => {
   // Guards against DRAIN: siblings never heard what a list had shown.
   it("is told to siblings when an upstream drains", async () => {
