Front: a stopping front reads what has arrived before it ends a connection

A connection that was made in time was reset.

Cause: a process that was held up, by a busy machine or by work of its own, runs the timers that are due before it reads. So the end of the time in which connections are accepted, and the look for idle connections, came before what had arrived meanwhile: connections that were not accepted yet were reset with the listening socket, and connections with an unread request counted as idle.

Change: before each of these decisions, the last look at open requests and the end of what is forwarded for siblings, the stop waits for one turn of the event loop, in which what has arrived is accepted and read. A request that arrives in the last turn before the process ends can still be unread; it is not run.

--- a/packages/front/src/shutdown.ts
+++ b/packages/front/src/shutdown.ts
@@ -108,6 +108,7 @@
     connections.startStopping();
     this.#opts.announce();
     await this.#sleepUntil(this.#acceptUntil);
+    await readArrived();
     this.#opts.stopListening();
     await this.#awaitWork();
     for (const it of connections.openRequests) answerUnbegun(it);
@@ -117,6 +118,7 @@
       this.#awaitSending(),
     ]);
     // Requests may have arrived meanwhile.
+    await readArrived();
     for (const it of connections.openRequests) answerUnbegun(it);
     await this.#awaitSending();
     progress.cancel();
@@ -130,6 +132,7 @@
     const isBusy = () =>
       connections.count > 0 || work.some((it) => it.count() > 0);
     while (isBusy() && timer.monotonicNow() < this.#runUntil) {
+      await readArrived();
       connections.endIdle();
       await sleep(timer, DRAIN_POLL_INTERVAL_MS);
     }
@@ -141,6 +144,7 @@
     this.#isForwarding = false;
     announce();
     await sleep(timer, FORWARDING_NOTICE_MS);
+    await readArrived();
     await this.#awaitWork();
   }
 
@@ -183,6 +187,14 @@
   }
 }
 
+/**
+ * Resolves once all that has arrived is accepted and read. A process that was
+ * held up runs its timers before that.
+ */
+function readArrived(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 /** Answers a request whose response has not begun: it cannot go on. */
 function answerUnbegun({ res, call }: OpenRequest): void {
   if (res.headersSent) return;
