Digests: one with an unknown state of its front is malformed

Cause: the state in a digest was taken over unread. A directory query sorts fronts by their states, and an unknown one threw an error in the handler of the request, which nothing handles. Reports by gossip are checked, digests were not.

Evidence, failed before: earlier_build_test.ts "is read only if its state is known" (no error). A trial of the directory with such a digest: "Cannot read properties of undefined (reading 'push')" in the handler.

Change: such a digest is malformed. The link logs it and drops it, like any notice that cannot be handled.

--- a/packages/front/src/siblings/earlier_build.ts
+++ b/packages/front/src/siblings/earlier_build.ts
@@ -1,4 +1,5 @@
 import type { Digest, FrontNews, FrontReport } from "../protocol.ts";
+import { isFrontState } from "./read_gossip.ts";
 
 /** What a digest of an earlier build says, in the terms of this one. */
 export interface DigestContent {
@@ -7,8 +8,15 @@
   news: FrontNews[];
 }
 
-/** Reads the digest of a front of an earlier build. */
+/**
+ * Reads the digest of a front of an earlier build.
+ *
+ * @throws {TypeError} if it is malformed
+ */
 export function readDigest(digest: Digest): DigestContent {
+  if (!isFrontState(digest.state)) {
+    throw new TypeError(`state of a front is unknown: ${digest.state}`);
+  }
   const { host, crashes, notices = [], configVersion } = digest;
   const report: FrontReport = {
     state: digest.state,
--- a/packages/front/src/siblings/read_gossip.ts
+++ b/packages/front/src/siblings/read_gossip.ts
@@ -22,7 +22,12 @@
   return typeof host === "string" && Number.isSafeInteger(version) &&
     Array.isArray(neighbours) && neighbours.length <= MAX_NEIGHBOURS &&
     neighbours.every((it) => typeof it === "string") &&
-    isObject(state) && STATES.includes(state["state"] as FrontState);
+    isObject(state) && isFrontState(state["state"]);
+}
+
+/** Whether a value is a state in which a front can be. */
+export function isFrontState(value: unknown): value is FrontState {
+  return STATES.includes(value as FrontState);
 }
 
 function isNews(value: unknown): value is FrontNews {
--- a/packages/front/test/earlier_build_test.ts
+++ b/packages/front/test/earlier_build_test.ts
@@ -5,6 +5,7 @@
 import { after, before, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import type { Digest, FrontNotices } from "../src/protocol.ts";
+import { readDigest } from "../src/siblings/earlier_build.ts";
 import { freeAddress, sendRequest, TestCluster } from "./test_cluster.ts";
 import { testProtocol } from "./test_protocol.ts";
 
@@ -28,6 +29,17 @@
 
 after(() => cluster.close());
 
+describe("digest of a front of an earlier build", () => {
+  // Guards against a front that ends when it lists one in an unknown state.
+  it("is read only if its state is known", () => {
+    for (const state of ["leaving", "constructor", 7, undefined]) {
+      const digest = { ...EARLIER_DIGEST, state } as unknown as Digest;
+      expect(() => readDigest(digest)).toThrow(TypeError);
+    }
+    expect(readDigest(EARLIER_DIGEST).report.state).toEqual("ready");
+  });
+});
+
 describe("front beside one of an earlier build", () => {
   // Guards against a change of builds that ends the fronts of the new one.
   it("serves after a digest without notices", async () => {
