HTTP server: a drain reads what has arrived before it ends idle connections

What callers may see (LOST): a daemon that stops ends a connection on which a request had arrived, without an answer. The request is not run.

The drain looked at once which connections are idle, and one with an unread request is so until the next turn of the event loop, which comes late in a process that was held up.

Change: ends are announced at once as before, and idle connections end after the next whole turn of the event loop.

--- a/packages/http/src/connections.ts
+++ b/packages/http/src/connections.ts
@@ -28,17 +28,21 @@
     if (!due || this.#ending.has(socket)) return false;
     due.push(res);
     res.on("close", () => this.#remove(socket, res));
-    if (this.#isDraining) this.#announceEnd(socket, due);
+    if (this.#isDraining) this.#announceEnd(due);
     return true;
   }
 
   /** Resolves once all due responses are sent and all connections closed. */
-  drain(): Promise<void> {
+  async drain(): Promise<void> {
     this.#isDraining = true;
     const drained = new Promise<void>((resolve) => this.#onDrained = resolve);
-    for (const [socket, due] of this.#due) this.#announceEnd(socket, due);
+    for (const due of this.#due.values()) this.#announceEnd(due);
+    await readArrived();
+    for (const [socket, due] of this.#due) {
+      if (due.length === 0) this.#end(socket);
+    }
     this.#checkDrained();
-    return drained;
+    await drained;
   }
 
   #add(socket: Socket): void {
@@ -57,12 +61,11 @@
   }
 
   /** Says with the last response, if it can, that the connection ends. */
-  #announceEnd(socket: Socket, due: ServerResponse[]): void {
+  #announceEnd(due: ServerResponse[]): void {
     const last = due.at(-1);
-    if (!last) return this.#end(socket);
-    if (last.headersSent) return;
+    if (!last || last.headersSent) return;
     last.setHeader("connection", "close");
-    this.#ending.add(socket);
+    this.#ending.add(last.req.socket);
   }
 
   /** Closes a connection after what has been written to it. */
@@ -75,3 +78,13 @@
     if (this.#isDraining && this.#due.size === 0) this.#onDrained();
   }
 }
+
+/**
+ * Resolves once all that has arrived is read: the turn of the event loop that
+ * begins after the present one has passed.
+ */
+async function readArrived(): Promise<void> {
+  for (let i = 0; i < 2; i++) {
+    await new Promise<void>((resolve) => setImmediate(resolve));
+  }
+}
--- a/packages/http/test/drain_test.ts
+++ b/packages/http/test/drain_test.ts
@@ -147,6 +147,22 @@
     expect(connection.seen.text.length).toBeGreaterThan(LARGE_BYTES);
   });
 
+  // Guards against LOST: a request that had arrived and was not read yet.
+  it("answers a request that has arrived on an idle connection", async () => {
+    const connection = open();
+    connection.request("a");
+    await waitFor(() => release.has("a"));
+    release.get("a")?.();
+    await waitFor(() => connection.answers().length === 1);
+    connection.request("b");
+    const drained = server.drain();
+    await waitFor(() => release.has("b") || connection.seen.isClosed);
+    release.get("b")?.();
+    await drained;
+    await waitFor(() => connection.seen.isClosed);
+    expect(connection.answers()).toEqual(["a", "b"]);
+  });
+
   it("closes idle connections at once", async () => {
     const connection = open();
     connection.request("a");
