--- a/packages/front/src/caller_connection.ts
+++ b/packages/front/src/caller_connection.ts
@@ -9,8 +9,10 @@
 
 /** Idle time that a front announces while it stops. */
 const STOPPING_IDLE_S = 1;
-/** Idle connections outlive it by the time that a request may be on its way. */
-const STOPPING_IDLE_MS = STOPPING_IDLE_S * 1_000 + 250;
+/** Time for which a request may be on its way. */
+const TRANSIT_MS = 250;
+/** While a front stops, an idle connection stays open for this long. */
+const STOPPING_IDLE_MS = STOPPING_IDLE_S * 1_000 + TRANSIT_MS;
 
 const CLOSE = { connection: "close" };
 const KEEP_SHORTLY = { "keep-alive": `timeout=${STOPPING_IDLE_S}` };
