Log: a failed write is counted in place of ending the process

Operators saw processes end with status 1 when the reader of the log closed its pipe or its disk was full. Cause: the error of the stream had no listener. The new test of the writer does not compile on the code before (no listener, no callback).

--- a/packages/log/src/mod.ts
+++ b/packages/log/src/mod.ts
@@ -126,7 +126,7 @@
         host,
         level: "warn",
         part: "log",
-        message: "log lines dropped because of the rate limit or a slow reader",
+        message: "log lines dropped: rate limit, slow reader or failed write",
         event: "lines_dropped",
         ...counts,
       }),
--- a/packages/log/test/bounded_writer_test.ts
+++ b/packages/log/test/bounded_writer_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { spawn } from "node:child_process";
 import { describe, it } from "node:test";
-import { BoundedWriter, createLoggers } from "../src/mod.ts";
+import { BoundedWriter, createLoggers, type LineSink } from "../src/mod.ts";
 
 function createSink() {
   const lines: string[] = [];
@@ -43,6 +43,39 @@
     expect(sink.lines).toEqual(["failure"]);
   });
 
+  // Guards against an error of the output that nothing handles.
+  it("counts the lines that could not be written until one is", () => {
+    let now = 0;
+    let isFull = true;
+    const lines: string[] = [];
+    const listeners: ((err: Error) => void)[] = [];
+    const sink: LineSink = {
+      writableLength: 0,
+      on: (_event, listener) => listeners.push(listener),
+      write(text, onWritten) {
+        if (!isFull) lines.push(text);
+        const err = isFull ? new Error("no space left") : null;
+        onWritten?.(err);
+        if (err) listeners.forEach((it) => it(err));
+      },
+    };
+    const writer = new BoundedWriter({
+      sink,
+      now: () => now,
+      formatDropped: (counts) => JSON.stringify(counts),
+    });
+    writer.write("a", "routine", () => "a");
+    writer.write("a", "routine", () => "a");
+    now = 1_500;
+    writer.write("a", "routine", () => "a");
+    isFull = false;
+    now = 3_000;
+    writer.write("a", "routine", () => "a");
+    // Two lines and a third one with the report before it.
+    expect(lines).toEqual(['{"unwritten":4}', "a"]);
+    expect(writer.droppedCount).toEqual(4);
+  });
+
   it("writes the fields of a JSON line", () => {
     const sink = createSink();
     const logs = createLoggers({
