--- a/deploy/loader.cjs
+++ b/deploy/loader.cjs
@@ -6,6 +6,19 @@
  * @module
  */
 "use strict";
+// A signal ends a process that does not listen for it, and what follows takes
+// time. The program takes the signals over before the first one is handed out.
+const SIGNALS = [
+  "SIGHUP",
+  "SIGTERM",
+  "SIGINT",
+  "SIGQUIT",
+  "SIGUSR1",
+  "SIGUSR2",
+  "SIGALRM",
+];
+for (const name of SIGNALS) process.on(name, () => {});
+
 const { readFileSync } = require("node:fs");
 const { join } = require("node:path");
 const { Script } = require("node:vm");
@@ -49,5 +62,6 @@
     message: `${message}; starting without it`,
     event: "no_code_cache",
   };
+  process.stdout.on("error", () => {});
   process.stdout.write(`${JSON.stringify(line)}\n`);
 }
--- a/packages/lifecycle/src/exit.ts
+++ b/packages/lifecycle/src/exit.ts
@@ -10,6 +10,7 @@
 /** Why a process ends by itself. */
 export type ExitReason =
   | "stopped"
+  | "stop_failed"
   | "start_failed"
   | "invalid_arguments"
   | "invalid_settings"
@@ -30,6 +31,10 @@
     status: 0,
     meaning: "a signal asked for it, and what was in progress is finished",
   },
+  stop_failed: {
+    status: 5,
+    meaning: "a signal asked for it, and an error ended the stop too early",
+  },
   start_failed: {
     status: 1,
     meaning: "the program failed before it served anything",
