Timer: an error of one callback does not keep the others of its tick from being called

Cause: SharedTicks called the due callbacks in one loop without a guard.

Evidence: packages/timer/test/shared_ticks_test.ts, 'does not keep the others from being called, now or later', failed before: the error of the second callback left the loop.

The error is thrown again after the tick, so that it is still an error that nothing handles: the process logs it (packages/lifecycle) or ends as before.

--- a/packages/timer/src/shared_ticks.ts
+++ b/packages/timer/src/shared_ticks.ts
@@ -24,12 +24,21 @@
 export class SharedTicks {
   readonly #entries = new Set<Entry>();
   readonly #clock: Pick<Timer, "monotonicNow" | "after">;
+  readonly #onError: (err: unknown) => void;
   #wakeUp: Subscription | undefined;
   /** When the next wake-up is planned, in ms. */
   #wakeAt = Infinity;
 
-  constructor(clock: Pick<Timer, "monotonicNow" | "after">) {
+  /**
+   * `onError` receives the errors of callbacks. By default they become errors
+   * that nothing handles, which the process logs.
+   */
+  constructor(
+    clock: Pick<Timer, "monotonicNow" | "after">,
+    onError: (err: unknown) => void = throwLater,
+  ) {
     this.#clock = clock;
+    this.#onError = onError;
   }
 
   /** Calls `fn` after `delayMs`, and then each `intervalMs` if that is given. */
@@ -79,7 +88,16 @@
     }
     this.#planNext();
     for (const entry of due) {
-      if (!entry.isCancelled) entry.fn();
+      if (!entry.isCancelled) this.#call(entry);
+    }
+  }
+
+  /** Calls an entry. Its error must not keep the others from being called. */
+  #call(entry: Entry): void {
+    try {
+      entry.fn();
+    } catch (err) {
+      this.#onError(err);
     }
   }
 
@@ -92,6 +110,12 @@
   }
 }
 
+function throwLater(err: unknown): void {
+  queueMicrotask(() => {
+    throw err;
+  });
+}
+
 function nextDue(dueAt: number, intervalMs: number, now: number): number {
   const next = dueAt + intervalMs;
   return next > now ? next : now + intervalMs;
--- a/packages/timer/test/shared_ticks_test.ts
+++ b/packages/timer/test/shared_ticks_test.ts
@@ -7,6 +7,7 @@
 function createTicks(startAt = 0) {
   const timer = createManualTimer(startAt);
   const wakeUps: number[] = [];
+  const errors: unknown[] = [];
   const ticks = new SharedTicks({
     monotonicNow: () => timer.monotonicNow(),
     after: (delayMs, fn) =>
@@ -14,8 +15,8 @@
         wakeUps.push(timer.monotonicNow());
         fn();
       }),
-  });
-  return { timer, ticks, wakeUps };
+  }, (err) => errors.push(err));
+  return { timer, ticks, wakeUps, errors };
 }
 
 describe("SharedTicks", () => {
@@ -68,3 +69,28 @@
     expect(calls).toEqual(0);
   });
 });
+
+// Guards against one error that ends the periodic work of a process (FAULT).
+describe("an error in a callback of SharedTicks", () => {
+  it("does not keep the others from being called, now or later", () => {
+    const { timer, ticks, errors } = createTicks();
+    const calls: string[] = [];
+    const add = (name: string, fn: () => void) =>
+      ticks.add(200, {
+        intervalMs: 200,
+        fn() {
+          calls.push(name);
+          fn();
+        },
+      });
+    add("first", () => {});
+    add("failing", () => {
+      throw new Error("odd");
+    });
+    add("last", () => {});
+    timer.advance(400);
+    const tick = ["first", "failing", "last"];
+    expect(calls).toEqual([...tick, ...tick]);
+    expect(errors.map(String)).toEqual(["Error: odd", "Error: odd"]);
+  });
+});
