Timer: any delay that is a number, in place of one that is over at once

Operators saw (FAULT): processes that ended by themselves. With a time from the settings or the configuration that is too long for the runtime, a timer was over at once: a request with such a timeout would end when it began, an interval would fire each millisecond; an interval of 0 or NaN did the same.

Cause: delays went unchecked to setTimeout and setInterval, which take whole numbers of 1 to 2^31-1 ms and use 1 ms in place of all others.

Evidence: packages/timer/test/system_timer_test.ts failed before: delays of 2^31 ms and more fired within 60 ms; the file did not end, as an interval of 0 ms kept the manual timer busy for good.

--- a/packages/timer/src/manual_timer.ts
+++ b/packages/timer/src/manual_timer.ts
@@ -1,3 +1,4 @@
+import { toDelayMs, toIntervalMs } from "./delay.ts";
 import type { Subscription, Timer } from "./timer.ts";
 
 /** A timer whose clock moves only when `advance` is called. */
@@ -36,15 +37,22 @@
     return true;
   }
 
+  function scheduleOnce(delayMs: number, fn: () => void): Subscription {
+    const dueAt = now + toDelayMs(delayMs);
+    return schedule({ dueAt, intervalMs: undefined, fn });
+  }
+
+  function scheduleEvery(delayMs: number, fn: () => void): Subscription {
+    const intervalMs = toIntervalMs(delayMs);
+    return schedule({ dueAt: now + intervalMs, intervalMs, fn });
+  }
+
   return {
     now: () => now,
     monotonicNow: () => now,
-    after: (delayMs, fn) =>
-      schedule({ dueAt: now + delayMs, intervalMs: undefined, fn }),
-    afterAbout: (delayMs, fn) =>
-      schedule({ dueAt: now + delayMs, intervalMs: undefined, fn }),
-    every: (intervalMs, fn) =>
-      schedule({ dueAt: now + intervalMs, intervalMs, fn }),
+    after: scheduleOnce,
+    afterAbout: scheduleOnce,
+    every: scheduleEvery,
     advance(ms) {
       const end = now + ms;
       while (runNextDue(end));
--- a/packages/timer/src/timer.ts
+++ b/packages/timer/src/timer.ts
@@ -4,7 +4,11 @@
   cancel(): void;
 }
 
-/** Clock and timers that all components of a process share. Times in ms. */
+/**
+ * Clock and timers that all components of a process share. Times in ms. Delays
+ * may be fractions and of any length, and negative ones count as 0. They throw a
+ * `RangeError` if they are no number.
+ */
 export interface Timer {
   /** Returns the wall-clock time in milliseconds since the Unix epoch. */
   now(): number;
@@ -13,7 +17,7 @@
    * Adjustments of the wall clock do not affect it.
    */
   monotonicNow(): number;
-  /** Calls `fn` once after `delayMs`. */
+  /** Calls `fn` once after `delayMs`; fractions of a ms are rounded up. */
   after(delayMs: number, fn: () => void): Subscription;
   /**
    * Calls `fn` once after `delayMs`, or up to 200 ms later together with other
@@ -21,7 +25,7 @@
    */
   afterAbout(delayMs: number, fn: () => void): Subscription;
   /**
-   * Calls `fn` every `intervalMs`, for the first time after one interval. Calls
+   * Calls `fn` every `intervalMs`, at least a millisecond apart, for the first time after one interval. Calls
    * may be up to 200 ms late to be together with other callbacks.
    */
   every(intervalMs: number, fn: () => void): Subscription;
