--- a/packages/front/src/front_options.ts
+++ b/packages/front/src/front_options.ts
@@ -27,7 +27,7 @@
   /** Time from the stop signal until the process is killed, in ms. */
   graceMs: number;
   /** Memory limit of the process, in bytes; unlimited by default. */
-  memoryBytes?: number;
+  memoryBytes?: number | undefined;
   chooser: ChooserName;
   /** Mechanisms that are switched off, to measure their worth. */
   disabled: ReadonlySet<Mechanism>;
