--- a/packages/front/src/caller_connections.ts
+++ b/packages/front/src/caller_connections.ts
@@ -1,4 +1,4 @@
-import type { Timer } from "@toucantrestle/timer";
+import { type Timer, toRuntimeDelayMs } from "@toucantrestle/timer";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import {
@@ -11,6 +11,11 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 5_000;
 const DEFAULT_HEAD_TIMEOUT_MS = 60_000;
 
+/** The server library adds to timeouts, which have to stay below 2^31 ms. */
+const MAX_TIMEOUT_MS = 86_400_000;
+/** The server library takes 0 for no timeout. */
+const MIN_TIMEOUT_MS = 1;
+
 /** Connections of the callers of a front. */
 export class CallerConnections {
   readonly #connections = new Map<Socket, CallerConnection>();
@@ -54,10 +59,12 @@
    * holds for connections that are idle already.
    */
   setTimeouts(opts: { idleTimeoutMs: number; headTimeoutMs: number }): void {
-    const isHigher = opts.idleTimeoutMs > this.#policy.idleTimeoutMs;
-    Object.assign(this.#policy, opts);
-    this.#server.headersTimeout = opts.headTimeoutMs;
-    this.#server.keepAliveTimeout = opts.idleTimeoutMs;
+    const idleTimeoutMs = toTimeoutMs(opts.idleTimeoutMs);
+    const headTimeoutMs = toTimeoutMs(opts.headTimeoutMs);
+    const isHigher = idleTimeoutMs > this.#policy.idleTimeoutMs;
+    Object.assign(this.#policy, { idleTimeoutMs, headTimeoutMs });
+    this.#server.headersTimeout = headTimeoutMs;
+    this.#server.keepAliveTimeout = idleTimeoutMs;
     if (!isHigher) return;
     for (const it of this.#connections.values()) it.extendIdleTimeout();
   }
@@ -72,3 +79,9 @@
     for (const it of this.#connections.values()) it.endIfIdle();
   }
 }
+
+/** Returns a timeout that the server library takes, in whole ms. */
+function toTimeoutMs(ms: number): number {
+  const wholeMs = Math.min(MAX_TIMEOUT_MS, toRuntimeDelayMs(ms));
+  return Math.max(MIN_TIMEOUT_MS, wholeMs);
+}
--- a/packages/front/src/responses.ts
+++ b/packages/front/src/responses.ts
@@ -24,6 +24,9 @@
 /** Statuses that assure a caller that its request has not run and will not. */
 export type RefusalStatus = 429 | 503;
 
+/** Longest time after which a refused caller is asked to return. */
+const MAX_RETRY_AFTER_MS = 600_000;
+
 /**
  * Sends a status with `retry-after` for a request that has not run. `waitMs` is
  * the time until it may be served, if that is known.
@@ -39,10 +42,16 @@
 ): void {
   const ms = waitMs + retryAfterMs(reason, Math.random());
   writeText(res, status, `request not run: ${reason}`, {
-    "retry-after": (ms / 1_000).toFixed(3),
+    "retry-after": formatRetryAfter(ms),
   });
 }
 
+/** Formats a time as seconds. A time that a sibling gave may be any number. */
+function formatRetryAfter(ms: number): string {
+  const waitMs = Number.isNaN(ms) ? 0 : Math.max(0, ms);
+  return (Math.min(MAX_RETRY_AFTER_MS, waitMs) / 1_000).toFixed(3);
+}
+
 /**
  * Refuses a call and records the reason. A call that may have run at an upstream
  * cannot be refused and gets a 502.
--- a/packages/routing/src/urgency.ts
+++ b/packages/routing/src/urgency.ts
@@ -8,6 +8,7 @@
   minDurationMs: number;
 }
 
+const HIGHEST_URGENCY = 0;
 /** Urgency of rank 0. Upstreams serve urgency 0 first and 9 last. */
 const BASE_URGENCY = 3;
 const LOWEST_URGENCY = 9;
@@ -23,5 +24,6 @@
   const { rank, programLeftMs, minDurationMs } = input;
   const isLate = programLeftMs !== undefined && programLeftMs < minDurationMs;
   const penalty = isLate ? LATE_PENALTY : 0;
-  return Math.min(LOWEST_URGENCY, BASE_URGENCY + rank + penalty);
+  const urgency = Math.round(BASE_URGENCY + rank + penalty);
+  return Math.max(HIGHEST_URGENCY, Math.min(LOWEST_URGENCY, urgency));
 }
--- a/packages/routing/test/urgency_test.ts
+++ b/packages/routing/test/urgency_test.ts
@@ -26,6 +26,14 @@
     expect(open).toEqual(urgencyOf(createInput({ programLeftMs: 4_000 })));
   });
 
+  // Guards against a header that upstreams cannot read.
+  it("is a whole number from 0 to 9 for any rank", () => {
+    for (const rank of [-1e21, -40, -0, 0.5, 2.7, 2 ** 53, 1e308]) {
+      const urgency = urgencyOf(createInput({ rank }));
+      expect(/^\d$/.test(String(urgency))).toEqual(true);
+    }
+  });
+
   it("stays within the range that upstreams accept", () => {
     const input = createInput({ rank: 40, programLeftMs: -1 });
     expect(urgencyOf(input)).toEqual(9);
