Log, fleet, link, config store: an error of one listener concerns no other

Operators saw (FAULT): processes that ended by themselves. Now that errors that nothing handles are logged and the process goes on, such an error must not leave a part behind: a link that is never dialled again, a copy of the store that is not updated any more, a view that some parts have not heard of.

Cause: one part called the listeners of others in a loop, or in the middle of its own work, without a guard.

Listeners of @toucantrestle/log calls all of them and logs the errors. Link and list guard their callbacks. The three periodic works of the siblings are apart. A capacity that a sibling reports counts only if it is a positive number.

--- a/packages/config_store/src/list_and_watch.ts
+++ b/packages/config_store/src/list_and_watch.ts
@@ -47,16 +47,16 @@
 
   function confirm(): void {
     confirmedAt = timer.monotonicNow();
-    opts.onConfirmed?.();
+    apply(() => opts.onConfirmed?.());
   }
 
-  /** Hands a change on; an error there must not end the watch. */
+  /** Hands something on; an error there must not end the watch. */
   function apply(fn: () => void): void {
     try {
       fn();
     } catch (err) {
       const reason = err instanceof Error ? err.stack : String(err);
-      log.error(`cannot apply a change below ${prefix}: ${reason}`);
+      log.error(`a listener to ${prefix} failed: ${reason}`);
     }
   }
 
@@ -70,7 +70,7 @@
         : `lost connection to the store while watching ${prefix}`,
       { lastHeardMs: Math.round(timer.monotonicNow() - confirmedAt) },
     );
-    opts.onReachable?.(value);
+    apply(() => opts.onReachable?.(value));
   }
 
   function retry(fn: (waitedMs: number) => void): void {
--- a/packages/config_store/test/list_and_watch_test.ts
+++ b/packages/config_store/test/list_and_watch_test.ts
@@ -120,3 +120,36 @@
     expect(errors.map((it) => it.includes("odd item"))).toEqual([true, true]);
   });
 });
+
+// Guards against a copy that is not updated any more after an error (FAULT).
+describe("a part that listens to a list and fails", () => {
+  it("does not end the watch", async () => {
+    let failures = 0;
+    const fail = () => {
+      failures += 1;
+      throw new Error("odd");
+    };
+    const seen = new Set<string>();
+    const failing = listAndWatch({
+      store,
+      prefix: "p/",
+      timer: createSystemTimer(),
+      log: createNoopLoggers()("follow"),
+      onSnapshot: fail,
+      onEvents(events) {
+        for (const it of events) {
+          if (it.kind === "put") seen.add(it.item.key);
+        }
+        fail();
+      },
+      onReachable: fail,
+      onConfirmed: fail,
+    });
+    await waitUntil(() => failures >= 2);
+    store.put("p/a", 1);
+    await waitUntil(() => seen.has("p/a"));
+    store.put("p/b", 1);
+    await waitUntil(() => seen.has("p/b"));
+    failing.cancel();
+  });
+});
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -4,7 +4,7 @@
   StoreItem,
 } from "@toucantrestle/config_store";
 import { listAndWatch } from "@toucantrestle/config_store";
-import type { Logger } from "@toucantrestle/log";
+import { Listeners, type Logger } from "@toucantrestle/log";
 import type { Subscription, Timer } from "@toucantrestle/timer";
 import type { View } from "@toucantrestle/turn_log";
 import { type HostEntry, parseHostEntry, parseView } from "./host_entry.ts";
@@ -39,8 +39,8 @@
 export class Fleet {
   readonly #opts: FleetOptions;
   readonly #hosts = new Map<string, HostEntry>();
-  readonly #hostListeners: (() => void)[] = [];
-  readonly #viewListeners: ((view: View) => void)[] = [];
+  readonly #hostListeners: Listeners;
+  readonly #viewListeners: Listeners<[View]>;
   #view: View | undefined;
   #viewRevision = 0;
   #isDeregistering = false;
@@ -52,6 +52,8 @@
 
   constructor(opts: FleetOptions) {
     this.#opts = opts;
+    this.#hostListeners = new Listeners("changes of hosts", opts.log);
+    this.#viewListeners = new Listeners("views", opts.log);
   }
 
   /** All registered hosts, including this one. */
@@ -81,12 +83,12 @@
 
   /** Subscribes `fn` to changes of the registered hosts. */
   onHostsChanged(fn: () => void): void {
-    this.#hostListeners.push(fn);
+    this.#hostListeners.add(fn);
   }
 
   /** Subscribes `fn` to newer views. */
   onView(fn: (view: View) => void): void {
-    this.#viewListeners.push(fn);
+    this.#viewListeners.add(fn);
   }
 
   start(): void {
@@ -137,7 +139,7 @@
       this.#hosts.set(host.id, host);
       isChanged = true;
     }
-    if (isChanged) this.#notifyHostListeners();
+    if (isChanged) this.#hostListeners.notify();
   }
 
   /** Adopts an agreed view if it is newer than the current one. */
@@ -149,7 +151,7 @@
         view.members.map((it) => it.host).join(", ")
       }`,
     );
-    for (const fn of this.#viewListeners) fn(view);
+    this.#viewListeners.notify(view);
   }
 
   /**
@@ -174,7 +176,7 @@
     this.#hosts.clear();
     this.#viewRevision = 0;
     for (const item of items) this.#applyItem(item);
-    this.#notifyHostListeners();
+    this.#hostListeners.notify();
     this.#ensureRegistered();
   }
 
@@ -183,7 +185,7 @@
       if (event.kind === "put") this.#applyItem(event.item);
       else this.#hosts.delete(event.key.slice(HOST_KEY_PREFIX.length));
     }
-    this.#notifyHostListeners();
+    this.#hostListeners.notify();
     this.#ensureRegistered();
   }
 
@@ -214,10 +216,6 @@
     this.applyView(view);
   }
 
-  #notifyHostListeners(): void {
-    for (const fn of this.#hostListeners) fn();
-  }
-
   /** Registers this host unless its stored entry is up to date. */
   #ensureRegistered(): void {
     const { self } = this.#opts;
--- a/packages/front/src/siblings/siblings.ts
+++ b/packages/front/src/siblings/siblings.ts
@@ -154,11 +154,9 @@
     this.#links.start();
     this.#gossip.start();
     this.#reconcile();
-    timer.every(SYNC_INTERVAL_MS, () => {
-      this.#reconcile();
-      this.#syncFromSibling();
-      this.#configFetcher.retry();
-    });
+    timer.every(SYNC_INTERVAL_MS, () => this.#reconcile());
+    timer.every(SYNC_INTERVAL_MS, () => this.#syncFromSibling());
+    timer.every(SYNC_INTERVAL_MS, () => this.#configFetcher.retry());
   }
 
   close(): void {
@@ -185,7 +183,8 @@
   /** Load that a sibling's host can carry, in cores, if it reports it. */
   capacityOf(host: string): number | undefined {
     const capacity = this.#gossip.stateOf(host)?.capacity;
-    return typeof capacity === "number" ? capacity : undefined;
+    const isKnown = Number.isFinite(capacity) && Number(capacity) > 0;
+    return isKnown ? Number(capacity) : undefined;
   }
 
   /** Names of the siblings that are connected, directly or over others. */
--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -226,7 +226,7 @@
     this.#lastReceivedAt = this.#opts.timer.monotonicNow();
     sendMessage(socket, { t: "hello", host: this.#opts.self });
     this.#schedulePing();
-    this.#opts.onOpen?.();
+    this.#call(this.#opts.onOpen);
     for (const waiter of this.#takeOpenWaiters()) waiter.resolve();
   }
 
@@ -240,7 +240,7 @@
     const now = this.#opts.timer.monotonicNow();
     if (wasOpen) {
       this.#downSince = now;
-      this.#opts.onLost?.();
+      this.#call(this.#opts.onLost);
     }
     const delayMs = redialDelayMs(now - this.#downSince);
     this.#opts.timer.after(delayMs, () => this.#dial());
@@ -287,7 +287,19 @@
   #loseStreams(): void {
     const streams = [...this.#streams.values()];
     this.#streams.clear();
-    for (const handlers of streams) handlers.onLost();
+    for (const handlers of streams) this.#call(() => handlers.onLost());
+  }
+
+  /** Calls another part. Its error must not keep the link from being used. */
+  #call(fn: (() => void) | undefined): void {
+    try {
+      fn?.();
+    } catch (err) {
+      const reason = err instanceof Error ? err.stack : String(err);
+      this.#opts.log.error(
+        `a listener to the link to ${this.address} failed: ${reason}`,
+      );
+    }
   }
 
   /** Handles a message; a stream must not go on after one that went wrong. */
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -1,4 +1,4 @@
-import type { Logger } from "@toucantrestle/log";
+import { Listeners, type Logger } from "@toucantrestle/log";
 import { createServer, type Server } from "node:http";
 import { type WebSocket, WebSocketServer } from "ws";
 import type {
@@ -117,11 +117,13 @@
     let from = "";
     const streams: OpenStreams = new Map();
     socket.on("close", () => {
+      const lost = new Listeners("lost links", this.#opts.log);
       for (const { handlers, endWork } of streams.values()) {
         endWork();
-        handlers.onLost();
+        lost.add(() => handlers.onLost());
       }
       streams.clear();
+      lost.notify();
     });
     socket.on("error", () => socket.terminate());
     socket.on("message", (data) => {
--- a/packages/log/src/mod.ts
+++ b/packages/log/src/mod.ts
@@ -19,6 +19,8 @@
   type LineSink,
 } from "./bounded_writer.ts";
 
+export { Listeners } from "./listeners.ts";
+
 /** Output format of log lines. */
 export type LogFormat = "human" | "json";
 
