Front, metrics, turn store client: promises that nobody awaits are handled

Operators saw (FAULT): processes that ended by themselves; a rejection that nothing handles ends a process of the code before.

Cause: asynchronous work that is begun by a timer or an event and not awaited, without a handler; flags such as isProbing stayed set for good. Found by reading all calls of asynchronous functions of front, fleet, routing, turn_store client, link, quota, overlay, upstream_channel, http, metrics and platform: the look for another way for a slow attempt, the probes of the direct path and of crash suspicions, the question for a detour, the query for quota (three waiters on one promise; its group was stuck after it), a request to several replicas, the scrape of the metrics, and the handler of a caller's request.

The request to several replicas and the handler of a caller's request have no test of their own.

--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -281,6 +281,7 @@
       slowMs: this.#slowAttemptMs(),
       hasOtherWay,
       timer,
+      log: this.#opts.log,
     });
     call.onAbandon = () => attempt.stop("abandoned");
     const result = await attempt.result;
--- a/packages/front/src/config_watcher.ts
+++ b/packages/front/src/config_watcher.ts
@@ -1,5 +1,5 @@
 import { type ConfigStore, listAndWatch } from "@toucantrestle/config_store";
-import type { Logger } from "@toucantrestle/log";
+import { Listeners, type Logger } from "@toucantrestle/log";
 import type { RoutingConfig } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
 import type { Protocol } from "./protocol.ts";
@@ -11,7 +11,7 @@
 export class ConfigWatcher {
   readonly #protocol: Protocol;
   readonly #log: Logger;
-  readonly #listeners: ((config: RoutingConfig) => void)[] = [];
+  readonly #listeners: Listeners<[RoutingConfig]>;
   #config: RoutingConfig | undefined;
   #text = "";
   /** Text of the last invalid configuration, which is logged once. */
@@ -23,6 +23,7 @@
   constructor(opts: { protocol: Protocol; log: Logger }) {
     this.#protocol = opts.protocol;
     this.#log = opts.log;
+    this.#listeners = new Listeners("configurations", opts.log);
   }
 
   get config(): RoutingConfig | undefined {
@@ -44,7 +45,7 @@
   }
 
   onConfig(fn: (config: RoutingConfig) => void): void {
-    this.#listeners.push(fn);
+    this.#listeners.add(fn);
   }
 
   /** Subscribes to the configuration in the platform's store. */
@@ -91,6 +92,6 @@
       `configuration version ${config.version} from ${source} applied, ` +
         `${config.routes.length} routes`,
     );
-    for (const fn of this.#listeners) fn(config);
+    this.#listeners.notify(config);
   }
 }
--- a/packages/front/src/crash_suspicions.ts
+++ b/packages/front/src/crash_suspicions.ts
@@ -146,12 +146,16 @@
     onCrash(report);
   }
 
-  /** Returns whether the process of an upstream has ended. */
+  /** Returns whether the process of an upstream has ended, as far as known. */
   #hasEnded(entry: UpstreamEntry): Promise<boolean> {
     const key = processKey(entry);
     const known = this.#probes.get(key);
     if (known) return known;
     const probe = this.#probe(entry)
+      .catch((err) => {
+        this.#opts.log.error(`cannot probe upstream ${key}: ${String(err)}`);
+        return false;
+      })
       .finally(() => this.#probes.delete(key));
     this.#probes.set(key, probe);
     return probe;
--- a/packages/front/src/detour.ts
+++ b/packages/front/src/detour.ts
@@ -1,4 +1,4 @@
-import type { Logger } from "@toucantrestle/log";
+import { Listeners, type Logger } from "@toucantrestle/log";
 import { sleep, type Timer } from "@toucantrestle/timer";
 import type { DirectPath } from "./direct_path.ts";
 
@@ -21,11 +21,12 @@
  */
 export class Detour {
   readonly #opts: DetourOptions;
-  readonly #listeners = new Set<() => void>();
+  readonly #listeners: Listeners;
   #isAsking = false;
 
   constructor(opts: DetourOptions) {
     this.#opts = opts;
+    this.#listeners = new Listeners("detours", opts.log);
     opts.directPath.onCut(() => this.#ask());
   }
 
@@ -36,8 +37,7 @@
 
   /** Subscribes `fn` to finding one; returns how to unsubscribe. */
   onFound(fn: () => void): () => void {
-    this.#listeners.add(fn);
-    return () => this.#listeners.delete(fn);
+    return this.#listeners.add(fn);
   }
 
   /** Asks for whoever listens, until this front reaches an upstream itself. */
@@ -46,18 +46,27 @@
     if (this.#isAsking) return;
     this.#isAsking = true;
     while (directPath.isSilent) {
-      const isFound = this.#listeners.size > 0 && await this.isOpen();
-      if (isFound && directPath.isSilent) this.#notify();
+      await this.#askOnce();
       await sleep(timer, ASK_INTERVAL_MS);
     }
     this.#isAsking = false;
   }
 
+  async #askOnce(): Promise<void> {
+    const { directPath, log } = this.#opts;
+    try {
+      const isFound = this.#listeners.size > 0 && await this.isOpen();
+      if (isFound && directPath.isSilent) this.#notify();
+    } catch (err) {
+      log.error(`cannot ask for a detour: ${String(err)}`);
+    }
+  }
+
   #notify(): void {
     this.#opts.log.info("requests leave for a sibling that reaches upstreams", {
       event: "detour",
       requests: this.#listeners.size,
     });
-    for (const fn of [...this.#listeners]) fn();
+    this.#listeners.notify();
   }
 }
--- a/packages/front/src/direct_path.ts
+++ b/packages/front/src/direct_path.ts
@@ -1,4 +1,4 @@
-import type { Logger } from "@toucantrestle/log";
+import { Listeners, type Logger } from "@toucantrestle/log";
 import type { Timer } from "@toucantrestle/timer";
 import type { UpstreamContact } from "./upstream_contact.ts";
 
@@ -40,7 +40,7 @@
  */
 export class DirectPath {
   readonly #opts: DirectPathOptions;
-  readonly #cutListeners = new Set<(cut: PathCut) => void>();
+  readonly #cutListeners: Listeners<[PathCut]>;
   /** Start times of the requests in flight. */
   readonly #inFlight = new Map<symbol, number>();
   #isCut = false;
@@ -51,6 +51,7 @@
 
   constructor(opts: DirectPathOptions) {
     this.#opts = opts;
+    this.#cutListeners = new Listeners("cuts", opts.log);
   }
 
   /** Whether no upstream can be reached; open connections may still work. */
@@ -80,8 +81,7 @@
 
   /** Subscribes `fn` to the detection of a cut; returns how to unsubscribe. */
   onCut(fn: (cut: PathCut) => void): () => void {
-    this.#cutListeners.add(fn);
-    return () => this.#cutListeners.delete(fn);
+    return this.#cutListeners.add(fn);
   }
 
   /** Tracks a request that is sent directly; the result ends it. */
@@ -111,14 +111,22 @@
   }
 
   async #probe(): Promise<void> {
-    const { timer, contact } = this.#opts;
+    const { timer, log } = this.#opts;
     this.#isProbing = true;
-    const isReached = await this.#reachesAny(this.#drawAddresses());
+    try {
+      this.#applyProbe(await this.#reachesAny(this.#drawAddresses()));
+    } catch (err) {
+      log.error(`cannot probe the upstreams: ${String(err)}`);
+    }
     this.#isProbing = false;
-    const now = timer.monotonicNow();
-    this.#probedAt = now;
+    this.#probedAt = timer.monotonicNow();
+  }
+
+  #applyProbe(isReached: boolean): void {
+    const { timer, contact } = this.#opts;
     if (isReached) contact.clearFailures();
-    if (isReached === this.#isCut) this.#setCut(!isReached, now);
+    const isChanged = isReached === this.#isCut;
+    if (isChanged) this.#setCut(!isReached, timer.monotonicNow());
   }
 
   async #reachesAny([first, ...others]: string[]): Promise<boolean> {
@@ -151,6 +159,6 @@
     );
     if (!isCut) return;
     const cut = { isSilent: heardMs >= SILENCE_MS };
-    for (const fn of [...this.#cutListeners]) fn(cut);
+    this.#cutListeners.notify(cut);
   }
 }
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -91,7 +91,10 @@
       log: opts.loggers("call"),
     });
     this.#callerServer = this.#createServer((req, res) =>
-      this.#onCall(req, res)
+      this.#onCall(req, res).catch((err) => {
+        this.#logCallError(err);
+        res.destroy();
+      })
     );
     this.#connections = new CallerConnections({
       server: this.#callerServer,
@@ -260,7 +263,7 @@
   }
 
   #createServer(
-    handler: (req: IncomingMessage, res: ServerResponse) => void,
+    handler: (req: IncomingMessage, res: ServerResponse) => unknown,
     connectionsCheckingInterval = CONNECTION_CHECK_INTERVAL_MS,
   ): Server {
     return createServer({
@@ -324,14 +327,18 @@
       request.onClose = () => this.#onResponseClose(call);
       await serveCall(call, this.#serveOptions);
     } catch (err) {
-      const text = err instanceof Error ? err.stack ?? err.message : err;
-      this.#opts.loggers("call").error(
-        `call failed with an internal error: ${text}`,
-      );
+      this.#logCallError(err);
       sendText(res, 500, "internal error");
     }
   }
 
+  #logCallError(err: unknown): void {
+    const text = err instanceof Error ? err.stack ?? err.message : String(err);
+    this.#opts.loggers("call").error(
+      `call failed with an internal error: ${text}`,
+    );
+  }
+
   #onResponseClose(call: Call): void {
     this.#activeCalls.delete(call);
     if (call.res.writableFinished) return;
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -281,6 +281,7 @@
     upstreamsAgeMs: () => upstreamWatcher.ageMs,
     upstreamRevision: (id) => upstreamWatcher.revisionOf(id),
     timer,
+    log: loggers("call"),
   };
   return {
     configWatcher,
--- a/packages/front/src/quota_client.ts
+++ b/packages/front/src/quota_client.ts
@@ -1,4 +1,4 @@
-import type { Logger } from "@toucantrestle/log";
+import { Listeners, type Logger } from "@toucantrestle/log";
 import type { Metrics } from "@toucantrestle/metrics";
 import {
   type Admission,
@@ -63,7 +63,7 @@
   renewal: Subscription | undefined;
   isAnswered: boolean;
   /** Requests that wait for tokens. */
-  listeners: Set<() => void>;
+  listeners: Listeners;
 }
 
 /** A request waits for an answer for this long before it uses the reserve. */
@@ -117,7 +117,7 @@
       sentAt: -Infinity,
       renewal: undefined,
       isAnswered: true,
-      listeners: new Set(),
+      listeners: new Listeners("answers to a quota query", opts.log),
     }));
   }
 
@@ -232,7 +232,7 @@
     const listeners = this.#groups[group]?.listeners;
     return new Promise((resolve) => {
       const end = (decision?: SettledDecision) => {
-        listeners?.delete(onAnswer);
+        removeListener?.();
         timeout.cancel();
         resolve(decision);
       };
@@ -241,7 +241,7 @@
         if (decision) end(decision);
       };
       const timeout = this.#opts.timer.after(RETRY_INTERVAL_MS, () => end());
-      listeners?.add(onAnswer);
+      const removeListener = listeners?.add(onAnswer);
     });
   }
 
@@ -268,7 +268,17 @@
     return exchange;
   }
 
+  /** Returns false if no allocator answers, or the query fails otherwise. */
   async #query(group: number, state: GroupState): Promise<boolean> {
+    try {
+      return await this.#queryAllocator(group, state);
+    } catch (err) {
+      this.#opts.log.error(`cannot query for quota: ${String(err)}`);
+      return false;
+    }
+  }
+
+  async #queryAllocator(group: number, state: GroupState): Promise<boolean> {
     const { links, self, timer } = this.#opts;
     this.#allocators.refresh();
     const allocator = this.#allocators.of(group);
@@ -287,7 +297,7 @@
       this.#holder.accept(query, reply, this.#clocks);
       for (const { name } of reply.grants) this.#reserve.reset(name);
       state.isAnswered = true;
-      for (const fn of state.listeners) fn();
+      state.listeners.notify();
       return true;
     } catch (err) {
       this.#reportUnanswered(state, { allocator, err });
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -1,3 +1,4 @@
+import type { Logger } from "@toucantrestle/log";
 import type { SpeedEstimate, WorkKind } from "@toucantrestle/policy";
 import type {
   ChooserName,
@@ -56,4 +57,5 @@
   /** Store revision of what is known of an upstream; 0 if nothing is. */
   upstreamRevision: (id: string) => number;
   timer: Timer;
+  log: Logger;
 }
--- a/packages/front/src/slow_attempt.ts
+++ b/packages/front/src/slow_attempt.ts
@@ -1,3 +1,4 @@
+import type { Logger } from "@toucantrestle/log";
 import { sleep, type Timer } from "@toucantrestle/timer";
 import type { Attempt } from "./attempt.ts";
 
@@ -8,6 +9,7 @@
   /** Returns whether another upstream can take the call now. */
   hasOtherWay: () => Promise<boolean>;
   timer: Timer;
+  log: Logger;
 }
 
 /** Time between two looks for another way. */
@@ -20,14 +22,22 @@
  */
 export function stopWhenSlow(
   attempt: Pick<Attempt, "stop" | "hasDeliveredHead">,
-  { slowMs, hasOtherWay, timer }: SlowAttemptOptions,
+  { slowMs, hasOtherWay, timer, log }: SlowAttemptOptions,
 ): () => void {
   if (slowMs === Infinity) return () => {};
   let isOver = false;
   const mayStop = () => !isOver && !attempt.hasDeliveredHead;
+  async function isOtherWayFound(): Promise<boolean> {
+    try {
+      return await hasOtherWay();
+    } catch (err) {
+      log.error(`cannot look for another way: ${String(err)}`);
+      return false;
+    }
+  }
   const start = timer.after(slowMs, async () => {
     while (mayStop()) {
-      const isFound = await hasOtherWay();
+      const isFound = await isOtherWayFound();
       if (isFound && mayStop()) return attempt.stop("slow");
       await sleep(timer, RECHECK_INTERVAL_MS);
     }
--- a/packages/front/test/crash_suspicions_test.ts
+++ b/packages/front/test/crash_suspicions_test.ts
@@ -39,6 +39,8 @@
     isCut: false,
     isCurrent: true,
     siblingAnswer: undefined as boolean | undefined,
+    /** Thrown by probes. */
+    probeError: undefined as Error | undefined,
   };
   const probed: string[] = [];
   const crashes: CrashReport[] = [];
@@ -50,6 +52,7 @@
     isCut: () => world.isCut,
     probe(address) {
       probed.push(address);
+      if (world.probeError) return Promise.reject(world.probeError);
       return Promise.resolve(world.isListening);
     },
     probeThroughSibling: () => Promise.resolve(world.siblingAnswer),
@@ -186,3 +189,16 @@
     expect(front.refusal()).toEqual("convicted");
   });
 });
+
+describe("a probe of an upstream that fails", () => {
+  // Guards against a request that is refused for good, and against a rejection
+  // that nothing handles (FAULT).
+  it("does not count as the end of the upstream", async () => {
+    const front = createFront();
+    front.world.probeError = new Error("odd");
+    front.lose(["u1", "u2", "u3"]);
+    await front.advance(JUDGED_MS);
+    await front.advance(ENTRY_GONE_MS);
+    expect([front.crashes, front.refusal()]).toEqual([[], undefined]);
+  });
+});
--- a/packages/metrics/src/scrape_server.ts
+++ b/packages/metrics/src/scrape_server.ts
@@ -19,10 +19,14 @@
       res.writeHead(404).end();
       return;
     }
-    opts.refresh();
-    const body = await opts.metrics.text();
-    res.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
-    res.end(body);
+    try {
+      opts.refresh();
+      const body = await opts.metrics.text();
+      res.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+      res.end(body);
+    } catch (err) {
+      res.writeHead(500).end(`metrics cannot be read: ${String(err)}\n`);
+    }
   });
   const url = new URL(`tcp://${opts.address}`);
   await new Promise<void>((resolve, reject) => {
--- a/packages/turn_store/src/replica_links.ts
+++ b/packages/turn_store/src/replica_links.ts
@@ -157,7 +157,7 @@
     const { view, name, args } = opts;
     const replicas = this.#sortByProximity(replicasOf(view, opts.key));
     const replies: ServedReply<K>[] = [];
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       let next = 0;
       let pending = 0;
       const requestNext = () => {
@@ -173,7 +173,7 @@
           if (opts.isEnough(replies)) return resolve(replies);
           if (pending === 0 && next >= replicas.length) return resolve(replies);
           if (!reply || pending === 0) requestNext();
-        });
+        }).catch(reject);
       };
       for (let i = 0; i < opts.concurrency; i++) requestNext();
     });
