--- a/packages/lifecycle/src/await_dependency.ts
+++ b/packages/lifecycle/src/await_dependency.ts
@@ -24,6 +24,8 @@
   log: Logger;
   /** Whether the process stops, so that nothing is awaited any longer. */
   isStopping?: () => boolean;
+  /** Time between two log lines of a wait that goes on, in ms. */
+  logIntervalMs?: number;
 }
 
 /** The process stops, so that a dependency is not awaited any longer. */
@@ -31,7 +33,6 @@
   override name = "StoppedWaitingError";
 }
 
-/** Time between two log lines of a wait that goes on, in ms. */
 const LOG_INTERVAL_MS = 5_000;
 
 /**
@@ -43,7 +44,8 @@
  */
 export async function awaitDependency<T>(
   dependency: Dependency<T>,
-  { timer, log, isStopping = () => false }: AwaitOptions,
+  { timer, log, isStopping = () => false, logIntervalMs = LOG_INTERVAL_MS }:
+    AwaitOptions,
 ): Promise<T> {
   const { name, attempt, isTemporary = () => true } = dependency;
   const startedAt = timer.monotonicNow();
@@ -71,7 +73,7 @@
           { cause: err },
         );
       }
-      if (timer.monotonicNow() - loggedAt >= LOG_INTERVAL_MS) {
+      if (timer.monotonicNow() - loggedAt >= logIntervalMs) {
         loggedAt = timer.monotonicNow();
         log.warn(`waiting for ${name}: ${reason}`, {
           event: "dependency_awaited",
--- a/packages/lifecycle/src/listen.ts
+++ b/packages/lifecycle/src/listen.ts
@@ -5,6 +5,8 @@
 export interface ListenOptions extends AwaitOptions {
   /** Time after which an address in use is given up, in ms. */
   timeoutMs?: number;
+  /** Time between two attempts, in ms. */
+  retryMs?: number;
 }
 
 /**
@@ -37,7 +39,8 @@
 export async function listenWhenFree(
   server: Server,
   address: string,
-  { timeoutMs = PORT_TIMEOUT_MS, ...opts }: ListenOptions,
+  { timeoutMs = PORT_TIMEOUT_MS, retryMs = PORT_RETRY_MS, ...opts }:
+    ListenOptions,
 ): Promise<void> {
   await awaitDependency({
     name: `address ${address}`,
@@ -45,7 +48,7 @@
     isTemporary: (err) =>
       TEMPORARY_CODES.has((err as NodeJS.ErrnoException).code ?? ""),
     timeoutMs,
-    retryMs: PORT_RETRY_MS,
+    retryMs,
     reason: "port_unavailable",
   }, opts);
   server.on(
--- a/packages/metrics/src/mod.ts
+++ b/packages/metrics/src/mod.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-export { serveMetrics } from "./scrape_server.ts";
+export { serveMetrics, type ServeMetricsOptions } from "./scrape_server.ts";
 export {
   createPrometheusMetrics,
   type PrometheusMetrics,
--- a/packages/metrics/test/prometheus_metrics_test.ts
+++ b/packages/metrics/test/prometheus_metrics_test.ts
@@ -1,8 +1,22 @@
+import { createNoopLoggers } from "@toucantrestle/log";
+import { createSystemTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, createServer, type Server } from "node:net";
 import { describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { createPrometheusMetrics, serveMetrics } from "../src/mod.ts";
 
+const HELD_MS = 300;
+const SCRAPE_TIMEOUT_MS = 2_000;
+const SERVE_OPTIONS = {
+  timer: createSystemTimer(),
+  log: createNoopLoggers()("metrics"),
+};
+
+function addressOf(server: Server): string {
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
 describe("Prometheus metrics", () => {
   it("serves metrics with labels and histogram buckets", async () => {
     const metrics = createPrometheusMetrics();
@@ -13,6 +27,7 @@
       address: "127.0.0.1:0",
       path: "/metrics",
       refresh: () => metrics.gauge("calls_open", 3),
+      ...SERVE_OPTIONS,
     });
     const { port } = server.address() as AddressInfo;
     const text = await (await fetch(`http://127.0.0.1:${port}/metrics`)).text();
@@ -26,4 +41,49 @@
     expect(text.includes("toucantrestle_calls_open 3")).toEqual(true);
     expect(unknownPath.status).toEqual(404);
   });
+
+  // Guards against metrics that stay missing because their port was in use.
+  it("are served as soon as their port is free", async () => {
+    const holder = createServer();
+    await new Promise<void>((resolve) =>
+      holder.listen(0, "127.0.0.1", resolve)
+    );
+    const address = addressOf(holder);
+    const serving = serveMetrics({
+      metrics: createPrometheusMetrics(),
+      address,
+      path: "/metrics",
+      refresh() {},
+      ...SERVE_OPTIONS,
+    });
+    await Promise.race([serving, delay(HELD_MS)]);
+    holder.close();
+    const server = await serving;
+    const res = await fetch(`http://${address}/metrics`);
+    server.closeAllConnections();
+    server.close();
+    expect(res.status).toEqual(200);
+  });
+
+  // Guards against a process that ends because a gauge can't be read.
+  it("answers a scrape that fails, and goes on", async () => {
+    let failures = 1;
+    const server = await serveMetrics({
+      metrics: createPrometheusMetrics(),
+      address: "127.0.0.1:0",
+      path: "/metrics",
+      refresh() {
+        if (failures-- > 0) throw new Error("gauge is not available");
+      },
+      ...SERVE_OPTIONS,
+    });
+    const url = `http://${addressOf(server)}/metrics`;
+    const scrape = async () =>
+      (await fetch(url, { signal: AbortSignal.timeout(SCRAPE_TIMEOUT_MS) }))
+        .status;
+    const statuses = [await scrape().catch(() => 0), await scrape()];
+    server.closeAllConnections();
+    server.close();
+    expect(statuses).toEqual([500, 200]);
+  });
 });
