Link, front: ports that are in use at the start are awaited

Operators saw: a front or a turn store of which a port is in use for the first 1.5 s ends with status 1 and EADDRINUSE.

Cause: each server listened once, with its own copy of `listen`; an error rejected the start. `ws` passes on the errors of its HTTP server, and nothing listened for them there, so that they were not caught either.

Change: all servers of both roles listen through `listenWhenFree`. A front gets its port for links first, then those for callers, readiness and directory at the same time, and is not ready before it has all. A stop ends the wait.

In existing tests only the calls of `LinkServer.listen` get the new argument.

--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -1,11 +1,6 @@
 import type { RoutingConfig } from "@toucantrestle/routing";
 import type { TurnStoreClient } from "@toucantrestle/turn_store";
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as TcpServer, type Socket } from "node:net";
 import { neverAttempted } from "./attempt_ledger.ts";
 import { refuse, refuseCall, sendText } from "./responses.ts";
@@ -20,7 +15,7 @@
 import type { PathCut } from "./direct_path.ts";
 import { KeyRefusals } from "./key_refusals.ts";
 import { MemoryGuard } from "./memory_guard.ts";
-import { listen, MAX_HEADER_BYTES } from "./listen.ts";
+import { createFrontServer, listenOnAll } from "./listen.ts";
 import type { FrontOptions } from "./front_options.ts";
 import { createFrontParts } from "./front_parts.ts";
 import { quotasOf } from "./quotas_of.ts";
@@ -67,6 +62,8 @@
     { name: "calls", count: () => this.#activeCalls.size },
     { name: "ofSiblings", count: () => this.#siblings.inProgressCount },
   ];
+  /** Whether callers and the directory can be served. */
+  #isListening = false;
   #shutdown: Shutdown | undefined;
   #stopped: Promise<void> | undefined;
   /** Readiness as the siblings know it. */
@@ -90,8 +87,9 @@
       ...opts,
       log: opts.loggers("call"),
     });
-    this.#callerServer = this.#createServer((req, res) =>
-      this.#onCall(req, res)
+    this.#callerServer = createFrontServer(
+      (req, res) => this.#onCall(req, res),
+      CONNECTION_CHECK_INTERVAL_MS,
     );
     this.#connections = new CallerConnections({
       server: this.#callerServer,
@@ -107,7 +105,13 @@
     });
   }
 
-  /** Starts serving. Calls are refused until a configuration is available. */
+  /**
+   * Starts serving as soon as its addresses are free. Calls are refused until a
+   * configuration is available.
+   *
+   * @throws {ExitError} if an address stays in use
+   * @throws {StoppedWaitingError} if the front is stopped while it waits for one
+   */
   async start(): Promise<void> {
     const { fleet, store, timer } = this.#opts;
     fleet.onView((view) => this.#turnStore.adoptView(view));
@@ -121,11 +125,9 @@
     this.#upstreamWatcher.start(store);
     this.#serveOptions.directPath.onCut((cut) => this.#onPathCut(cut));
     this.#serveOptions.directPath.start();
-    await this.#siblings.start();
+    await this.#siblings.start(() => this.isStopping);
     if (this.isStopping) return;
-    await listen(this.#callerServer, this.#opts.callerAddress);
-    await this.#listenAuxiliary(this.#opts.readyAddress);
-    await this.#listenAuxiliary(this.#opts.directoryAddress);
+    await this.#listen();
     this.#memoryGuard.start();
     timer.every(READY_CHECK_INTERVAL_MS, () => this.#reportReadiness());
     timer.every(SWEEP_INTERVAL_MS, () => this.#sweep());
@@ -230,7 +232,7 @@
   get #isReady(): boolean {
     const canPersistTurns = this.#turnStore.isQuorumReachable ||
       this.#siblings.requests.canRelay;
-    return !this.isStopping && canPersistTurns &&
+    return this.#isListening && !this.isStopping && canPersistTurns &&
       this.#configWatcher.config !== undefined;
   }
 
@@ -259,25 +261,25 @@
     );
   }
 
-  #createServer(
-    handler: (req: IncomingMessage, res: ServerResponse) => void,
-    connectionsCheckingInterval = CONNECTION_CHECK_INTERVAL_MS,
-  ): Server {
-    return createServer({
-      maxHeaderSize: MAX_HEADER_BYTES,
-      connectionsCheckingInterval,
-      requestTimeout: 0,
-      noDelay: true,
-    }, handler);
+  /** Listens on all addresses but that of the links. */
+  async #listen(): Promise<void> {
+    const { callerAddress, readyAddress, directoryAddress } = this.#opts;
+    const { timer, loggers } = this.#opts;
+    await listenOnAll([
+      [this.#callerServer, callerAddress],
+      [this.#createAuxiliaryServer(), readyAddress],
+      [this.#createAuxiliaryServer(), directoryAddress],
+    ], { timer, log: loggers("front"), isStopping: () => this.isStopping });
+    this.#isListening = true;
   }
 
-  async #listenAuxiliary(address: string): Promise<void> {
-    const server = this.#createServer(
+  #createAuxiliaryServer(): Server {
+    const server = createFrontServer(
       (req, res) => this.#onAuxiliaryRequest(req, res),
       AUXILIARY_CHECK_INTERVAL_MS,
     );
     this.#auxiliaryServers.push(server);
-    await listen(server, address);
+    return server;
   }
 
   #applyLimits(config: RoutingConfig): void {
--- a/packages/front/src/listen.ts
+++ b/packages/front/src/listen.ts
@@ -1,13 +1,34 @@
-import type { Server } from "node:http";
+import { type ListenOptions, listenWhenFree } from "@toucantrestle/lifecycle";
+import { createServer, type RequestListener, type Server } from "node:http";
 
 /** Limit of the HTTP parser for the header of a request, in bytes. */
 export const MAX_HEADER_BYTES = 65_536;
 
-/** Binds a server to an `IP:PORT` address and starts listening. */
-export function listen(server: Server, address: string): Promise<void> {
-  const url = new URL(`tcp://${address}`);
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(Number(url.port), url.hostname, resolve);
-  });
+/** Creates an HTTP server that looks for overdue connections at an interval. */
+export function createFrontServer(
+  handler: RequestListener,
+  checkIntervalMs: number,
+): Server {
+  return createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    connectionsCheckingInterval: checkIntervalMs,
+    requestTimeout: 0,
+    noDelay: true,
+  }, handler);
+}
+
+/**
+ * Listens with each server on its `IP:PORT` address as soon as that is free.
+ * Resolves once all of them listen.
+ *
+ * @throws {ExitError} if an address stays in use
+ * @throws {StoppedWaitingError} if the process stops meanwhile
+ */
+export async function listenOnAll(
+  servers: readonly [Server, string][],
+  opts: ListenOptions,
+): Promise<void> {
+  await Promise.all(
+    servers.map(([server, address]) => listenWhenFree(server, address, opts)),
+  );
 }
--- a/packages/front/src/siblings/siblings.ts
+++ b/packages/front/src/siblings/siblings.ts
@@ -141,9 +141,15 @@
     this.#server = this.#createServer();
   }
 
-  async start(): Promise<void> {
+  /**
+   * Links the siblings as soon as the address for links is free.
+   *
+   * @throws {ExitError} if the address stays in use
+   * @throws {StoppedWaitingError} if the front stops meanwhile
+   */
+  async start(isStopping: () => boolean): Promise<void> {
     const { timer, fleet, linkAddress } = this.#opts;
-    await this.#server.listen(linkAddress);
+    await this.#server.listen(linkAddress, { timer, isStopping });
     fleet.onHostsChanged(() => {
       this.#rings = undefined;
       this.#scheduleReconcile();
--- a/packages/front/test/earlier_build_test.ts
+++ b/packages/front/test/earlier_build_test.ts
@@ -75,7 +75,7 @@
       },
     });
     const address = await freeAddress();
-    await server.listen(address);
+    await server.listen(address, { timer: createSystemTimer() });
     cluster.store.put("fleet/hosts/front-old", {
       id: "front-old",
       host: "front-old",
--- a/packages/front/test/sibling_links_test.ts
+++ b/packages/front/test/sibling_links_test.ts
@@ -1,6 +1,6 @@
 import { LinkServer, type StreamReceiver } from "@toucantrestle/link";
 import { createNoopLoggers } from "@toucantrestle/log";
-import { createManualTimer } from "@toucantrestle/timer";
+import { createManualTimer, createSystemTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
@@ -39,7 +39,7 @@
         },
       },
     });
-    await server.listen(address);
+    await server.listen(address, { timer: createSystemTimer() });
     cleanups.push(() => server.close());
     return address;
   };
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -1,3 +1,4 @@
+import { type ListenOptions, listenWhenFree } from "@toucantrestle/lifecycle";
 import type { Logger } from "@toucantrestle/log";
 import { createServer, type Server } from "node:http";
 import { type WebSocket, WebSocketServer } from "ws";
@@ -88,6 +89,8 @@
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: false,
     });
+    // It passes on the errors of the HTTP server, which are handled there.
+    this.#sockets.on("error", () => {});
     this.#sockets.on("connection", (socket) => this.#accept(socket));
   }
 
@@ -99,13 +102,15 @@
     return this.#work.size;
   }
 
-  /** Starts listening on an `IP:PORT` address. */
-  listen(address: string): Promise<void> {
-    const url = new URL(`tcp://${address}`);
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(Number(url.port), url.hostname, resolve);
-    });
+  /**
+   * Starts listening on an `IP:PORT` address as soon as it is free.
+   *
+   * @throws {ExitError} if it stays in use
+   * @throws {StoppedWaitingError} if the process stops meanwhile
+   */
+  listen(address: string, opts: Omit<ListenOptions, "log">): Promise<void> {
+    const { log } = this.#opts;
+    return listenWhenFree(this.#server, address, { ...opts, log });
   }
 
   close(): void {
--- a/packages/link/test/link_test.ts
+++ b/packages/link/test/link_test.ts
@@ -161,7 +161,7 @@
     notices: { news: onNews },
   });
   servers.push(server);
-  await server.listen(address);
+  await server.listen(address, { timer: createSystemTimer() });
   return server;
 }
 
--- a/packages/link/test/stream_test.ts
+++ b/packages/link/test/stream_test.ts
@@ -148,7 +148,7 @@
     },
   });
   const address = `127.0.0.1:${randomInt(LOWEST_PORT, HIGHEST_PORT)}`;
-  await server.listen(address);
+  await server.listen(address, { timer: createSystemTimer() });
   const client = new LinkClient<Methods, Notices, Streams>({
     self: "a",
     address,
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -124,7 +124,12 @@
     return this.#replica.isComplete;
   }
 
-  /** Loads the state and the journal, then starts to listen. */
+  /**
+   * Loads the state and the journal, then starts to listen.
+   *
+   * @throws {ExitError} if the address stays in use
+   * @throws {StoppedWaitingError} if the store is stopped meanwhile
+   */
   async start(): Promise<void> {
     const { folder, timer, fleet, self } = this.#opts;
     const saved = await readState<StoreState>(folder);
@@ -144,7 +149,10 @@
         saved?.view?.number ?? 0
       }`,
     );
-    await this.#server.listen(self.linkAddress);
+    await this.#server.listen(self.linkAddress, {
+      timer,
+      isStopping: () => this.#stopped !== undefined,
+    });
     fleet.onView((view) => this.adoptView(view));
     if (fleet.view) this.adoptView(fleet.view);
     this.#viewManager.start();
