--- a/packages/link/test/failing_listeners_test.ts
+++ b/packages/link/test/failing_listeners_test.ts
@@ -47,7 +47,7 @@
       }),
     },
   });
-  await server.listen(ADDRESS);
+  await server.listen(ADDRESS, { timer: scope });
 }
 
 function dial(opts: Partial<LinkClientOptions>) {
