Front: a draw of crashed upstreams is no cut of the way to all

What callers saw: a front refused everything with 503 "no_upstream" for 0.6 s, and refused what siblings asked it to forward, while upstreams answered it.

Cause: two failed connections make a front probe three upstreams drawn at random, and three failures meant a cut. Crashed upstreams stay listed for some time; with four of eight crashed one draw in fourteen holds such ones only. What had just answered, or just failed, had no part in the draw.

Ruled out: a conviction (the refusals say no_upstream), a stall of the test (calls each 100 to 110 ms, answered within 20 ms).

Fix: probes go first to those that were last known to run and last to those that could not be connected; failed and successful probes count for the next series; a connection made meanwhile disproves the cut. Open connections that live on prove nothing, as before: a cut may drop new ones only.

--- a/packages/front/src/direct_path.ts
+++ b/packages/front/src/direct_path.ts
@@ -1,13 +1,14 @@
 import type { Logger } from "@toucantrestle/log";
 import type { Timer } from "@toucantrestle/timer";
+import { chooseToProbe, type ProbeCandidate } from "./probe_candidates.ts";
 import type { UpstreamContact } from "./upstream_contact.ts";
 
 /** Options of `DirectPath`. */
 export interface DirectPathOptions {
   timer: Timer;
   contact: UpstreamContact;
-  /** Addresses of the upstreams that should accept connections. */
-  addresses: () => string[];
+  /** Upstreams that should accept connections. */
+  candidates: () => ProbeCandidate[];
   /** Returns whether a process accepts connections at an address. */
   probe: (address: string) => Promise<boolean>;
   /** Returns a random number in [0, 1). */
@@ -36,7 +37,7 @@
 /**
  * Detects that this front reaches no upstream over connections of its own. One
  * upstream that is silent or refuses connections is no sign of it; probes of
- * several decide.
+ * several, first of those that were last known to run, decide.
  */
 export class DirectPath {
   readonly #opts: DirectPathOptions;
@@ -69,8 +70,8 @@
     const { timer, contact } = this.#opts;
     const contactMs = timer.monotonicNow() - contact.receivedAt;
     if (contactMs < RECENT_CONTACT_MS) return true;
-    const addresses = this.#drawAddresses();
-    return addresses.length > 0 && await this.#reachesAny(addresses);
+    const chosen = this.#chooseToProbe();
+    return chosen.length > 0 && await this.#reachesAny(chosen);
   }
 
   /** Starts checking. */
@@ -112,31 +113,35 @@
 
   async #probe(): Promise<void> {
     const { timer, contact } = this.#opts;
+    const startedAt = timer.monotonicNow();
     this.#isProbing = true;
-    const isReached = await this.#reachesAny(this.#drawAddresses());
+    const isProbed = await this.#reachesAny(this.#chooseToProbe());
     this.#isProbing = false;
     const now = timer.monotonicNow();
     this.#probedAt = now;
-    if (isReached) contact.clearFailures();
+    const isReached = isProbed || contact.connectedAt > startedAt;
     if (isReached === this.#isCut) this.#setCut(!isReached, now);
   }
 
-  async #reachesAny([first, ...others]: string[]): Promise<boolean> {
+  async #reachesAny([first, ...others]: ProbeCandidate[]): Promise<boolean> {
     if (first === undefined) return true;
-    if (await this.#opts.probe(first)) return true;
-    const results = await Promise.all(others.map((it) => this.#opts.probe(it)));
+    if (await this.#reaches(first)) return true;
+    const results = await Promise.all(others.map((it) => this.#reaches(it)));
     return results.includes(true);
   }
 
-  /** Draws the addresses to probe, all different. */
-  #drawAddresses(): string[] {
-    const addresses = [...new Set(this.#opts.addresses())];
-    const drawn: string[] = [];
-    while (addresses.length > 0 && drawn.length <= CONFIRMING_PROBES) {
-      const index = Math.floor(this.#opts.random() * addresses.length);
-      drawn.push(...addresses.splice(index, 1));
-    }
-    return drawn;
+  async #reaches({ id, address }: ProbeCandidate): Promise<boolean> {
+    const { contact, probe } = this.#opts;
+    const isReached = await probe(address);
+    if (isReached) contact.recordConnected(id);
+    else contact.recordFailed(id);
+    return isReached;
+  }
+
+  #chooseToProbe(): ProbeCandidate[] {
+    const { candidates, contact, random } = this.#opts;
+    const count = 1 + CONFIRMING_PROBES;
+    return chooseToProbe(candidates(), { contact, count, random });
   }
 
   #setCut(isCut: boolean, now: number): void {
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -90,8 +90,8 @@
     timer,
     contact,
     // An entry of an unknown service may come from another system.
-    addresses: () =>
-      upstreamRegistry.acceptingAddresses((service) =>
+    candidates: () =>
+      upstreamRegistry.accepting((service) =>
         configWatcher.config?.services.some((it) => it.name === service) ?? true
       ),
     probe: (address) => isListening(address, dial),
--- a/packages/front/test/lost_answer_test.ts
+++ b/packages/front/test/lost_answer_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import { KeptLog } from "./kept_log.ts";
 import { PathFault } from "./path_fault.ts";
 import { TestCluster, type UpstreamHandler, writeRaw } from "./test_cluster.ts";
 
@@ -19,13 +20,15 @@
 type Fault = "reset" | "interrupt" | "crash" | "interrupt_and_crash";
 
 let cluster: TestCluster;
+let log: KeptLog;
 /** Way from the front that is called to the upstreams. */
 let path: PathFault;
 let nextId: number;
 let popularRuns: number;
 
 beforeEach(async () => {
-  cluster = new TestCluster();
+  log = new KeptLog();
+  cluster = new TestCluster({ loggers: log.loggers });
   path = new PathFault();
   nextId = 0;
   popularRuns = 0;
@@ -45,7 +48,10 @@
   await cluster.waitUntilReady("/plain/x");
 });
 
-afterEach(() => cluster.close());
+afterEach(async (t) => {
+  log.printIfFailed(t);
+  await cluster.close();
+});
 
 function serve(id: string): UpstreamHandler {
   const interrupt: UpstreamHandler = (_received, res) =>
--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -197,11 +197,11 @@
     return known !== undefined && this.acceptsRequests(known);
   }
 
-  /** Addresses of the upstreams of these services that take new requests. */
-  acceptingAddresses(hasService: (service: string) => boolean): string[] {
+  /** Entries of the upstreams of these services that take new requests. */
+  accepting(hasService: (service: string) => boolean): UpstreamEntry[] {
     return this.all()
       .filter((it) => this.acceptsRequests(it) && hasService(it.entry.service))
-      .map((it) => it.entry.address);
+      .map((it) => it.entry);
   }
 
   /** Ends all backoffs, for instance because their cause was another one. */
