--- a/packages/front/test/failing_parts_test.ts
+++ b/packages/front/test/failing_parts_test.ts
@@ -58,7 +58,7 @@
     const path = new DirectPath({
       timer,
       contact: new UpstreamContact({ timer, metrics: createNoopMetrics() }),
-      addresses: () => ["a1"],
+      candidates: () => [{ id: "u-1", address: "a1" }],
       probe: failOnce(false),
       random: () => 0,
       log,
