Turn stores: the first view does not depend on the first life of a store

Callers saw a deployment that never becomes ready: its turn stores ended before the first view and were started again with bootstrap false. Cause: only the first life of a process might propose the first view. What says that there never was one is the platform's store, and the write of the first view asks for just that; so stores propose it later, too, if all registered stores know none.

--- a/packages/turn_store/src/view_manager.ts
+++ b/packages/turn_store/src/view_manager.ts
@@ -56,6 +56,8 @@
 const UNQUERIED_PING_INTERVAL_MS = 3_000;
 /** Delay of the first view, so that it includes hosts starting concurrently. */
 const FIRST_VIEW_DELAY_MS = 1_200;
+/** After this time stores that would wait for others propose the first view. */
+const LATE_FIRST_VIEW_DELAY_MS = 3_000;
 const COPY_RETRY_DELAY_MS = 150;
 
 /** Agrees on views with the other turn stores and copies missing records. */
@@ -238,19 +240,41 @@
     return decideNextView({ current, hosts: this.#hostStates(current) });
   }
 
+  /**
+   * Returns the first view. Stores that have ended before it start again as if
+   * the deployment had run before; they propose it if no store knows a view.
+   */
   #firstView(tolerate: number): View | undefined {
-    const { timer, isFirstStart, fleet } = this.#opts;
-    const uptimeMs = timer.monotonicNow() - this.#startedAt;
-    if (!isFirstStart || uptimeMs < FIRST_VIEW_DELAY_MS) return undefined;
+    const { isFirstStart, fleet } = this.#opts;
+    if (this.#uptimeMs < FIRST_VIEW_DELAY_MS) return undefined;
     const members = fleet.hosts
       .filter((it) => it.role === "turn_store")
       .map(toReplicaHost);
     if (members.length <= tolerate) return undefined;
+    if (!isFirstStart && !this.#isNoViewKnown(members)) return undefined;
     return { number: 1, tolerate, members, former: [] };
   }
 
-  /** Only the reachable member with the lowest id proposes views. */
+  /** Whether all these hosts have said, for some time, that they have no view. */
+  #isNoViewKnown(hosts: ReplicaHost[]): boolean {
+    if (this.#uptimeMs < LATE_FIRST_VIEW_DELAY_MS) return false;
+    const others = hosts.filter((it) => it.id !== this.#opts.self.id);
+    return others.every(({ id }) =>
+      this.#isReachable(id) && this.#peers.get(id)?.status?.viewNumber === 0
+    );
+  }
+
+  get #uptimeMs(): number {
+    return this.#opts.timer.monotonicNow() - this.#startedAt;
+  }
+
+  /**
+   * Only the reachable member with the lowest id proposes views. It may be one
+   * that does not propose the first view, for which others do so later.
+   */
   #isProposer(next: View): boolean {
+    const isLate = this.#uptimeMs >= LATE_FIRST_VIEW_DELAY_MS;
+    if (next.number === 1 && isLate) return true;
     const current = this.#opts.replica.view ?? next;
     const ids = current.members
       .filter((it) => this.#isReachable(it.id))
