Lifecycle: an attempt that does not end is given up with the wait

A start whose disk hangs stays silent for good: awaitDependency checked its time only between attempts, so an attempt that never ends had neither a line nor a bound. Evidence: await_dependency_test, 'is given up after its time if an attempt hangs', failed before: the wait did not end (the promise stayed pending). Change: the time of a wait also bounds the attempt that is in progress, and its progress is logged; no second attempt is made beside a hanging one.

--- a/packages/lifecycle/src/await_dependency.ts
+++ b/packages/lifecycle/src/await_dependency.ts
@@ -37,7 +37,8 @@
 
 /**
  * Tries to get a dependency until it is available. Logs the beginning, the
- * progress and the end of a wait.
+ * progress and the end of a wait. An attempt that does not end is waited for,
+ * and not made a second time beside it.
  *
  * @throws {ExitError} if it stays unavailable, or if no wait can help
  * @throws {StoppedWaitingError} if the process stops meanwhile
@@ -51,9 +52,23 @@
   const startedAt = timer.monotonicNow();
   const waitedMs = () => Math.round(timer.monotonicNow() - startedAt);
   let loggedAt = -Infinity;
+  const logWait = (reason: string) => {
+    if (timer.monotonicNow() - loggedAt < logIntervalMs) return;
+    loggedAt = timer.monotonicNow();
+    log.warn(`waiting for ${name}: ${reason}`, {
+      event: "dependency_awaited",
+      waitedMs: waitedMs(),
+      timeoutMs: dependency.timeoutMs,
+    });
+  };
   while (true) {
+    const leftMs = dependency.timeoutMs - waitedMs();
     try {
-      const value = await attempt();
+      const value = await untilTimeout(attempt, {
+        timer,
+        timeoutMs: Math.max(leftMs, dependency.retryMs),
+        onSlow: () => logWait("it does not respond"),
+      });
       if (loggedAt > -Infinity) {
         log.info(`${name} is available after ${waitedMs()} ms`, {
           event: "dependency_available",
@@ -73,14 +88,7 @@
           { cause: err },
         );
       }
-      if (timer.monotonicNow() - loggedAt >= logIntervalMs) {
-        loggedAt = timer.monotonicNow();
-        log.warn(`waiting for ${name}: ${reason}`, {
-          event: "dependency_awaited",
-          waitedMs: waitedMs(),
-          timeoutMs: dependency.timeoutMs,
-        });
-      }
+      logWait(reason);
     }
     if (isStopping()) throw new StoppedWaitingError(`no longer awaits ${name}`);
     await new Promise<void>((resolve) => {
@@ -89,3 +97,30 @@
     if (isStopping()) throw new StoppedWaitingError(`no longer awaits ${name}`);
   }
 }
+
+/** Makes an attempt; rejects if it has not ended in time. */
+function untilTimeout<T>(
+  attempt: () => T | Promise<T>,
+  { timer, timeoutMs, onSlow }: {
+    timer: Timer;
+    timeoutMs: number;
+    onSlow: () => void;
+  },
+): Promise<T> {
+  return new Promise((resolve, reject) => {
+    const subscriptions = [
+      timer.after(
+        timeoutMs,
+        () => reject(new Error("it does not respond")),
+      ),
+      timer.every(LOG_INTERVAL_MS, onSlow),
+    ];
+    runAttempt(attempt).then(resolve, reject).finally(() => {
+      for (const it of subscriptions) it.cancel();
+    });
+  });
+}
+
+async function runAttempt<T>(attempt: () => T | Promise<T>): Promise<T> {
+  return await attempt();
+}
--- a/packages/lifecycle/test/await_dependency_test.ts
+++ b/packages/lifecycle/test/await_dependency_test.ts
@@ -88,6 +88,22 @@
     expect(lines.length).toEqual(2);
   });
 
+  // Guards against a process that hangs at its start without a line, for good.
+  it("is given up after its time if an attempt hangs", async () => {
+    let attempts = 0;
+    const { timer, lines, result } = startWait({
+      attempt: () => {
+        attempts += 1;
+        return new Promise<string>(() => {});
+      },
+    });
+    await advance(timer, TIMEOUT_MS + RETRY_MS);
+    const err = await result.catch((err) => err);
+    expect(err instanceof ExitError && err.reason).toEqual("disk_unavailable");
+    expect(lines[0]).toEqual("waiting for the disk: it does not respond");
+    expect(attempts).toEqual(1);
+  });
+
   it("is given up at once if no wait can help", async () => {
     const { result } = startWait({ isTemporary: () => false });
     const err = await result.catch((err) => err);
