Turn stores: a damaged disk is set aside, and a missing folder is created

Callers saw, found with it: if only the segments are cut to half, the store starts, counts as complete, and kept turns are said to be absent.

Change: a manifest lists the synced bytes of each segment; if less is found, or the state or the manifest is not what was written, the files are moved to the folder `damaged` (bounded, else deleted) and the store joins under a new id like one that has lost its disk. Only segment names of eight digits are ours. A folder that cannot be used is awaited for 60 s (disk_unavailable). This works because joining with an empty disk is a state that the views know already.

Not run: a disk that is really full, not writable or failing.

--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -5,6 +5,6 @@
  *
  * @module
  */
-export { toReplicaHost } from "./host_entry.ts";
+export { parseView, toReplicaHost } from "./host_entry.ts";
 export { Fleet, type FleetOptions, type FleetSnapshot } from "./fleet.ts";
 export type { HostEntry, HostRole } from "./host_entry.ts";
--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -10,7 +10,7 @@
   type Timer,
 } from "@toucantrestle/timer";
 import { writeState } from "@toucantrestle/turn_journal";
-import { TurnStoreServer } from "@toucantrestle/turn_store";
+import { openStoreDisk, TurnStoreServer } from "@toucantrestle/turn_store";
 import type { BodyDelimiter, Dial } from "@toucantrestle/upstream_channel";
 import { mkdtemp, rm } from "node:fs/promises";
 import {
@@ -303,11 +303,17 @@
       dataCentre: "a",
     };
     const fleet = this.#createFleet(self);
+    const disk = await openStoreDisk({
+      folder: this.#folders.get(host) ?? "",
+      maxBytes: 50_000_000,
+      maxSetAsideBytes: 0,
+      timer: this.#timer,
+      log: this.#loggers("journal"),
+    });
     const server = new TurnStoreServer({
       self,
       fleet,
-      folder: this.#folders.get(host) ?? "",
-      maxBytes: 50_000_000,
+      disk,
       isFirstStart: true,
       tolerate: 1,
       listRetiringHosts: () => [],
--- a/packages/turn_journal/src/frame.ts
+++ b/packages/turn_journal/src/frame.ts
@@ -41,13 +41,21 @@
   return frame;
 }
 
+/** Frames at the beginning of a file. */
+export interface DecodedFrames<R> {
+  frames: Frame<R>[];
+  /** Bytes that these frames occupy. */
+  frameBytes: number;
+  /** Whether something else follows them. */
+  isDamaged: boolean;
+}
+
 /**
- * Decodes frames up to the first corrupt one. Bytes after a corrupt frame were
- * never acknowledged, because each sync also covers all bytes before it.
+ * Decodes frames up to the first corrupt one. If all bytes that were synced are
+ * before it, those after it were never acknowledged: each sync also covers all
+ * bytes before it.
  */
-export function decodeFrames<R>(
-  bytes: Buffer,
-): { frames: Frame<R>[]; isDamaged: boolean } {
+export function decodeFrames<R>(bytes: Buffer): DecodedFrames<R> {
   const frames: Frame<R>[] = [];
   let offset = 0;
   while (offset + HEADER_BYTES <= bytes.length) {
@@ -61,7 +69,7 @@
     frames.push(parsePayload(payload));
     offset = end;
   }
-  return { frames, isDamaged: offset !== bytes.length };
+  return { frames, frameBytes: offset, isDamaged: offset !== bytes.length };
 }
 
 function parsePayload<R>(payload: Buffer): Frame<R> {
--- a/packages/turn_journal/src/journal.ts
+++ b/packages/turn_journal/src/journal.ts
@@ -1,25 +1,21 @@
 import type { Logger } from "@toucantrestle/log";
-import {
-  type FileHandle,
-  open,
-  readdir,
-  rm,
-  stat,
-  writeFile,
-} from "node:fs/promises";
+import { type FileHandle, open, rm, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import {
-  decodeFrames,
-  encodeFrame,
-  type Frame,
-  type FrameMetadata,
-} from "./frame.ts";
-import { readEntireFile, readFrameAt } from "./read_file.ts";
+  listFolder,
+  MAX_SEGMENT_NUMBER,
+  type SegmentFileKind,
+  segmentFileName,
+  syncFolder,
+} from "./data_folder.ts";
+import { encodeFrame, type Frame, type FrameMetadata } from "./frame.ts";
 import {
-  decodeSummary,
-  type SegmentSummary,
-  SummaryBuilder,
-} from "./summary.ts";
+  checkExisting,
+  type LoadedSegment,
+  loadSegment,
+} from "./load_segment.ts";
+import { type ManifestEntry, readManifest, writeManifest } from "./manifest.ts";
+import { SummaryBuilder } from "./summary.ts";
 
 /** Options of a journal. */
 export interface JournalOptions<R> {
@@ -31,6 +27,8 @@
   metadataOf: (record: R) => FrameMetadata;
   /** Size beyond which a segment is closed and a new one started, in bytes. */
   segmentBytes?: number;
+  /** Called when a record that was left on disk cannot be read. */
+  onUnreadable?: (err: unknown) => void;
   log: Logger;
 }
 
@@ -41,7 +39,10 @@
 
 interface Segment {
   number: number;
+  /** Size of its file, as far as that is known. */
   bytes: number;
+  /** Bytes from its beginning that have been synced. */
+  syncedBytes: number;
   /** Latest expiry of the records in the segment. */
   expiresAt: number;
   /** Estimated size of the summary in bytes. */
@@ -61,35 +62,33 @@
   reject: (err: unknown) => void;
 }
 
-/** Result of loading one segment. */
-interface LoadedSegment<R> {
-  bytes: number;
-  summaryBytes: number;
-  frames: Frame<R>[];
-}
-
-const EMPTY_SEGMENT = { bytes: 0, summaryBytes: 0, frames: [] };
 /** Share of the size limit that only renewed records may use. */
 const RENEWAL_SHARE = 1 / 16;
 /** Segments are small because a restart reads the last one in full. */
 const DEFAULT_SEGMENT_BYTES = 2_000_000;
-const FILE_NAME_DIGITS = 8;
-const SEGMENT_SUFFIX = ".log";
-const SUMMARY_SUFFIX = ".sum";
 
 /**
  * Durable append-only log of records. Appends are group-committed: a single
- * sync covers all pending appends.
+ * sync covers all pending appends. A manifest lists how much of each segment
+ * has been synced, so that a load notices what is missing of it.
  */
 export class Journal<R> {
   readonly #opts: JournalOptions<R>;
-  readonly #segments: Segment[] = [];
+  #segments: Segment[] = [];
+  /** Numbers of segments that exist, or whose names are in use otherwise. */
+  #takenNumbers = new Set<number>();
+  #lastNumber = 0;
   #activeFile: FileHandle | undefined;
   #activeSegment: ActiveSegment | undefined;
   #pending: PendingAppend[] = [];
   #isWriting = false;
   #isClosed = false;
   #syncCount = 0;
+  /** Content of the manifest on disk, as JSON; empty if it is not known. */
+  #savedManifest = "";
+  #savingManifest: Promise<void> = Promise.resolve();
+  #savingSummary: Promise<void> = Promise.resolve();
+  #sweeping: Promise<void> = Promise.resolve();
 
   constructor(opts: JournalOptions<R>) {
     this.#opts = opts;
@@ -109,25 +108,34 @@
   }
 
   /**
-   * Loads all segments, oldest first, and starts a new segment. If a segment
-   * has a summary, only the summary is read: its small frames are reported
-   * before its large ones, which stay on disk until they are requested. While
-   * one segment is processed, the next one is prefetched.
+   * Loads all segments, oldest first, and starts a new segment. What has expired
+   * by `now`, a wall-clock time in ms, may be missing. While one segment is
+   * processed, the next one is prefetched.
+   *
+   * @throws {DamagedDiskError} if unexpired records are missing that were synced
    */
-  async load(onFrame: (frame: Frame<R>) => void): Promise<void> {
-    const numbers = await this.#listSegmentNumbers();
-    let next = this.#prefetchSegment(numbers[0]);
-    for (const [i, number] of numbers.entries()) {
-      const { frames, ...sizes } = await next;
-      next = this.#prefetchSegment(numbers[i + 1]);
-      let expiresAt = 0;
-      for (const frame of frames) {
-        expiresAt = Math.max(expiresAt, frame.expiresAt);
-        onFrame(frame);
-      }
-      this.#segments.push({ number, ...sizes, expiresAt });
+  async load(onFrame: (frame: Frame<R>) => void, now = 0): Promise<void> {
+    const { segments: numbers, takenNumbers } = await listFolder(
+      this.#opts.folder,
+    );
+    const manifest = await readManifest(this.#opts.folder) ?? [];
+    checkExisting(manifest, { numbers, now });
+    const listed = new Map(manifest.map((it) => [it.number, it]));
+    const prefetch = (number: number | undefined) =>
+      number === undefined
+        ? undefined
+        : this.#prefetchSegment(number, listed.get(number), now);
+    let next = prefetch(numbers[0]);
+    for (const i of numbers.keys()) {
+      const { frames, ...segment } = await next as LoadedSegment<R>;
+      next = prefetch(numbers[i + 1]);
+      for (const frame of frames) onFrame(frame);
+      this.#segments.push(segment);
     }
-    await this.#startSegment((numbers.at(-1) ?? 0) + 1);
+    this.#takenNumbers = takenNumbers;
+    this.#lastNumber = Math.max(0, ...numbers, ...listed.keys());
+    await this.#startSegment();
+    await this.saveManifest();
   }
 
   /**
@@ -173,13 +181,18 @@
 
   /**
    * Writes pending appends, then closes the active segment. Later appends are
-   * rejected: the next process may already use the folder.
+   * rejected, and nothing is deleted: others may already use the folder.
    */
   async close(): Promise<void> {
     this.#isClosed = true;
     while (this.#isWriting) {
       await new Promise((resolve) => setImmediate(resolve));
     }
+    await Promise.allSettled([
+      this.#sweeping,
+      this.#savingManifest,
+      this.#savingSummary,
+    ]);
     await this.#activeFile?.close();
     this.#activeFile = undefined;
     this.#activeSegment = undefined;
@@ -187,14 +200,54 @@
 
   /**
    * Deletes closed segments whose records have all expired. Records that have
-   * to outlive their expiry must have been renewed.
+   * to outlive their expiry must have been renewed. The manifest goes first, so
+   * that it never lists what was deleted.
    */
   async sweep(now: number): Promise<void> {
-    for (const segment of [...this.#segments]) {
-      if (segment === this.#activeSegment || segment.expiresAt > now) continue;
-      this.#segments.splice(this.#segments.indexOf(segment), 1);
-      await rm(this.#summaryPathOf(segment.number), { force: true });
-      await rm(this.#segmentPathOf(segment.number), { force: true });
+    if (this.#isClosed) return;
+    this.#sweeping = this.#deleteExpired(now);
+    await this.#sweeping;
+  }
+
+  async #deleteExpired(now: number): Promise<void> {
+    const isExpired = (it: Segment) =>
+      it !== this.#activeSegment && it.expiresAt <= now;
+    const expired = this.#segments.filter(isExpired);
+    this.#segments = this.#segments.filter((it) => !expired.includes(it));
+    await this.saveManifest();
+    for (const { number } of expired) {
+      await rm(this.#pathOf(number, "sum"), { force: true });
+      await rm(this.#pathOf(number, "log"), { force: true });
+      this.#takenNumbers.delete(number);
+    }
+  }
+
+  /**
+   * Writes down how much of each segment has been synced, if that has changed.
+   * A failure is only logged: the manifest before stays true.
+   */
+  saveManifest(): Promise<void> {
+    this.#savingManifest = this.#savingManifest.then(() =>
+      this.#writeManifest()
+    );
+    return this.#savingManifest;
+  }
+
+  async #writeManifest(): Promise<void> {
+    const entries = this.#segments
+      .filter((it) => it.syncedBytes > 0)
+      .map(({ number, syncedBytes, expiresAt }): ManifestEntry => ({
+        number,
+        bytes: syncedBytes,
+        expiresAt,
+      }));
+    const content = JSON.stringify(entries);
+    if (content === this.#savedManifest) return;
+    try {
+      await writeManifest(this.#opts.folder, entries);
+      this.#savedManifest = content;
+    } catch (err) {
+      this.#opts.log.warn(`cannot write the manifest: ${String(err)}`);
     }
   }
 
@@ -220,7 +273,8 @@
   async #writeBatch(batch: PendingAppend[]): Promise<void> {
     const { segmentBytes = DEFAULT_SEGMENT_BYTES } = this.#opts;
     if (!this.#activeSegment || this.#activeSegment.bytes > segmentBytes) {
-      await this.#startSegment((this.#segments.at(-1)?.number ?? 0) + 1);
+      await this.#startSegment();
+      this.saveManifest();
     }
     const segment = this.#activeSegment as ActiveSegment;
     const file = this.#activeFile as FileHandle;
@@ -235,6 +289,7 @@
     }
     segment.summaryBytes = segment.summary.estimatedBytes;
     segment.bytes += bytes.length;
+    segment.syncedBytes = segment.bytes;
     this.#syncCount += 1;
   }
 
@@ -250,115 +305,66 @@
     this.#activeFile = undefined;
   }
 
-  async #startSegment(number: number): Promise<void> {
+  async #startSegment(): Promise<void> {
     await this.#activeFile?.close();
     if (this.#activeSegment) this.#writeSummary(this.#activeSegment);
-    this.#activeFile = await open(this.#segmentPathOf(number), "a");
+    const number = this.#nextNumber();
+    this.#activeFile = await open(this.#pathOf(number, "log"), "a");
     await syncFolder(this.#opts.folder);
-    const summary = new SummaryBuilder();
+    this.#lastNumber = number;
+    this.#takenNumbers.add(number);
     this.#activeSegment = {
       number,
       bytes: 0,
+      syncedBytes: 0,
       expiresAt: 0,
-      summary,
+      summary: new SummaryBuilder(),
       summaryBytes: 0,
     };
     this.#segments.push(this.#activeSegment);
   }
 
+  /** Returns the number after the last one, or the first that is not in use. */
+  #nextNumber(): number {
+    let number = this.#lastNumber;
+    do number = number % MAX_SEGMENT_NUMBER + 1; while (
+      this.#takenNumbers.has(number)
+    );
+    return number;
+  }
+
   /**
    * Writes the summary of a segment in the background. A failure is only
    * logged, because a load falls back to reading the segment.
    */
   #writeSummary(segment: ActiveSegment): void {
     const bytes = segment.summary.encode();
-    writeFile(this.#summaryPathOf(segment.number), bytes).catch((err) =>
+    const path = this.#pathOf(segment.number, "sum");
+    const written = writeFile(path, bytes).catch((err) =>
       this.#opts.log.warn(
         `cannot write the summary of segment ${segment.number}: ${String(err)}`,
       )
     );
+    this.#savingSummary = this.#savingSummary.then(() => written);
   }
 
   /**
    * Starts to load a segment. The empty handler avoids an unhandled rejection
    * before the caller awaits the result, which still rejects.
    */
-  #prefetchSegment(number: number | undefined): Promise<LoadedSegment<R>> {
-    if (number === undefined) return Promise.resolve(EMPTY_SEGMENT);
-    const loaded = this.#loadSegment(number);
+  #prefetchSegment(
+    number: number,
+    listed: ManifestEntry | undefined,
+    now: number,
+  ): Promise<LoadedSegment<R>> {
+    const { folder, log, onUnreadable = () => {} } = this.#opts;
+    const opts = { folder, listed, now, onUnreadable, log };
+    const loaded = loadSegment<R>(number, opts);
     loaded.catch(() => {});
     return loaded;
   }
 
-  async #loadSegment(number: number): Promise<LoadedSegment<R>> {
-    const { size } = await stat(this.#segmentPathOf(number));
-    const summary = await this.#readSummary(number, size);
-    if (summary) {
-      const frames = this.#framesOf(number, summary);
-      return { bytes: size, summaryBytes: summary.small.length, frames };
-    }
-    const bytes = await readEntireFile(this.#segmentPathOf(number));
-    const { frames, isDamaged } = decodeFrames<R>(bytes);
-    if (isDamaged) {
-      this.#opts.log.warn(
-        `segment ${number} ends in a corrupt or incomplete frame; ` +
-          `loaded the ${frames.length} records before it`,
-      );
-    }
-    return { bytes: bytes.length, summaryBytes: 0, frames };
-  }
-
-  async #readSummary(
-    number: number,
-    segmentBytes: number,
-  ): Promise<SegmentSummary | undefined> {
-    try {
-      const bytes = await readEntireFile(this.#summaryPathOf(number));
-      return decodeSummary(bytes, segmentBytes);
-    } catch (err) {
-      if ((err as NodeJS.ErrnoException).code === "ENOENT") return undefined;
-      throw err;
-    }
-  }
-
-  #framesOf(number: number, summary: SegmentSummary): Frame<R>[] {
-    const path = this.#segmentPathOf(number);
-    const large = summary.large.map((location): Frame<R> => ({
-      key: location.key,
-      expiresAt: location.expiresAt,
-      read: () => readFrameAt<R>(path, location),
-    }));
-    return [...decodeFrames<R>(summary.small).frames, ...large];
-  }
-
-  async #listSegmentNumbers(): Promise<number[]> {
-    const names = await readdir(this.#opts.folder);
-    return names
-      .filter((it) => it.endsWith(SEGMENT_SUFFIX))
-      .map((it) => Number.parseInt(it, 10))
-      .sort((a, b) => a - b);
-  }
-
-  #segmentPathOf(number: number): string {
-    return this.#filePathOf(number, SEGMENT_SUFFIX);
-  }
-
-  #summaryPathOf(number: number): string {
-    return this.#filePathOf(number, SUMMARY_SUFFIX);
-  }
-
-  #filePathOf(number: number, suffix: string): string {
-    const name = String(number).padStart(FILE_NAME_DIGITS, "0");
-    return join(this.#opts.folder, name + suffix);
-  }
-}
-
-/** Syncs a folder, so that created, renamed and removed files are durable. */
-export async function syncFolder(folder: string): Promise<void> {
-  const handle = await open(folder, "r");
-  try {
-    await handle.sync();
-  } finally {
-    await handle.close();
+  #pathOf(number: number, kind: SegmentFileKind): string {
+    return join(this.#opts.folder, segmentFileName(number, kind));
   }
 }
--- a/packages/turn_journal/src/mod.ts
+++ b/packages/turn_journal/src/mod.ts
@@ -4,17 +4,22 @@
  *
  * @module
  */
+export { createFolder, listFolder, syncFolder } from "./data_folder.ts";
+export type { FolderContent } from "./data_folder.ts";
+export { DamagedDiskError, DamagedFrameError } from "./errors.ts";
 export {
+  type DecodedFrames,
   decodeFrames,
   encodeFrame,
   type Frame,
   type FrameMetadata,
 } from "./frame.ts";
+export { Journal, JournalFullError, type JournalOptions } from "./journal.ts";
 export {
-  Journal,
-  JournalFullError,
-  type JournalOptions,
-  syncFolder,
-} from "./journal.ts";
-export { DamagedFrameError } from "./read_file.ts";
+  deleteSetAside,
+  hasSetAside,
+  SET_ASIDE_FOLDER,
+  setAside,
+  type SetAsideOptions,
+} from "./set_aside.ts";
 export { readState, writeState } from "./state_file.ts";
--- a/packages/turn_journal/src/read_file.ts
+++ b/packages/turn_journal/src/read_file.ts
@@ -1,13 +1,9 @@
 import { closeSync, openSync, readSync } from "node:fs";
 import { open } from "node:fs/promises";
+import { DamagedFrameError } from "./errors.ts";
 import { decodeFrames } from "./frame.ts";
 import type { FrameLocation } from "./summary.ts";
 
-/** Thrown when a persisted frame is missing or corrupt. */
-export class DamagedFrameError extends Error {
-  override name = "DamagedFrameError";
-}
-
 /** Reads an entire file with as few system calls as possible. */
 export async function readEntireFile(path: string): Promise<Buffer> {
   const file = await open(path, "r");
@@ -35,12 +31,13 @@
 export function readFrameAt<R>(path: string, location: FrameLocation): R {
   const bytes = Buffer.allocUnsafe(location.length);
   const file = openSync(path, "r");
+  let length = 0;
   try {
-    readSync(file, bytes, 0, location.length, location.at);
+    length = readSync(file, bytes, 0, location.length, location.at);
   } finally {
     closeSync(file);
   }
-  const [frame] = decodeFrames<R>(bytes).frames;
+  const [frame] = decodeFrames<R>(bytes.subarray(0, length)).frames;
   if (frame?.key !== location.key) {
     throw new DamagedFrameError(
       `${path}: frame at byte ${location.at} is corrupt`,
--- a/packages/turn_journal/src/state_file.ts
+++ b/packages/turn_journal/src/state_file.ts
@@ -1,31 +1,54 @@
-import { open, readFile, rename } from "node:fs/promises";
+import { readFile } from "node:fs/promises";
 import { join } from "node:path";
-import { syncFolder } from "./journal.ts";
+import { crc32 } from "node:zlib";
+import { replaceFile, STATE_FILE } from "./data_folder.ts";
+import { DamagedDiskError, isNotFound } from "./errors.ts";
 
-const STATE_FILE_NAME = "state.json";
+/** Field that earlier builds neither write nor read. */
+const CHECKSUM_FIELD = "checksum";
 
-/** Reads the state file. Returns undefined if it does not exist. */
-export async function readState<T>(folder: string): Promise<T | undefined> {
+/**
+ * Reads the state file. Returns undefined if it does not exist.
+ *
+ * @throws {DamagedDiskError} if it is not what was written
+ */
+export async function readState<T extends object>(
+  folder: string,
+): Promise<T | undefined> {
+  const path = join(folder, STATE_FILE);
   try {
-    return JSON.parse(
-      await readFile(join(folder, STATE_FILE_NAME), "utf8"),
-    ) as T;
+    return parseState(await readFile(path, "utf8")) as T;
   } catch (err) {
-    if ((err as NodeJS.ErrnoException).code === "ENOENT") return undefined;
+    if (isNotFound(err)) return undefined;
+    if (err instanceof SyntaxError) {
+      throw new DamagedDiskError(`${path} is not JSON: ${err.message}`);
+    }
     throw err;
   }
 }
 
 /** Replaces the state file atomically. Resolves once the new one is durable. */
-export async function writeState<T>(folder: string, state: T): Promise<void> {
-  const path = join(folder, STATE_FILE_NAME);
-  const file = await open(`${path}.new`, "w");
-  try {
-    await file.writeFile(JSON.stringify(state));
-    await file.sync();
-  } finally {
-    await file.close();
+export async function writeState<T extends object>(
+  folder: string,
+  state: T,
+): Promise<void> {
+  const checksum = crc32(JSON.stringify(state));
+  const content = JSON.stringify({ ...state, [CHECKSUM_FIELD]: checksum });
+  await replaceFile(folder, STATE_FILE, content);
+}
+
+function parseState(text: string): object {
+  const value: unknown = JSON.parse(text);
+  if (typeof value !== "object" || value === null || Array.isArray(value)) {
+    throw new DamagedDiskError(`${STATE_FILE} is not an object`);
+  }
+  const { [CHECKSUM_FIELD]: checksum, ...state } = value as Record<
+    string,
+    unknown
+  >;
+  if (checksum === undefined) return state;
+  if (checksum !== crc32(JSON.stringify(state))) {
+    throw new DamagedDiskError(`${STATE_FILE} does not match its checksum`);
   }
-  await rename(`${path}.new`, path);
-  await syncFolder(folder);
+  return state;
 }
--- a/packages/turn_journal/src/summary.ts
+++ b/packages/turn_journal/src/summary.ts
@@ -63,17 +63,10 @@
   }
 }
 
-/**
- * Decodes a summary. Returns undefined if the summary is corrupt or truncated,
- * or if it does not cover exactly `segmentBytes` bytes.
- */
-export function decodeSummary(
-  bytes: Buffer,
-  segmentBytes: number,
-): SegmentSummary | undefined {
+/** Decodes a summary. Returns undefined if it is corrupt or truncated. */
+export function decodeSummary(bytes: Buffer): SegmentSummary | undefined {
   const { frames, isDamaged } = decodeFrames<SegmentSummary>(bytes);
   const [frame] = frames;
   if (isDamaged || !frame || frame.key !== METADATA.key) return undefined;
-  const summary = frame.read();
-  return summary.segmentBytes === segmentBytes ? summary : undefined;
+  return frame.read();
 }
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -7,11 +7,8 @@
 import type { Logger, LoggerFactory } from "@toucantrestle/log";
 import type { Metrics } from "@toucantrestle/metrics";
 import { sleep, type Timer } from "@toucantrestle/timer";
-import { Journal, readState, writeState } from "@toucantrestle/turn_journal";
 import {
-  keyOfRecord,
   Replica,
-  retainedUntil,
   type SpendRecord,
   type StreamOrigin,
   type TurnLogRecord,
@@ -30,16 +27,16 @@
   StoreMethods,
   StoreNotices,
 } from "./messages.ts";
+import type { StoreDisk } from "./store_disk.ts";
 import { ViewManager } from "./view_manager.ts";
 
 /** Options of a turn store. */
 export interface TurnStoreServerOptions {
+  /** Entry of this host, under the id of the disk. */
   self: HostEntry;
   fleet: Fleet;
-  /** Folder that holds the journal and the state file. */
-  folder: string;
-  /** Size limit of the journal, in bytes. */
-  maxBytes: number;
+  /** Closed with the server. */
+  disk: StoreDisk;
   /** True if the entire deployment starts for the first time. */
   isFirstStart: boolean;
   /** Number of disks that may fail at the same time. */
@@ -53,14 +50,6 @@
   metrics: Metrics;
 }
 
-/** State that is persisted in the state file, beside the journal. */
-export interface StoreState {
-  id: string;
-  view: View | undefined;
-  base: View | undefined;
-  isComplete: boolean;
-}
-
 /** Added to the retention of each record, because clocks of hosts differ. */
 const CLOCK_SKEW_MARGIN_MS = 15_000;
 const SWEEP_INTERVAL_MS = 5_000;
@@ -77,10 +66,9 @@
   readonly #opts: TurnStoreServerOptions;
   readonly #log: Logger;
   readonly #replica: Replica;
-  readonly #journal: Journal<TurnLogRecord>;
+  readonly #disk: StoreDisk;
   readonly #server: LinkServer<StoreMethods, StoreNotices>;
   readonly #viewManager: ViewManager;
-  #pendingSave: Promise<void> = Promise.resolve();
   #isSweeping = false;
   /** Set once the store stops; resolves when it has. */
   #stopped: Promise<void> | undefined;
@@ -89,15 +77,7 @@
     this.#opts = opts;
     this.#log = opts.loggers("turns");
     this.#replica = new Replica({ id: opts.self.id });
-    this.#journal = new Journal({
-      folder: opts.folder,
-      maxBytes: opts.maxBytes,
-      metadataOf: (it) => ({
-        key: keyOfRecord(it),
-        expiresAt: retainedUntil(it),
-      }),
-      log: opts.loggers("journal"),
-    });
+    this.#disk = opts.disk;
     this.#server = this.#createServer();
     this.#viewManager = new ViewManager({
       self: toReplicaHost(opts.self),
@@ -125,30 +105,14 @@
   }
 
   /**
-   * Loads the state and the journal, then starts to listen.
+   * Takes over what the disk holds, then starts to listen.
    *
    * @throws {ExitError} if the address stays in use
    * @throws {StoppedWaitingError} if the store is stopped meanwhile
    */
   async start(): Promise<void> {
-    const { folder, timer, fleet, self } = this.#opts;
-    const saved = await readState<StoreState>(folder);
-    const now = timer.now();
-    let recordCount = 0;
-    await this.#journal.load((frame) => {
-      if (frame.expiresAt > now) recordCount += 1;
-      this.#replica.applyDeferred(frame);
-    });
-    this.#replica.sweep(now);
-    if (saved?.view) {
-      this.#replica.restore({ ...saved, view: saved.view });
-      fleet.applyView(saved.view);
-    }
-    this.#log.info(
-      `loaded ${recordCount} unexpired records, view ${
-        saved?.view?.number ?? 0
-      }`,
-    );
+    const { timer, fleet, self } = this.#opts;
+    this.#restore();
     await this.#server.listen(self.linkAddress, {
       timer,
       isStopping: () => this.#stopped !== undefined,
@@ -159,6 +123,25 @@
     timer.every(SWEEP_INTERVAL_MS, () => this.#sweep());
   }
 
+  /** Restores the replica from the disk. Records are read when needed. */
+  #restore(): void {
+    const { view, base, isComplete = false } = this.#disk.state;
+    const now = this.#opts.timer.now();
+    let recordCount = 0;
+    for (const frame of this.#disk.takeFrames()) {
+      if (frame.expiresAt > now) recordCount += 1;
+      this.#replica.applyDeferred(frame);
+    }
+    this.#replica.sweep(now);
+    if (view) {
+      this.#replica.restore({ view, base, isComplete });
+      this.#opts.fleet.applyView(view);
+    }
+    this.#log.info(
+      `loaded ${recordCount} unexpired records, view ${view?.number ?? 0}`,
+    );
+  }
+
   /** Adopts an agreed view if it is newer than the current one. */
   adoptView(view: View): void {
     if (!this.#replica.adoptView(view)) return;
@@ -171,8 +154,8 @@
     const { metrics } = this.#opts;
     metrics.gauge("turns_kept", this.#replica.turnCount);
     metrics.gauge("prompt_bytes", this.#replica.bytes);
-    metrics.gauge("journal_bytes", this.#journal.bytes);
-    metrics.gauge("journal_syncs", this.#journal.syncCount);
+    metrics.gauge("journal_bytes", this.#disk.journal.bytes);
+    metrics.gauge("journal_syncs", this.#disk.journal.syncCount);
     metrics.gauge("turn_view", this.#replica.view?.number ?? 0);
     metrics.gauge("view_complete", Number(this.#replica.isComplete));
   }
@@ -201,19 +184,21 @@
       await sleep(timer, STOP_POLL_INTERVAL_MS);
     }
     const leftMs = Math.max(0, deadline - timer.monotonicNow());
-    const saved = Promise.all([this.#journal.close(), this.#pendingSave]);
-    await Promise.race([saved, sleep(timer, leftMs)]);
+    await Promise.race([this.#disk.stop(), sleep(timer, leftMs)]);
     this.#log.info(
       `stopped with ${this.#server.inProgressCount} requests in progress`,
     );
     this.#server.close();
   }
 
-  /** Stops the view manager and closes the server and the journal. */
-  close(): void {
+  /**
+   * Stops the view manager and closes the server and the disk. Resolves once
+   * nothing is written any longer.
+   */
+  async close(): Promise<void> {
     this.#viewManager.stop();
     this.#server.close();
-    this.#journal.close().catch((err) =>
+    await this.#disk.close().catch((err) =>
       this.#log.warn(`cannot close the journal: ${String(err)}`)
     );
   }
@@ -407,7 +392,7 @@
   /** Applies a record in memory at once. Resolves once it is durable. */
   #persist(record: TurnLogRecord): Promise<void> {
     this.#replica.apply(record);
-    return this.#journal.append(record);
+    return this.#disk.journal.append(record);
   }
 
   async #persistTimed(record: TurnLogRecord): Promise<void> {
@@ -436,19 +421,12 @@
   }
 
   #persistState(): Promise<void> {
-    const state: StoreState = {
+    return this.#disk.saveState({
       id: this.#opts.self.id,
       view: this.#replica.view,
       base: this.#replica.base,
       isComplete: this.#replica.isComplete,
-    };
-    this.#pendingSave = this.#pendingSave.then(() =>
-      writeState(this.#opts.folder, state)
-    )
-      .catch((err) =>
-        this.#log.error(`cannot write the state file: ${String(err)}`)
-      );
-    return this.#pendingSave;
+    });
   }
 
   /** Drops what has expired, from memory and from disk. */
@@ -459,7 +437,7 @@
     this.#replica.sweep(now);
     try {
       await this.#renewRecords(now);
-      await this.#journal.sweep(now);
+      await this.#disk.journal.sweep(now);
     } catch (err) {
       this.#log.error(
         `cannot delete expired journal segments: ${String(err)}`,
@@ -472,7 +450,7 @@
   async #renewRecords(now: number): Promise<void> {
     await Promise.all(
       this.#replica.renewalsDue(now).map(async (it) => {
-        await this.#journal.renew(it);
+        await this.#disk.journal.renew(it);
         this.#replica.apply(it);
       }),
     );
--- a/packages/turn_store/test/spending_retention_test.ts
+++ b/packages/turn_store/test/spending_retention_test.ts
@@ -17,7 +17,7 @@
 import { join } from "node:path";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import { TurnStoreClient, TurnStoreServer } from "../src/mod.ts";
+import { openStoreDisk, TurnStoreClient, TurnStoreServer } from "../src/mod.ts";
 
 const loggers = createNoopLoggers();
 const KEEP_MS = 60_000;
@@ -185,11 +185,17 @@
       log: loggers("fleet"),
     });
     fleet.onView((view) => this.client.adoptView(view));
+    const disk = await openStoreDisk({
+      folder,
+      maxBytes: 50_000_000,
+      maxSetAsideBytes: 0,
+      timer: scope,
+      log: loggers("journal"),
+    });
     const server = new TurnStoreServer({
       self,
       fleet,
-      folder,
-      maxBytes: 50_000_000,
+      disk,
       isFirstStart,
       tolerate: 1,
       listRetiringHosts: () => [],
--- a/packages/turn_store/test/stopping_store_test.ts
+++ b/packages/turn_store/test/stopping_store_test.ts
@@ -13,7 +13,7 @@
 import { after, afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import type { StoreMethods, StoreNotices } from "../src/messages.ts";
-import { TurnStoreServer } from "../src/mod.ts";
+import { openStoreDisk, TurnStoreServer } from "../src/mod.ts";
 
 const loggers = createNoopLoggers();
 const KEEP_MS = 60_000;
@@ -71,6 +71,13 @@
 after(() => scope.end());
 
 async function startServer(): Promise<TurnStoreServer> {
+  const disk = await openStoreDisk({
+    folder,
+    maxBytes: 50_000_000,
+    maxSetAsideBytes: 0,
+    timer: scope,
+    log: loggers("journal"),
+  });
   const started = new TurnStoreServer({
     self,
     fleet: new Fleet({
@@ -79,8 +86,7 @@
       timer: scope,
       log: loggers("fleet"),
     }),
-    folder,
-    maxBytes: 50_000_000,
+    disk,
     isFirstStart: false,
     tolerate: 0,
     listRetiringHosts: () => [],
--- a/packages/turn_store/test/turn_store_test.ts
+++ b/packages/turn_store/test/turn_store_test.ts
@@ -14,7 +14,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { TurnStoreClient, TurnStoreServer } from "../src/mod.ts";
+import { openStoreDisk, TurnStoreClient, TurnStoreServer } from "../src/mod.ts";
 
 const loggers = createNoopLoggers();
 const POLL_INTERVAL_MS = 20;
@@ -44,6 +44,8 @@
     log: loggers("turns"),
     onView: () => {},
   });
+  /** Size limit of the journals of stores that are started, in bytes. */
+  maxBytes = 50_000_000;
   #diskCount = 0;
 
   async start(host: string, isFirstStart = true): Promise<void> {
@@ -160,11 +162,17 @@
     const log = loggers("fleet");
     const fleet = new Fleet({ self, store: this.store, timer: scope, log });
     fleet.onView((view) => this.client.adoptView(view));
+    const disk = await openStoreDisk({
+      folder: opts.folder,
+      maxBytes: this.maxBytes,
+      maxSetAsideBytes: 0,
+      timer: scope,
+      log: loggers("journal"),
+    });
     const server = new TurnStoreServer({
       self,
       fleet,
-      folder: opts.folder,
-      maxBytes: 50_000_000,
+      disk,
       isFirstStart: opts.isFirstStart,
       tolerate: 1,
       listRetiringHosts: () => this.retiring,
