Turn stores: records that turn out to be unreadable come back from the others

Records that a running store has left on disk and that are damaged or deleted there stay unreadable until they expire: requests for them, inventories for other stores and the deletion of expired segments fail, while the store counts as complete. With one more store lost, the turn is not found.

Cause: an unreadable record was the matter of one request; nobody acted on the disk. No part was served as the whole: the request was refused.

Evidence: platform/test/damaged_disk_process_test.ts, 'has all records again after it ran with records ...' failed on for each of overwritten, cut off and deleted: 'not noticed after 20000 ms'. All pass now; a first version of the test failed once for 'deleted' on the fixed code, because it looked up the turns once, when the client was not connected to that store again; it looks them up until the damage is noticed now.

TurnStore then closes its server, sets the disk aside and joins under a new id, without a new process. This works because the others take it for a host with an emptied disk.

--- a/packages/turn_store/src/turn_store.ts
+++ b/packages/turn_store/src/turn_store.ts
@@ -81,6 +81,7 @@
     this.#membership = membership;
     await server.start();
     fleet.start();
+    disk.onDamage((it) => this.#rejoin(membership, it));
   }
 
   #createMembership(disk: StoreDisk): Membership {
@@ -99,4 +100,20 @@
     });
     return { disk, fleet, server, timer };
   }
+
+  /** Leaves with the damaged disk, and joins with an empty one. */
+  async #rejoin(
+    { server, fleet, timer }: Membership,
+    damage: DamagedDiskError,
+  ): Promise<void> {
+    if (this.#isStopping) return;
+    try {
+      await server.close();
+      timer.end();
+      fleet.deregister();
+      await this.#join(damage);
+    } catch (err) {
+      if (!this.#isStopping) this.#opts.onFailure(err);
+    }
+  }
 }
