Turn stores: a copy that cannot be written is tried again, not taken for done

Callers would see, found with it: a record whose write failed stays in memory, counts as copied, and is missing after a restart of a store that counts as complete.

Cause: the loop that copies handled no errors, and records were applied in memory before they were durable.

Evidence: packages/turn_store/test/turn_store_test.ts, 'go on while a new store has no room for its records', on: an unhandled JournalFullError; with the error handled alone: 'The value true is not equal to false' (isComplete).

Change: a failed copy is logged (copy_failed) and tried again; a record is known only once it is durable. This works because what is not known is copied again. A reservation is read only after it is durable, so budgets see no difference.

--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -389,10 +389,13 @@
     return turns;
   }
 
-  /** Applies a record in memory at once. Resolves once it is durable. */
-  #persist(record: TurnLogRecord): Promise<void> {
+  /**
+   * Makes a record durable, and only then known: what is known here is not
+   * copied again, and must outlive a restart.
+   */
+  async #persist(record: TurnLogRecord): Promise<void> {
+    await this.#disk.journal.append(record);
     this.#replica.apply(record);
-    return this.#disk.journal.append(record);
   }
 
   async #persistTimed(record: TurnLogRecord): Promise<void> {
--- a/packages/turn_store/src/view_manager.ts
+++ b/packages/turn_store/src/view_manager.ts
@@ -113,19 +113,10 @@
 
   /** Copies records until this replica is complete or the view changes. */
   async #copy(view: View): Promise<void> {
-    const { replica, log, timer, self } = this.#opts;
+    const { replica, log, timer } = this.#opts;
     const startedAt = timer.monotonicNow();
     while (replica.view === view && !replica.isComplete) {
-      const sources = this.#copySources(view);
-      const copied = await copyRecords({
-        view,
-        self: self.id,
-        sources: sources.map((it) => it.link),
-        requiredSources: this.#requiredSourceCount(view),
-        replica,
-        persist: this.#opts.persistRecords,
-        log,
-      });
+      const copied = await this.#copyOnce(view);
       if (copied !== undefined && replica.markComplete(view.number)) {
         await this.#opts.persistState();
         const ms = Math.round(timer.monotonicNow() - startedAt);
@@ -140,6 +131,31 @@
     }
   }
 
+  /**
+   * Tries once to copy all missing records. Returns undefined if some are
+   * missing still, also because the own disk cannot be read or written.
+   */
+  async #copyOnce(view: View): Promise<number | undefined> {
+    const { replica, log, self, persistRecords } = this.#opts;
+    try {
+      return await copyRecords({
+        view,
+        self: self.id,
+        sources: this.#copySources(view).map((it) => it.link),
+        requiredSources: this.#requiredSourceCount(view),
+        replica,
+        persist: persistRecords,
+        log,
+      });
+    } catch (err) {
+      log.warn(
+        `cannot copy the records of view ${view.number}: ${String(err)}`,
+        { event: "copy_failed" },
+      );
+      return undefined;
+    }
+  }
+
   /** Returns the other members of the previous view. */
   #copySources(view: View): Peer[] {
     this.#updatePeers();
--- a/packages/turn_store/test/turn_store_test.ts
+++ b/packages/turn_store/test/turn_store_test.ts
@@ -13,6 +13,7 @@
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import process from "node:process";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { openStoreDisk, TurnStoreClient, TurnStoreServer } from "../src/mod.ts";
 
@@ -20,6 +21,8 @@
 const POLL_INTERVAL_MS = 20;
 const WAIT_TIMEOUT_MS = 8_000;
 const KEEP_MS = 60_000;
+/** Time in which a store tries several times to copy. */
+const COPY_ATTEMPTS_MS = 1_000;
 
 interface TestHost {
   server: TurnStoreServer;
@@ -289,4 +292,21 @@
     cluster.stop("b");
     await cluster.expectAllFound(ids);
   });
+
+  // Guards against a store that ends because it cannot write what it copies.
+  it("go on while a new store has no room for its records", async () => {
+    const unhandled: unknown[] = [];
+    const onUnhandled = (err: unknown) => unhandled.push(err);
+    process.on("unhandledRejection", onUnhandled);
+    const ids = await cluster.putTurns();
+    cluster.maxBytes = 500;
+    await cluster.start("d", false);
+    const { server } = cluster.hosts.get("d")!;
+    await waitUntil(() => server.viewNumber === 2);
+    await new Promise((resolve) => setTimeout(resolve, COPY_ATTEMPTS_MS));
+    process.off("unhandledRejection", onUnhandled);
+    expect(unhandled).toEqual([]);
+    expect(server.isComplete).toEqual(false);
+    await cluster.expectAllFound(ids);
+  });
 });
