--- a/packages/turn_store/test/turn_store_test.ts
+++ b/packages/turn_store/test/turn_store_test.ts
@@ -13,13 +13,16 @@
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import process from "node:process";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { TurnStoreClient, TurnStoreServer } from "../src/mod.ts";
+import { openStoreDisk, TurnStoreClient, TurnStoreServer } from "../src/mod.ts";
 
 const loggers = createNoopLoggers();
 const POLL_INTERVAL_MS = 20;
 const WAIT_TIMEOUT_MS = 8_000;
 const KEEP_MS = 60_000;
+/** Time in which a store tries several times to copy. */
+const COPY_ATTEMPTS_MS = 1_000;
 
 interface TestHost {
   server: TurnStoreServer;
@@ -44,6 +47,8 @@
     log: loggers("turns"),
     onView: () => {},
   });
+  /** Size limit of the journals of stores that are started, in bytes. */
+  maxBytes = 50_000_000;
   #diskCount = 0;
 
   async start(host: string, isFirstStart = true): Promise<void> {
@@ -160,11 +165,17 @@
     const log = loggers("fleet");
     const fleet = new Fleet({ self, store: this.store, timer: scope, log });
     fleet.onView((view) => this.client.adoptView(view));
+    const disk = await openStoreDisk({
+      folder: opts.folder,
+      maxBytes: this.maxBytes,
+      maxSetAsideBytes: 0,
+      timer: scope,
+      log: loggers("journal"),
+    });
     const server = new TurnStoreServer({
       self,
       fleet,
-      folder: opts.folder,
-      maxBytes: 50_000_000,
+      disk,
       isFirstStart: opts.isFirstStart,
       tolerate: 1,
       listRetiringHosts: () => this.retiring,
@@ -281,4 +292,21 @@
     cluster.stop("b");
     await cluster.expectAllFound(ids);
   });
+
+  // Guards against a store that ends because it cannot write what it copies.
+  it("go on while a new store has no room for its records", async () => {
+    const unhandled: unknown[] = [];
+    const onUnhandled = (err: unknown) => unhandled.push(err);
+    process.on("unhandledRejection", onUnhandled);
+    const ids = await cluster.putTurns();
+    cluster.maxBytes = 500;
+    await cluster.start("d", false);
+    const { server } = cluster.hosts.get("d")!;
+    await waitUntil(() => server.viewNumber === 2);
+    await new Promise((resolve) => setTimeout(resolve, COPY_ATTEMPTS_MS));
+    process.off("unhandledRejection", onUnhandled);
+    expect(unhandled).toEqual([]);
+    expect(server.isComplete).toEqual(false);
+    await cluster.expectAllFound(ids);
+  });
 });
