Daemon: an address or URL that cannot be used is an invalid setting

Operators saw: `--listen 127.0.0.1:99999` or `--store-url http://` end the daemon with status 1 and an error of Node.js in place of status 2 and a line that names the setting. Cause: the check of the settings accepts what `URL` rejects.

--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -5,8 +5,12 @@
 const address = z.string().regex(
   /^[\w.:[\]-]+:\d{1,5}$/,
   "must have the form host:port",
+).refine(
+  (text) => URL.canParse(`tcp://${text}`),
+  "must be a host with a port up to 65535",
 );
-const url = z.string().regex(/^https?:\/\//, "must be an http or https URL");
+const url = z.string().regex(/^https?:\/\//, "must be an http or https URL")
+  .refine((text) => URL.canParse(text), "must name a host");
 const nameSchema = z.string().regex(
   /^[\w.-]{1,60}$/,
   "must be 1 to 60 letters, digits, dots, dashes or underscores",
