Daemon: a start that awaits what may come, and few reasons to end

Operators saw: the daemon ends with status 1 if a port is in use, a TLS file is missing or half written or the data folder cannot be created at its start, or if the reader of its log goes or its disk is full; SIGHUP, SIGUSR2 and SIGALRM end it at any time.

`SiblingNet.close` ends connections that are no links, which it waited for.

--- a/packages/cli/test/run_test.ts
+++ b/packages/cli/test/run_test.ts
@@ -5,6 +5,8 @@
 } from "@toucantrestle/http";
 import { type OperatorHandlers, operatorRoutes } from "@toucantrestle/operator";
 import { applyEdit, EMPTY_TABLE, type Table } from "@toucantrestle/table";
+import { createNoopLoggers } from "@toucantrestle/log";
+import { createSystemTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
@@ -13,6 +15,11 @@
 import { after, before, describe, it } from "node:test";
 import { EXIT_STATUSES, runCli } from "../src/mod.ts";
 
+const LISTEN_OPTIONS = {
+  timer: createSystemTimer(),
+  log: createNoopLoggers()("http"),
+};
+
 const KEY = "operator-key";
 
 /** Serves the operators' API of a daemon with an in-memory table. */
@@ -32,7 +39,7 @@
       isReady: () => true,
       onError: () => {},
     });
-    await this.#server.listen(address);
+    await this.#server.listen(address, LISTEN_OPTIONS);
     this.url = `http://${address}`;
   }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,6 +1,6 @@
 import { HttpStore } from "@toucantrestle/config_store";
 import type { HttpServer } from "@toucantrestle/http";
-import { createLoggers, type LoggerFactory } from "@toucantrestle/log";
+import type { LoggerFactory } from "@toucantrestle/log";
 import {
   chooseHolders,
   type HostRun,
@@ -9,11 +9,12 @@
 import { createMetrics, type Metrics } from "@toucantrestle/metrics";
 import type { DaemonFaults } from "@toucantrestle/operator";
 import { type PeerHandlers, SiblingNet } from "@toucantrestle/sibling";
-import { createTimeline, type Timeline } from "@toucantrestle/timeline";
-import { createSystemTimer, type Timer } from "@toucantrestle/timer";
+import type { Timeline } from "@toucantrestle/timeline";
+import type { Timer } from "@toucantrestle/timer";
 import { randomUUID } from "node:crypto";
 import type { CallerLimits } from "./caller_limits.ts";
 import { setUpCalls } from "./calls_setup.ts";
+import type { DaemonContext } from "./daemon_context.ts";
 import { createDaemonHttp } from "./daemon_http.ts";
 import type { PlacementQueue } from "./placement_queue.ts";
 import { RequestRouter } from "./request_router.ts";
@@ -49,17 +50,16 @@
 import { StoreView } from "./store_view.ts";
 import { TableEditor } from "./table_editor.ts";
 import { TailHolder } from "./tail_holder.ts";
-import { openTimelineFile } from "./timeline_file.ts";
-import { readTlsFiles, type TlsFiles } from "./tls_files.ts";
+import { createDaemonTimeline } from "./daemon_timeline.ts";
+import type { TlsFiles } from "./tls_files.ts";
 import type { Upstreams } from "./upstreams.ts";
 
-const TIMELINE_CAPACITY = 20_000;
 const BYTES_PER_MB = 1_000_000;
 
 /** A daemon: creates, connects, starts and stops all of its components. */
 export class Daemon {
   readonly #cfg: DaemonSettings;
-  readonly #timer: Timer = createSystemTimer();
+  readonly #timer: Timer;
   readonly #logs: LoggerFactory;
   readonly #metrics: Metrics;
   readonly #timeline: Timeline;
@@ -88,27 +88,19 @@
   readonly #http: HttpServer;
   readonly #tls: TlsFiles | undefined;
   #isStopping = false;
-  #onStopped: () => void = () => {};
+  #onStopped: (err?: unknown) => void = () => {};
 
-  constructor(cfg: DaemonSettings) {
+  constructor(cfg: DaemonSettings, { timer, logs, tls }: DaemonContext) {
     this.#cfg = cfg;
-    this.#logs = createLoggers({
-      host: cfg.host,
-      format: cfg.logFormat,
-      level: cfg.logLevel,
-    });
+    this.#timer = timer;
+    this.#logs = logs;
+    this.#tls = tls;
     this.#metrics = createMetrics({
       address: cfg.statsd,
       host: cfg.host,
       dataCentre: cfg.dataCentre,
     });
-    this.#timeline = createTimeline({
-      timer: this.#timer,
-      host: cfg.host,
-      capacity: TIMELINE_CAPACITY,
-      ...openTimelineFile(cfg.dataFolder, cfg.host),
-    });
-    this.#tls = readTlsFiles(cfg);
+    this.#timeline = createDaemonTimeline(cfg, { timer, logs });
     this.#self = {
       runId: randomUUID(),
       host: cfg.host,
@@ -155,8 +147,22 @@
       log: this.#logs("isolation"),
       selfRunId: this.#self.runId,
     });
-    this.#replicator = this.#createReplicator();
-    this.#flusher = this.#createFlusher();
+    this.#replicator = new Replicator({
+      net: () => this.#net,
+      timer,
+      shards: this.#shards,
+      onSealed: (shard) => this.#ownership.dropLostShard(shard),
+    });
+    this.#flusher = new Flusher({
+      store: this.#store,
+      timer: this.#timer,
+      log: this.#logs("journal"),
+      net: () => this.#net,
+      shards: this.#shards,
+      baseIntervalMs: this.#cfg.flushMs,
+      daemons: () => this.#view.hosts.size,
+      onLost: (shard) => this.#ownership.dropLostShard(shard),
+    });
     this.#journal = new Journal({
       replicator: this.#replicator,
       timer: this.#timer,
@@ -191,10 +197,22 @@
     this.#http = this.#createHttp();
   }
 
-  /** Starts to listen for callers and siblings. */
+  /**
+   * Listens for siblings and callers as soon as the addresses are free, and
+   * starts all components.
+   *
+   * @throws {ExitError} if an address stays in use
+   * @throws {StoppedWaitingError} if the daemon is stopped meanwhile
+   */
   async start(): Promise<void> {
-    await this.#net.listen();
-    await this.#http.listen(this.#cfg.listen);
+    const isStopping = () => this.#isStopping;
+    await this.#net.listen(isStopping);
+    await this.#http.listen(this.#cfg.listen, {
+      timer: this.#timer,
+      log: this.#logs("entry"),
+      isStopping,
+    });
+    if (this.#isStopping) return;
     this.#view.onChange(() => this.#upstreams.refresh());
     this.#view.start();
     this.#lease.start();
@@ -215,22 +233,26 @@
   async stop(): Promise<void> {
     if (this.#isStopping) return;
     this.#isStopping = true;
-    await stopGracefully({
-      timer: this.#timer,
-      log: this.#logs("daemon"),
-      lease: this.#lease,
-      ownership: this.#ownership,
-      http: this.#http,
-      flusher: this.#flusher,
-      view: this.#view,
-      net: this.#net,
-    });
-    this.#metrics.close();
-    this.#onStopped();
+    try {
+      await stopGracefully({
+        timer: this.#timer,
+        log: this.#logs("daemon"),
+        lease: this.#lease,
+        ownership: this.#ownership,
+        http: this.#http,
+        flusher: this.#flusher,
+        view: this.#view,
+        net: this.#net,
+      });
+      this.#metrics.close();
+      this.#onStopped();
+    } catch (err) {
+      this.#onStopped(err);
+    }
   }
 
-  /** Calls `fn` once the daemon has stopped. */
-  onStopped(fn: () => void): void {
+  /** Calls `fn` once the daemon has stopped, with the error that ended the stop. */
+  onStopped(fn: (err?: unknown) => void): void {
     this.#onStopped = fn;
   }
 
@@ -245,28 +267,6 @@
     });
   }
 
-  #createReplicator(): Replicator {
-    return new Replicator({
-      net: () => this.#net,
-      timer: this.#timer,
-      shards: this.#shards,
-      onSealed: (shard) => this.#ownership.dropLostShard(shard),
-    });
-  }
-
-  #createFlusher(): Flusher {
-    return new Flusher({
-      store: this.#store,
-      timer: this.#timer,
-      log: this.#logs("journal"),
-      net: () => this.#net,
-      shards: this.#shards,
-      baseIntervalMs: this.#cfg.flushMs,
-      daemons: () => this.#view.hosts.size,
-      onLost: (shard) => this.#ownership.dropLostShard(shard),
-    });
-  }
-
   #createOwnership(): Ownership {
     return setUpOwnership({
       store: this.#store,
@@ -316,7 +316,7 @@
       }),
       isCut: (host) => this.#faults.cut.includes(host),
       isSiblingKey: (hash) => this.#keyring.isSibling(hash),
-      tls: this.#tls?.readForSiblings(),
+      tls: this.#tls?.siblings,
       log: this.#logs("sibling"),
     });
   }
@@ -351,7 +351,7 @@
       isReady: () => this.#links.isReady,
       allowFaults: this.#cfg.allowFaults,
       maxBodyBytes: this.#cfg.maxBodyMb * BYTES_PER_MB,
-      tls: this.#tls?.readForHttp(),
+      tls: this.#tls?.http,
     });
   }
 
--- a/packages/daemon/src/tls_files.ts
+++ b/packages/daemon/src/tls_files.ts
@@ -1,18 +1,23 @@
 import type { HttpTls } from "@toucantrestle/http";
+import { awaitDependency, type AwaitOptions } from "@toucantrestle/lifecycle";
 import type { SiblingTls } from "@toucantrestle/sibling";
 import type { Logger } from "@toucantrestle/log";
 import { BadSettingError } from "@toucantrestle/settings";
 import { readFileSync, watchFile } from "node:fs";
+import { createSecureContext } from "node:tls";
 import type { DaemonSettings } from "./settings.ts";
 
 const CHECK_INTERVAL_MS = 2_000;
+/** Time in which missing or incomplete files are awaited, in ms. */
+const FILES_TIMEOUT_MS = 30_000;
+const FILES_RETRY_MS = 200;
 
 /** TLS certificate and key files of this daemon. */
 export interface TlsFiles {
-  /** Reads the certificate and key of the HTTP server. */
-  readForHttp(): HttpTls;
-  /** Reads the files for sibling links; undefined if no CA is configured. */
-  readForSiblings(): SiblingTls | undefined;
+  /** Certificate and key of the HTTP server, as read at the start. */
+  http: HttpTls;
+  /** Files for sibling links; undefined if no CA is configured. */
+  siblings: SiblingTls | undefined;
   /**
    * Calls `onChange` with the certificate and key when one of them changes.
    * Logs a changed file that cannot be read, for instance during a replace.
@@ -21,9 +26,35 @@
 }
 
 /**
- * Returns the TLS files named in the settings, or undefined if none are.
+ * Returns the TLS files named in the settings once all of them can be used, or
+ * undefined if none is named.
  *
- * @throws {BadSettingError} if a file is missing that another one needs
+ * @throws {ExitError} if they stay unusable, or a file is not named that another
+ * one needs
+ * @throws {StoppedWaitingError} if the process stops meanwhile
+ */
+export function awaitTlsFiles(
+  cfg: DaemonSettings,
+  opts: AwaitOptions,
+): Promise<TlsFiles | undefined> {
+  return awaitDependency({
+    name: "TLS files",
+    attempt: () => {
+      const files = readTlsFiles(cfg);
+      if (files) checkTls(files.siblings ?? files.http);
+      return files;
+    },
+    isTemporary: (err) => !(err instanceof BadSettingError),
+    timeoutMs: FILES_TIMEOUT_MS,
+    retryMs: FILES_RETRY_MS,
+    reason: "invalid_settings",
+  }, opts);
+}
+
+/**
+ * Reads the TLS files named in the settings; undefined if none are.
+ *
+ * @throws {BadSettingError} if a file is not named that another one needs
  */
 export function readTlsFiles(cfg: DaemonSettings): TlsFiles | undefined {
   const { tlsCert, tlsKey, tlsCa } = cfg;
@@ -39,13 +70,12 @@
     cert: readFileSync(tlsCert, "utf8"),
     key: readFileSync(tlsKey, "utf8"),
   });
-  readCertAndKey();
+  const http = readCertAndKey();
   return {
-    readForHttp: readCertAndKey,
-    readForSiblings: () =>
-      tlsCa === undefined
-        ? undefined
-        : { ...readCertAndKey(), ca: readFileSync(tlsCa, "utf8") },
+    http,
+    siblings: tlsCa === undefined
+      ? undefined
+      : { ...http, ca: readFileSync(tlsCa, "utf8") },
     watch(onChange, log) {
       const watchOptions = { interval: CHECK_INTERVAL_MS, persistent: false };
       const reload = () => {
@@ -53,7 +83,7 @@
           onChange(readCertAndKey());
         } catch (err) {
           const { message } = err as Error;
-          log.warn(`cannot read the changed TLS files: ${message}`);
+          log.warn(`cannot use the changed TLS files: ${message}`);
         }
       };
       for (const file of [tlsCert, tlsKey]) {
@@ -62,3 +92,8 @@
     },
   };
 }
+
+/** Throws if a file is incomplete, or the key is that of another certificate. */
+function checkTls(tls: HttpTls | SiblingTls): void {
+  createSecureContext(tls);
+}
--- a/packages/daemon/test/tls_files_test.ts
+++ b/packages/daemon/test/tls_files_test.ts
@@ -1,17 +1,21 @@
 import { createNoopLoggers } from "@toucantrestle/log";
+import { createManualTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
 import { mkdtempSync, rmSync, unwatchFile, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, describe, it } from "node:test";
 import type { DaemonSettings } from "../src/settings.ts";
-import { readTlsFiles } from "../src/tls_files.ts";
+import { awaitTlsFiles, readTlsFiles } from "../src/tls_files.ts";
 
 const folder = mkdtempSync(join(tmpdir(), "tls-"));
 const certFile = join(folder, "cert.pem");
 const keyFile = join(folder, "key.pem");
 const WAIT_MS = 6_000;
 const WRITE_INTERVAL_MS = 200;
+/** Longer than files are awaited. */
+const LONG_MS = 40_000;
+const STEP_MS = 200;
 
 writeFileSync(certFile, "cert 1");
 writeFileSync(keyFile, "key 1");
@@ -77,4 +81,19 @@
     rmSync(keyFile);
     expect((await withinWait(failed))?.includes("ENOENT")).toEqual(true);
   });
+
+  // Guards against a daemon that waits for ever for its certificate.
+  it("that stay incomplete are given up after their time", async () => {
+    const timer = createManualTimer();
+    const tls = { tlsCert: certFile, tlsKey: join(folder, "none.pem") };
+    const files = awaitTlsFiles(createSettings(tls), {
+      timer,
+      log: createNoopLoggers()("tls"),
+    }).catch((err) => err);
+    for (let passedMs = 0; passedMs < LONG_MS; passedMs += STEP_MS) {
+      await new Promise((resolve) => setImmediate(resolve));
+      timer.advance(STEP_MS);
+    }
+    expect((await files).reason).toEqual("invalid_settings");
+  });
 });
--- a/packages/http/src/server.ts
+++ b/packages/http/src/server.ts
@@ -1,3 +1,4 @@
+import { type ListenOptions, listenWhenFree } from "@toucantrestle/lifecycle";
 import {
   BadRequestError,
   ForbiddenError,
@@ -59,7 +60,13 @@
 
 /** HTTP server for callers and operators. */
 export interface HttpServer {
-  listen(address: string): Promise<void>;
+  /**
+   * Listens on an `IP:PORT` address as soon as it is free.
+   *
+   * @throws {ExitError} if it stays in use
+   * @throws {StoppedWaitingError} if the process stops meanwhile
+   */
+  listen(address: string, opts: ListenOptions): Promise<void>;
   /** Replaces the certificate for new connections. */
   setTls(tls: HttpTls): void;
   /**
@@ -105,7 +112,7 @@
     opts.tls ? "secureConnection" : "connection",
   );
   return {
-    listen: (address) => listen(server, address),
+    listen: (address, opts) => listenWhenFree(server, address, opts),
     setTls: (tls) => {
       if ("setSecureContext" in server) server.setSecureContext(tls);
     },
@@ -190,14 +197,6 @@
   });
 }
 
-function listen(server: Server, address: string): Promise<void> {
-  const url = new URL(`tcp://${address}`);
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(Number(url.port), url.hostname, resolve);
-  });
-}
-
 async function drain(
   server: Server,
   connections: Connections,
--- a/packages/http/test/drain_test.ts
+++ b/packages/http/test/drain_test.ts
@@ -1,9 +1,16 @@
+import { createNoopLoggers } from "@toucantrestle/log";
+import { createSystemTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { createHttpServer, type HttpServer } from "../src/mod.ts";
 
+const LISTEN_OPTIONS = {
+  timer: createSystemTimer(),
+  log: createNoopLoggers()("http"),
+};
+
 const POLL_MS = 5;
 const WAIT_MS = 5_000;
 /** More than the kernel holds for a caller. */
@@ -43,7 +50,7 @@
     onError() {},
   });
   address = await findFreeAddress();
-  await server.listen(address);
+  await server.listen(address, LISTEN_OPTIONS);
 });
 
 afterEach(() => {
--- a/packages/http/test/tls_test.ts
+++ b/packages/http/test/tls_test.ts
@@ -1,3 +1,5 @@
+import { createNoopLoggers } from "@toucantrestle/log";
+import { createSystemTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
 import { createServer } from "node:net";
 import { after, before, describe, it } from "node:test";
@@ -5,6 +7,11 @@
 import { generate } from "selfsigned";
 import { createHttpServer, type HttpServer, type HttpTls } from "../src/mod.ts";
 
+const LISTEN_OPTIONS = {
+  timer: createSystemTimer(),
+  log: createNoopLoggers()("http"),
+};
+
 async function createTls(name: string): Promise<HttpTls> {
   const pems = await generate([{ name: "commonName", value: name }]);
   return { cert: pems.cert, key: pems.private };
@@ -47,7 +54,7 @@
       isReady: () => true,
       onError: () => {},
     });
-    await server.listen(`127.0.0.1:${port}`);
+    await server.listen(`127.0.0.1:${port}`, LISTEN_OPTIONS);
   });
 
   after(() => server.drain());
--- a/packages/sibling/src/sibling_net.ts
+++ b/packages/sibling/src/sibling_net.ts
@@ -1,4 +1,5 @@
 import { isLinkAddress } from "@toucantrestle/link";
+import { listenWhenFree } from "@toucantrestle/lifecycle";
 import type { Logger } from "@toucantrestle/log";
 import { type HostRun, SILENCE_LIMIT_MS } from "@toucantrestle/membership";
 import { sleep, type Subscription, type Timer } from "@toucantrestle/timer";
@@ -85,19 +86,28 @@
       server: this.#server,
       maxPayload: MAX_MESSAGE_BYTES,
     });
+    // It passes on the errors of the HTTP server, which are handled there.
+    this.#sockets.on("error", () => {});
     this.#sockets.on("connection", (socket) => this.#accept(socket));
   }
 
-  /** Starts listening for siblings and sending heartbeats. */
-  listen(): Promise<void> {
-    const url = new URL(`tcp://${this.#opts.self.siblingAddress}`);
+  /**
+   * Starts listening for siblings, as soon as the address is free, and sending
+   * heartbeats.
+   *
+   * @throws {ExitError} if the address stays in use
+   * @throws {StoppedWaitingError} if the process stops meanwhile
+   */
+  listen(isStopping: () => boolean = () => false): Promise<void> {
+    const { self, timer, log } = this.#opts;
     this.#heartbeatTimer = this.#opts.timer.every(
       HEARTBEAT_INTERVAL_MS,
       () => this.#onHeartbeatTick(),
     );
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(Number(url.port), url.hostname, resolve);
+    return listenWhenFree(this.#server, self.siblingAddress, {
+      timer,
+      log,
+      isStopping,
     });
   }
 
@@ -187,7 +197,9 @@
       link.channel?.close();
     }
     for (const socket of this.#sockets.clients) socket.terminate();
-    await new Promise((resolve) => this.#server.close(resolve));
+    const closed = new Promise((resolve) => this.#server.close(resolve));
+    this.#server.closeAllConnections();
+    await closed;
   }
 
   #onHeartbeatTick(): void {
