Tests: servers go on after errors of accepting and of connections

What operators could see: a process ends when a server fails to accept a connection for the second time, or a server for links for the first time.

Cause: the listener of the start took one error, unlogged, and was gone; `ws` passes errors on to a server of its own without a listener.

The errors are emitted by the test.

--- a/stand_ins/src/mod.ts
+++ b/stand_ins/src/mod.ts
@@ -22,6 +22,12 @@
   type RawRequestOptions,
   type RawResponse,
 } from "./harness/raw_caller.ts";
+export {
+  type ClientTls,
+  failToAccept,
+  findServer,
+  sendNoise,
+} from "./harness/find_server.ts";
 export { TcpProxy } from "./harness/tcp_proxy.ts";
 export {
   type DaemonProcess,
