Sibling: a message that cannot be handled closes the link of its sender

What operators could see: a hello without a key on the port for siblings ends the daemon; nothing has to be known to send it.

Cause: only errors of decoding were caught; those of handlers left the callback of the socket, where nothing handles them.

Change: `SiblingChannel` catches them, logs them and closes the link.

--- a/packages/sibling/src/sibling_channel.ts
+++ b/packages/sibling/src/sibling_channel.ts
@@ -37,8 +37,11 @@
       /** Whether to drop all messages, which simulates a network partition. */
       isCut: () => boolean;
       onMessage: (message: SiblingMessage) => void;
-      /** Called before the link is closed because a message is malformed. */
-      onMalformed: (reason: string) => void;
+      /**
+       * Called before the link is closed because a message is malformed or
+       * cannot be handled.
+       */
+      onUnusable: (reason: string) => void;
       /** Called with the size of each sent message in bytes. */
       onSent: (bytes: number) => void;
       onClose: () => void;
@@ -49,8 +52,8 @@
     this.#onSent = opts.onSent;
     this.#socket.on("message", (data: RawData) => {
       if (this.#isCut()) return;
-      const message = this.#unpack(data, opts.onMalformed);
-      if (message) opts.onMessage(message);
+      const message = this.#unpack(data, opts.onUnusable);
+      if (message) this.#handle(message, opts);
       else this.close();
     });
     this.#socket.on("close", () => {
@@ -113,14 +116,35 @@
     }
   }
 
+  /**
+   * Handles a message; what goes wrong concerns its sender alone, whose link
+   * must not go on with a gap.
+   */
+  #handle(
+    message: SiblingMessage,
+    { onMessage, onUnusable }: {
+      onMessage: (message: SiblingMessage) => void;
+      onUnusable: (reason: string) => void;
+    },
+  ): void {
+    try {
+      onMessage(message);
+    } catch (err) {
+      const text = err instanceof Error ? err.stack : String(err);
+      onUnusable(`cannot handle its ${message.t}: ${text}`);
+      this.close();
+    }
+  }
+
   #unpack(
     data: RawData,
-    onMalformed: (reason: string) => void,
+    onUnusable: (reason: string) => void,
   ): SiblingMessage | undefined {
     try {
       return this.#packr.unpack(data as Uint8Array) as SiblingMessage;
     } catch (err) {
-      onMalformed(err instanceof Error ? err.message : String(err));
+      const text = err instanceof Error ? err.message : String(err);
+      onUnusable(`its message is malformed: ${text}`);
       return undefined;
     }
   }
--- a/packages/sibling/src/sibling_net.ts
+++ b/packages/sibling/src/sibling_net.ts
@@ -269,7 +269,7 @@
       socket,
       isCut,
       onMessage: (message) => this.#onMessage(link, channel, message),
-      onMalformed: (reason) => this.#logMalformed(link.address, reason),
+      onUnusable: (reason) => this.#logUnusable(link.address, reason),
       onSent: (bytes) => this.#countSent(bytes),
       onClose: () => this.#onClosed(link, channel),
     });
@@ -334,8 +334,8 @@
       socket,
       isCut: () => from !== undefined && this.#opts.isCut(from.host),
       onSent: (bytes) => this.#countSent(bytes),
-      onMalformed: (reason) =>
-        this.#logMalformed(from?.host ?? "an unknown host", reason),
+      onUnusable: (reason) =>
+        this.#logUnusable(from?.host ?? "an unknown host", reason),
       onMessage: (message) => {
         if (session && from) {
           this.#recordReceived(from);
@@ -373,10 +373,8 @@
     return { t: "hello", version: PROTOCOL_VERSION, run: self, key };
   }
 
-  #logMalformed(sender: string, reason: string): void {
-    this.#opts.log.warn(
-      `malformed message from ${sender}, closing the link: ${reason}`,
-    );
+  #logUnusable(sender: string, reason: string): void {
+    this.#opts.log.warn(`closing the link to ${sender}: ${reason}`);
   }
 
   #countSent(bytes: number): void {
--- a/packages/sibling/test/links_test.ts
+++ b/packages/sibling/test/links_test.ts
@@ -176,6 +176,36 @@
     }
   });
 
+  // Guards against one message that ends the process of its receiver.
+  it("closes a link that sends a message which it cannot handle", async () => {
+    const a = await createNet("a");
+    const hello = {
+      t: "hello",
+      version: PROTOCOL_VERSION,
+      run: { ...a.self, runId: "run-b", host: "b" },
+      key: "the-sibling-key",
+    };
+    const messages = [
+      [{ t: "hello", version: PROTOCOL_VERSION }],
+      [{ ...hello, key: 7 }],
+      [hello, { t: "load", digests: null }],
+      [hello, { t: "append" }],
+    ];
+    for (const sent of messages) {
+      const socket = new WebSocket(`ws://${a.self.siblingAddress}`);
+      await new Promise((resolve) => socket.once("open", resolve));
+      const closed = new Promise<boolean>((resolve) => {
+        socket.once("close", () => resolve(true));
+        setTimeout(() => resolve(false), LINK_TIMEOUT_MS).unref();
+      });
+      for (const message of sent) socket.send(pack(message));
+      expect([sent, await closed]).toEqual([sent, true]);
+    }
+    const b = await createNet("bbb");
+    a.net.setTargets([b.self.siblingAddress]);
+    expect(await waitForLink(a.net, b.self)).toEqual(true);
+  });
+
   it("redials a link whose other side never sends its hello", async () => {
     const { net } = await createNet("a");
     let connections = 0;
