CLI, bench, demo: a reader that has gone ends no command with a stack trace

Operators saw: `toucantrestle rows | head -1` may end with status 1 and a stack trace; so does a command whose output goes to a full disk.

Cause: nothing listens for the errors of standard output.

Change: `handleOutputErrors` of packages/lifecycle. Without a reader a command keeps its status; other errors of its output are one line and status 1.

The bench and the demo call it, too; not run without a reader.

--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { handleOutputErrors } from "@toucantrestle/lifecycle";
 import meow from "meow";
 import { writeFileSync } from "node:fs";
 import process from "node:process";
@@ -25,6 +26,7 @@
   worth,
 };
 
+handleOutputErrors("bench");
 const [name = "", ...argv] = process.argv.slice(2);
 const command = COMMANDS[name];
 if (!command) {
--- a/demo/src/main.ts
+++ b/demo/src/main.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import { CallerClient } from "@toucantrestle/caller_client";
+import { handleOutputErrors } from "@toucantrestle/lifecycle";
 import type { OperatorClient } from "@toucantrestle/operator";
 import { Fleet, OPERATOR_KEY } from "@toucantrestle/stand_ins";
 import { formatEvent } from "@toucantrestle/timeline";
@@ -26,6 +27,7 @@
 /** API keys of the sample callers, keyed by caller name. */
 type KeysByCaller = Map<string, string>;
 
+handleOutputErrors("demo");
 const fleet = new Fleet({ ...SAMPLE_FLEET, logFolder: "out/demo" });
 const isKeptRunning = process.argv.includes("--keep");
 let status = 1;
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,9 +4,11 @@
  *
  * @module
  */
+import { handleOutputErrors } from "@toucantrestle/lifecycle";
 import process from "node:process";
 import { runCli } from "./run.ts";
 
+handleOutputErrors("toucantrestle");
 process.exitCode = await runCli({
   argv: process.argv.slice(2),
   env: process.env,
--- a/packages/lifecycle/src/mod.ts
+++ b/packages/lifecycle/src/mod.ts
@@ -21,4 +21,5 @@
 } from "./exit.ts";
 export { FailureGuard, guardFailures } from "./failures.ts";
 export { type ListenOptions, listenWhenFree } from "./listen.ts";
+export { handleOutputErrors } from "./output.ts";
 export { ProcessSignals, type SignalRequest, takeSignals } from "./signals.ts";
