--- a/packages/sibling/test/links_test.ts
+++ b/packages/sibling/test/links_test.ts
@@ -3,7 +3,7 @@
 import { createSystemTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
 import { pack } from "msgpackr";
-import { type AddressInfo, createServer } from "node:net";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { generate } from "selfsigned";
@@ -206,6 +206,21 @@
     expect(await waitForLink(a.net, b.self)).toEqual(true);
   });
 
+  // Guards against a stop that lasts as long as a connection without a link.
+  it("ends connections that are no links when it closes", async () => {
+    const { net, self } = await createNet("a");
+    const [host = "", port] = self.siblingAddress.split(":");
+    const socket = connect({ host, port: Number(port) });
+    socket.on("error", () => {});
+    await new Promise((resolve) => socket.once("connect", resolve));
+    const isClosed = await Promise.race([
+      net.close().then(() => true),
+      delay(LINK_TIMEOUT_MS, false),
+    ]);
+    socket.destroy();
+    expect(isClosed).toEqual(true);
+  });
+
   it("redials a link whose other side never sends its hello", async () => {
     const { net } = await createNet("a");
     let connections = 0;
