--- a/packages/sibling/test/links_test.ts
+++ b/packages/sibling/test/links_test.ts
@@ -3,7 +3,7 @@
 import { createSystemTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
 import { pack } from "msgpackr";
-import { type AddressInfo, createServer } from "node:net";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { generate } from "selfsigned";
@@ -176,6 +176,51 @@
     }
   });
 
+  // Guards against one message that ends the process of its receiver.
+  it("closes a link that sends a message which it cannot handle", async () => {
+    const a = await createNet("a");
+    const hello = {
+      t: "hello",
+      version: PROTOCOL_VERSION,
+      run: { ...a.self, runId: "run-b", host: "b" },
+      key: "the-sibling-key",
+    };
+    const messages = [
+      [{ t: "hello", version: PROTOCOL_VERSION }],
+      [{ ...hello, key: 7 }],
+      [hello, { t: "load", digests: null }],
+      [hello, { t: "append" }],
+    ];
+    for (const sent of messages) {
+      const socket = new WebSocket(`ws://${a.self.siblingAddress}`);
+      await new Promise((resolve) => socket.once("open", resolve));
+      const closed = new Promise<boolean>((resolve) => {
+        socket.once("close", () => resolve(true));
+        setTimeout(() => resolve(false), LINK_TIMEOUT_MS).unref();
+      });
+      for (const message of sent) socket.send(pack(message));
+      expect([sent, await closed]).toEqual([sent, true]);
+    }
+    const b = await createNet("bbb");
+    a.net.setTargets([b.self.siblingAddress]);
+    expect(await waitForLink(a.net, b.self)).toEqual(true);
+  });
+
+  // Guards against a stop that lasts as long as a connection without a link.
+  it("ends connections that are no links when it closes", async () => {
+    const { net, self } = await createNet("a");
+    const [host = "", port] = self.siblingAddress.split(":");
+    const socket = connect({ host, port: Number(port) });
+    socket.on("error", () => {});
+    await new Promise((resolve) => socket.once("connect", resolve));
+    const isClosed = await Promise.race([
+      net.close().then(() => true),
+      delay(LINK_TIMEOUT_MS, false),
+    ]);
+    socket.destroy();
+    expect(isClosed).toEqual(true);
+  });
+
   it("redials a link whose other side never sends its hello", async () => {
     const { net } = await createNet("a");
     let connections = 0;
