Front: odd numbers in notices and permits of siblings are not used

Callers saw (shown, not from the record): with a limit that is no number in a sibling's notice, each request to that upstream fails with 500 (a BigInt), or the limit does not hold (NaN); with a wait that is no number, an upstream counts as denied for good.

Cause: numbers of siblings went unchecked into arithmetic.

A notice is checked where it is read, and dropped with a line; a wait is bounded; an announced configuration version counts only if it is finite.

--- a/packages/front/src/notice_reader.ts
+++ b/packages/front/src/notice_reader.ts
@@ -66,10 +66,16 @@
     if (this.#record(notice)) this.#opts.onNews(toSharedNotice(notice, now));
   }
 
-  /** Records a sibling's notice. Returns whether it has something new. */
-  merge(shared: SharedNotice): boolean {
-    const now = this.#opts.timer.monotonicNow();
-    return this.#record(fromSharedNotice(shared, now));
+  /**
+   * Records a sibling's notice. Returns whether it has something new; false if
+   * it is not usable.
+   */
+  merge(shared: SharedNotice | undefined): boolean {
+    const { timer, log } = this.#opts;
+    const notice = fromSharedNotice(shared, timer.monotonicNow());
+    if (notice) return this.#record(notice);
+    log.warn("a sibling's notice of an upstream is malformed; ignored");
+    return false;
   }
 
   /** Returns the recent news for the siblings. */
--- a/packages/front/src/request_permits.ts
+++ b/packages/front/src/request_permits.ts
@@ -8,7 +8,11 @@
 import type { Timer } from "@toucantrestle/timer";
 import type { Collectors } from "./collectors.ts";
 import type { FleetShare } from "./fleet_share.ts";
-import { fromSharedNotice, toSharedNotice } from "./shared_notice.ts";
+import {
+  fromSharedNotice,
+  type SharedNotice,
+  toSharedNotice,
+} from "./shared_notice.ts";
 import type { FrontMethods } from "./protocol.ts";
 
 type PermitQuery = FrontMethods["permit"]["args"];
@@ -100,8 +104,7 @@
 
   /** Answers a sibling that takes this front for the collector. */
   answer({ upstream, request, notice }: PermitQuery): PermitReply {
-    const { notices, timer } = this.#opts;
-    notices.record(fromSharedNotice(notice, timer.monotonicNow()));
+    this.#recordNotice(notice);
     const waitMs = this.#take(this.#collected, { upstream, request });
     return { waitMs, notice: this.#sharedNotice(upstream) };
   }
@@ -139,17 +142,15 @@
     collector: string,
     { upstream, request }: { upstream: UpstreamEntry; request: PermitRequest },
   ): Promise<number> {
-    const { links, notices, timer, log } = this.#opts;
+    const { links, log } = this.#opts;
     const notice = this.#sharedNotice(upstream);
     if (!notice) return 0;
     try {
       const query = { upstream, request, notice };
       const reply = await links.queryPermit(collector, query, QUERY_TIMEOUT_MS);
-      if (reply.notice) {
-        notices.record(fromSharedNotice(reply.notice, timer.monotonicNow()));
-      }
+      this.#recordNotice(reply.notice);
       this.#unanswered.delete(upstream.id);
-      return reply.waitMs;
+      return toWaitMs(reply.waitMs);
     } catch (err) {
       log.debug(`permit query to front ${collector} failed: ${String(err)}`);
       return this.#take(this.#unanswered, { upstream, request });
@@ -173,12 +174,25 @@
     return limiter.take(request, { ratePerS, now });
   }
 
+  /** Records a sibling's notice, if there is a usable one. */
+  #recordNotice(shared: SharedNotice | undefined): void {
+    const { notices, timer } = this.#opts;
+    const notice = fromSharedNotice(shared, timer.monotonicNow());
+    if (notice) notices.record(notice);
+  }
+
   #sharedNotice(upstream: UpstreamEntry) {
     const notice = this.#opts.notices.get(upstream);
     return notice && toSharedNotice(notice, this.#opts.timer.monotonicNow());
   }
 }
 
+/** Returns a wait that a sibling has named, bounded; any other is the longest. */
+function toWaitMs(value: unknown): number {
+  const isNumber = typeof value === "number" && value >= 0;
+  return isNumber ? Math.min(MAX_DENIAL_MS, value) : MAX_DENIAL_MS;
+}
+
 /**
  * Returns the limiter of an upstream. A later process gets a new one; a front
  * that has not heard of it yet takes from the new one too.
--- a/packages/front/src/shared_notice.ts
+++ b/packages/front/src/shared_notice.ts
@@ -14,10 +14,28 @@
   return { ...notice, ageMs: Math.max(0, now - at) };
 }
 
-/** Converts a sibling's notice to this process's clock. */
+/**
+ * Converts a sibling's notice to this process's clock. Returns undefined if it
+ * is not usable: siblings of other builds may be less strict.
+ */
 export function fromSharedNotice(
-  { ageMs, ...notice }: SharedNotice,
+  shared: Partial<SharedNotice> | null | undefined,
   now: number,
-): ReceivedNotice {
-  return { ...notice, at: now - ageMs };
+): ReceivedNotice | undefined {
+  const { upstream, startedAt, ageMs, isLeaving } = shared ?? {};
+  const maxRequestsPerS = shared?.maxRequestsPerS ?? undefined;
+  const isUsable = typeof upstream === "string" && isNumber(startedAt) &&
+    isNumber(ageMs) && isNumber(maxRequestsPerS ?? 0);
+  if (!isUsable) return undefined;
+  return {
+    upstream,
+    startedAt,
+    maxRequestsPerS,
+    isLeaving: isLeaving === true,
+    at: now - ageMs,
+  };
+}
+
+function isNumber(value: unknown): value is number {
+  return typeof value === "number" && Number.isFinite(value) && value >= 0;
 }
--- a/packages/front/src/siblings/fleet_news.ts
+++ b/packages/front/src/siblings/fleet_news.ts
@@ -41,7 +41,9 @@
     this.#handlers = {
       // Passed on only after this front has it, as others fetch it from here.
       config: ({ version }, from) => {
-        if (version > this.#configVersion) opts.onNewerConfig(version, from);
+        const isNewer = Number.isFinite(version) &&
+          version > this.#configVersion;
+        if (isNewer) opts.onNewerConfig(version, from);
         return false;
       },
       notice: ({ notice }) => opts.noticeReader.merge(notice),
