--- a/packages/turn_log/src/mod.ts
+++ b/packages/turn_log/src/mod.ts
@@ -36,5 +36,10 @@
   type TurnLogRecord,
   type TurnRecord,
 } from "./record.ts";
+export {
+  decideFirstView,
+  type FirstViewHost,
+  type FirstViewInput,
+} from "./first_view.ts";
 export { decideNextView, type HostState, type ViewInput } from "./next_view.ts";
 export { quorumSize, type ReplicaHost, replicasOf, type View } from "./view.ts";
--- a/packages/turn_store/src/view_manager.ts
+++ b/packages/turn_store/src/view_manager.ts
@@ -3,7 +3,9 @@
 import type { Logger } from "@toucantrestle/log";
 import type { Subscription, Timer } from "@toucantrestle/timer";
 import {
+  decideFirstView,
   decideNextView,
+  type FirstViewHost,
   type HostState,
   type Replica,
   type ReplicaHost,
@@ -54,10 +56,6 @@
 const PING_INTERVAL_MS = 500;
 /** Links that carry no queries are needed only to copy records. */
 const UNQUERIED_PING_INTERVAL_MS = 3_000;
-/** Delay of the first view, so that it includes hosts starting concurrently. */
-const FIRST_VIEW_DELAY_MS = 1_200;
-/** After this time stores that would wait for others propose the first view. */
-const LATE_FIRST_VIEW_DELAY_MS = 3_000;
 const COPY_RETRY_DELAY_MS = 150;
 
 /** Agrees on views with the other turn stores and copies missing records. */
@@ -188,7 +186,7 @@
     this.#reportRetiredHosts();
     if (this.#isProposing || !this.#opts.fleet.isStoreReachable) return;
     const next = this.#nextView();
-    if (!next || !this.#isProposer(next)) return;
+    if (!next || !this.#isProposer()) return;
     this.#isProposing = true;
     await this.#propose(next);
     this.#isProposing = false;
@@ -256,43 +254,32 @@
     return decideNextView({ current, hosts: this.#hostStates(current) });
   }
 
-  /**
-   * Returns the first view. Stores that have ended before it start again as if
-   * the deployment had run before; they propose it if no store knows a view.
-   */
   #firstView(tolerate: number): View | undefined {
-    const { isFirstStart, fleet } = this.#opts;
-    if (this.#uptimeMs < FIRST_VIEW_DELAY_MS) return undefined;
-    const members = fleet.hosts
+    const { timer, isFirstStart, fleet, self } = this.#opts;
+    const hosts = fleet.hosts
       .filter((it) => it.role === "turn_store")
-      .map(toReplicaHost);
-    if (members.length <= tolerate) return undefined;
-    if (!isFirstStart && !this.#isNoViewKnown(members)) return undefined;
-    return { number: 1, tolerate, members, former: [] };
-  }
-
-  /** Whether all these hosts have said, for some time, that they have no view. */
-  #isNoViewKnown(hosts: ReplicaHost[]): boolean {
-    if (this.#uptimeMs < LATE_FIRST_VIEW_DELAY_MS) return false;
-    const others = hosts.filter((it) => it.id !== this.#opts.self.id);
-    return others.every(({ id }) =>
-      this.#isReachable(id) && this.#peers.get(id)?.status?.viewNumber === 0
-    );
-  }
-
-  get #uptimeMs(): number {
-    return this.#opts.timer.monotonicNow() - this.#startedAt;
+      .map((it): FirstViewHost => ({
+        host: toReplicaHost(it),
+        isReachable: this.#isReachable(it.id),
+        viewNumber: this.#peers.get(it.id)?.status?.viewNumber,
+      }));
+    return decideFirstView({
+      self: self.id,
+      hosts,
+      uptimeMs: timer.monotonicNow() - this.#startedAt,
+      isFirstStart,
+      tolerate,
+    });
   }
 
   /**
-   * Only the reachable member with the lowest id proposes views. It may be one
-   * that does not propose the first view, for which others do so later.
+   * Only the reachable member with the lowest id proposes the views after the
+   * first.
    */
-  #isProposer(next: View): boolean {
-    const isLate = this.#uptimeMs >= LATE_FIRST_VIEW_DELAY_MS;
-    if (next.number === 1 && isLate) return true;
-    const current = this.#opts.replica.view ?? next;
-    const ids = current.members
+  #isProposer(): boolean {
+    const members = this.#opts.replica.view?.members;
+    if (!members) return true;
+    const ids = members
       .filter((it) => this.#isReachable(it.id))
       .map((it) => it.id)
       .sort();
