Turn stores: a data folder that is deleted under a running store is damage

If the data folder is deleted while a store runs, records go to files that are gone and are acknowledged, and only log lines tell of it.

Cause: a state file or a manifest that could not be replaced was a log line.

Change: ENOENT when the state file or the manifest is replaced is damage; the store joins anew in a folder that it creates. Also: a stop while the store joins anew no longer reaches the server of the disk before, which would write its manifest over the new one (by reading; no test); a manifest that says what the disk says already is not written again at a start.

--- a/packages/turn_journal/src/journal.ts
+++ b/packages/turn_journal/src/journal.ts
@@ -8,6 +8,7 @@
   segmentFileName,
   syncFolder,
 } from "./data_folder.ts";
+import { isNotFound } from "./errors.ts";
 import { encodeFrame, type Frame, type FrameMetadata } from "./frame.ts";
 import {
   checkExisting,
@@ -27,7 +28,7 @@
   metadataOf: (record: R) => FrameMetadata;
   /** Size beyond which a segment is closed and a new one started, in bytes. */
   segmentBytes?: number;
-  /** Called when a record that was left on disk cannot be read. */
+  /** Called when a record that was left on disk cannot be read, or is gone. */
   onUnreadable?: (err: unknown) => void;
   log: Logger;
 }
@@ -118,7 +119,9 @@
     const { segments: numbers, takenNumbers } = await listFolder(
       this.#opts.folder,
     );
-    const manifest = await readManifest(this.#opts.folder) ?? [];
+    const saved = await readManifest(this.#opts.folder);
+    if (saved) this.#savedManifest = JSON.stringify(saved);
+    const manifest = saved ?? [];
     checkExisting(manifest, { numbers, now });
     const listed = new Map(manifest.map((it) => [it.number, it]));
     const prefetch = (number: number | undefined) =>
@@ -248,6 +251,8 @@
       this.#savedManifest = content;
     } catch (err) {
       this.#opts.log.warn(`cannot write the manifest: ${String(err)}`);
+      // The folder is gone, with all that was synced.
+      if (isNotFound(err)) this.#opts.onUnreadable?.(err);
     }
   }
 
--- a/packages/turn_journal/src/mod.ts
+++ b/packages/turn_journal/src/mod.ts
@@ -6,7 +6,7 @@
  */
 export { createFolder, listFolder, syncFolder } from "./data_folder.ts";
 export type { FolderContent } from "./data_folder.ts";
-export { DamagedDiskError, DamagedFrameError } from "./errors.ts";
+export { DamagedDiskError, DamagedFrameError, isNotFound } from "./errors.ts";
 export {
   type DecodedFrames,
   decodeFrames,
--- a/packages/turn_journal/src/set_aside.ts
+++ b/packages/turn_journal/src/set_aside.ts
@@ -29,7 +29,8 @@
   const { files } = await listFolder(folder);
   const bytes = await totalSize(folder, files);
   const target = join(folder, SET_ASIDE_FOLDER);
-  const isKept = bytes <= maxBytes && await tryEmpty(target, log);
+  const isKept = files.length > 0 && bytes <= maxBytes &&
+    await tryEmpty(target, log);
   if (!isKept) await rm(target, { recursive: true, force: true });
   const names = files.toSorted((a, b) =>
     Number(b === STATE_FILE) - Number(a === STATE_FILE)
--- a/packages/turn_store/src/read_failures.ts
+++ b/packages/turn_store/src/read_failures.ts
@@ -1,5 +1,5 @@
 import type { Timer } from "@toucantrestle/timer";
-import { DamagedDiskError } from "@toucantrestle/turn_journal";
+import { DamagedDiskError, isNotFound } from "@toucantrestle/turn_journal";
 
 /** Time after which records that cannot be read count as damaged, in ms. */
 const LASTING_AFTER_MS = 60_000;
@@ -37,8 +37,8 @@
 
   #damageOf(err: unknown): DamagedDiskError | undefined {
     if (err instanceof DamagedDiskError) return err;
-    const { code, message } = err as NodeJS.ErrnoException;
-    if (code === "ENOENT") return new DamagedDiskError(message);
+    const message = err instanceof Error ? err.message : String(err);
+    if (isNotFound(err)) return new DamagedDiskError(message);
     const now = this.#timer.monotonicNow();
     if (now - this.#lastAt > FORGET_AFTER_MS) this.#firstAt = now;
     this.#lastAt = now;
--- a/packages/turn_store/src/store_disk.ts
+++ b/packages/turn_store/src/store_disk.ts
@@ -7,6 +7,7 @@
   deleteSetAside,
   type Frame,
   hasSetAside,
+  isNotFound,
   Journal,
   listFolder,
   readState,
@@ -139,9 +140,11 @@
   saveState(state: StoreState): Promise<void> {
     this.#saving = this.#saving
       .then(() => writeState(this.#folder, state))
-      .catch((err) =>
-        this.#log.error(`cannot write the state file: ${String(err)}`)
-      );
+      .catch((err) => {
+        this.#log.error(`cannot write the state file: ${String(err)}`);
+        // The folder is gone, with all that was synced.
+        if (isNotFound(err)) this.#failures.record(err);
+      });
     return this.#saving;
   }
 
--- a/packages/turn_store/src/turn_store.ts
+++ b/packages/turn_store/src/turn_store.ts
@@ -107,6 +107,7 @@
     damage: DamagedDiskError,
   ): Promise<void> {
     if (this.#isStopping) return;
+    this.#membership = undefined;
     try {
       await server.close();
       timer.end();
--- a/packages/turn_store/test/store_disk_test.ts
+++ b/packages/turn_store/test/store_disk_test.ts
@@ -255,4 +255,16 @@
     await disk.journal.sweep(timer.now());
     expect(statSync(path).mtimeMs).toEqual(swept);
   });
+
+  // Guards against a store that goes on writing to files that are deleted.
+  it("is damaged if its folder is deleted while it is in use", async () => {
+    const path = join(folder, "data");
+    const disk = await open(path);
+    const damages: string[] = [];
+    disk.onDamage((it) => damages.push(it.name));
+    rmSync(path, { recursive: true });
+    await disk.journal.append(createTurn("a", 1));
+    await disk.journal.sweep(timer.now());
+    expect(damages).toEqual(["DamagedDiskError"]);
+  });
 });
