--- a/packages/turn_journal/src/load_segment.ts
+++ b/packages/turn_journal/src/load_segment.ts
@@ -161,7 +161,7 @@
 }
 
 async function syncFile(path: string): Promise<void> {
-  const file = await open(path, "r");
+  const file = await open(path, "r+");
   try {
     await file.datasync();
   } finally {
