Daemon: a malformed entry of the key-value service is ignored

What operators could see: one shard record without an owner ends every daemon that reads it; any other malformed entry keeps them from loading all others.

Cause: entries were used as they were parsed; type errors in callbacks are handled by nothing.

Change: entries are checked when they are read, and a malformed one is ignored with a line.

--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -22,6 +22,14 @@
   SHARDS_PREFIX,
   TABLE_KEY,
 } from "./keyspace.ts";
+import {
+  describeDefect,
+  parseConviction,
+  parseHost,
+  parseKey,
+  parseShard,
+  parseTable,
+} from "./stored_records.ts";
 
 /** A key as stored in the service under its hash. */
 export interface KeyRecord {
@@ -206,22 +214,34 @@
     this.#notify();
   }
 
-  #applyItem({ key, value, modRevision }: StoreItem): void {
-    const parsed = JSON.parse(value) as unknown;
+  /** Applies an entry; one that is malformed is ignored. */
+  #applyItem(item: StoreItem): void {
+    try {
+      this.#applySound(item);
+    } catch (err) {
+      const defect = describeDefect(err);
+      this.#log.warn(`entry ${item.key} is malformed and ignored: ${defect}`, {
+        event: "malformed_entry",
+        revision: item.modRevision,
+      });
+    }
+  }
+
+  #applySound({ key, value, modRevision }: StoreItem): void {
     if (key === TABLE_KEY) {
-      this.applyTable(parsed as Table, modRevision);
+      this.applyTable(parseTable(value), modRevision);
     } else if (key.startsWith(HOSTS_PREFIX)) {
-      const host = parsed as HostRecord;
+      const host = parseHost(value);
       this.hosts.set(host.runId, host);
     } else if (key.startsWith(SHARDS_PREFIX)) {
-      const record = parsed as ShardRecord;
+      const record = parseShard(value);
       const current = this.shards.get(record.shard);
       if (current && current.modRevision >= modRevision) return;
       this.shards.set(record.shard, { record, modRevision });
     } else if (key.startsWith(KEYS_PREFIX)) {
-      this.keys.set(key.slice(KEYS_PREFIX.length), parsed as KeyRecord);
+      this.keys.set(key.slice(KEYS_PREFIX.length), parseKey(value));
     } else if (key.startsWith(CONVICTIONS_PREFIX)) {
-      const conviction = parsed as ConvictionRecord;
+      const conviction = parseConviction(value);
       this.convictions.set(conviction.fingerprint, conviction);
     }
   }
