Front: a stream goes on only at a process that is proven to be that of its entry

Cause: an entry says which software the process had that wrote it. Nothing compared that process with the one at the other end of a connection. The origin of a stream could be wrong for the same reason, so that its take-up was joined at a true upstream of the version before.

Change: on routes whose streams may be resumed a request is sent only on a connection whose other end has named itself as the process of the entry (`born` in its report, asked once a connection). Another name replaces what is known of the upstream by a process of unknown version; its streams go on at that process alone until its entry is read. Where entries or reports name no start time, the epoch of the cache events that was heard while the entry was current decides once the connections have broken; where there is no epoch either, the store has to be in reach. What can't be proven isn't used for streams that have begun. A new stream begins anywhere if need be, and its origin then says that its software isn't known. Siblings that forward check the same.

Existing tests: the fixtures' upstreams answer the new queries with 404, as ones that don't know them, instead of handing them to the handler as calls. No check is changed.

--- a/bench/src/call_cost/bench_protocol.ts
+++ b/bench/src/call_cost/bench_protocol.ts
@@ -49,6 +49,7 @@
   isDeclined: () => false,
   hasUpstreamMark: (head) => head.headers.has(UPSTREAM_MARK),
   parseNotice: () => ({ maxRequestsPerS: undefined, isLeaving: false }),
+  processQueries: [],
   formatDirectoryResponse: (response) => JSON.stringify(response),
   parseConfig: (text) => JSON.parse(text) as RoutingConfig,
   parseUpstream: (_key, text) => JSON.parse(text) as UpstreamEntry,
--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -1,5 +1,8 @@
 import type { TrackedUpstream } from "@toucantrestle/routing";
-import type { ResponseHead } from "@toucantrestle/upstream_channel";
+import type {
+  ProcessDemand,
+  ResponseHead,
+} from "@toucantrestle/upstream_channel";
 import type { Verdict } from "@toucantrestle/verdict";
 import type { Call } from "./call.ts";
 import type { StreamEvent } from "./event_splitter.ts";
@@ -51,6 +54,8 @@
   path: UpstreamPath;
   protocol: Protocol;
   body: Uint8Array;
+  /** Which process of the upstream may get the request. */
+  demand: ProcessDemand;
   urgency: number | undefined;
   /** Id of the caller's last event, if this attempt resumes a stream. */
   resumeAfter: string | undefined;
@@ -239,6 +244,7 @@
         resolveFailed({ ...failure, reason });
       },
     },
+    opts.demand,
   );
   return {
     result,
--- a/packages/front/src/call_recorder.ts
+++ b/packages/front/src/call_recorder.ts
@@ -10,6 +10,7 @@
 export type CallEvent =
   | "routed"
   | "declined"
+  | "unproven"
   | "attempt_failed"
   | "stopped"
   | "resumed"
--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -24,6 +24,7 @@
 import {
   isConnectFailure,
   isOwnPathFailure,
+  isUnproven,
   mayHaveCrashed,
   type PathFailure,
 } from "./path_failure.ts";
@@ -90,6 +91,7 @@
       const choice = upstream ?? await this.#chooseOutOfReach();
       if (this.#call.isAbandoned) return;
       if (!choice) {
+        if (this.#choice.acceptUnproven()) continue;
         if (await this.#awaitUpstream()) continue;
         return this.#respondWithoutUpstream();
       }
@@ -125,7 +127,8 @@
    */
   async #recordOrigin(entry: UpstreamEntry): Promise<boolean> {
     if (this.#choice.hasEvents || !this.#turn) return true;
-    if (await this.#turn.recordOrigin(entry)) {
+    const isProven = this.#choice.demand === "proven";
+    if (await this.#turn.recordOrigin(entry, { isProven })) {
       return !this.#call.isAbandoned;
     }
     if (this.#count.runs > 0) {
@@ -178,6 +181,7 @@
       path,
       protocol,
       body: this.#turn?.prompt ?? call.body,
+      demand: this.#choice.demand,
       urgency: this.#choice.urgency(start.startedAt),
       resumeAfter: call.res.headersSent ? this.#lastEventId : undefined,
       timeLeftMs: Math.max(1, Math.floor(timeLeftMs - DEADLINE_MARGIN_MS)),
@@ -329,6 +333,10 @@
         this.#recordDeclined(entry, result.status);
         return this.#retryOrRespond("not_run");
       case "failed":
+        if (isUnproven(result.failure)) {
+          this.#recordUnproven(entry, result.failure);
+          return false;
+        }
         // An upstream that declined the initial stream may accept the rest.
         if (result.failure.hasDeliveredHead) this.#choice.excluded.clear();
         this.#recordFailure(entry, { ...result, path });
@@ -363,6 +371,19 @@
     return true;
   }
 
+  /** Chooses anew after a request that was not sent to an unproven process. */
+  #recordUnproven(entry: UpstreamEntry, { reason }: PathFailure): void {
+    const { id } = entry;
+    // The process that answered may have replaced the one of the entry.
+    const isKnownAnew = !this.#opts.upstreamRegistry.isCurrent(entry);
+    if (!isKnownAnew) this.#choice.excludeUnproven(id);
+    this.#call.recorder.record(
+      "unproven",
+      `call not sent to ${id}: its process is not that of its entry (${reason})`,
+      { upstream: id, reason, verdict: "not_run" },
+    );
+  }
+
   #recordDeclined(entry: UpstreamEntry, status: number): void {
     const { id } = entry;
     this.#choice.excluded.add(id);
--- a/packages/front/src/exchange_relay.ts
+++ b/packages/front/src/exchange_relay.ts
@@ -6,6 +6,7 @@
   checkResponseHead,
   type ExchangeControl,
   type OutgoingRequest,
+  type ProcessDemand,
   type RawResponseHead,
   type ResponseHandlers,
   type ResponseHead,
@@ -32,6 +33,11 @@
    * earlier builds.
    */
   timeLeftMs?: number;
+  /**
+   * Which process may get the request; missing from fronts of earlier builds,
+   * and ignored by them.
+   */
+  demand?: ProcessDemand | undefined;
   req: OutgoingRequest;
 }
 
@@ -79,13 +85,16 @@
   hasDeliveredHead: false,
 };
 
+const OTHER_PROCESS: PathFailure = { ...REFUSED, reason: "other_process" };
+
 /** Sends a request to an upstream through a sibling. */
 export function sendThroughSibling(
   open: OpenRelay,
   { id: upstream, startedAt }: UpstreamProcess,
-  { req, timeLeftMs, handlers, log }: {
+  { req, timeLeftMs, demand, handlers, log }: {
     req: OutgoingRequest;
     timeLeftMs: number;
+    demand?: ProcessDemand | undefined;
     handlers: ResponseHandlers<PathFailureReason>;
     log: Logger;
   },
@@ -134,7 +143,7 @@
 
   const onLost = () =>
     fail({ reason: "relay_lost", verdict: "may_have_run", hasDeliveredHead });
-  const stream = open({ upstream, startedAt, timeLeftMs, req }, {
+  const stream = open({ upstream, startedAt, timeLeftMs, demand, req }, {
     onPart,
     onEnd: onLost,
     onLost,
@@ -156,7 +165,7 @@
  * one that this front may not see through before it ends.
  */
 export function serveRelayedExchange(
-  { upstream: id, startedAt, timeLeftMs = 0, req }: RelayedRequest,
+  { upstream: id, startedAt, timeLeftMs = 0, demand, req }: RelayedRequest,
   receiver: StreamReceiver<RelayPart>,
   opts: RelayServerOptions,
 ): StreamServerHandlers<RelayControl> {
@@ -167,7 +176,10 @@
     timer.monotonicNow() >= upstream.backoffUntil;
   const canFinish = timeLeftMs <= opts.runLeftMs();
   if (!isUsable || !canFinish || !opts.canReachUpstreams()) {
-    receiver.send({ kind: "failure", failure: REFUSED });
+    const isReplaced = upstream !== undefined && startedAt !== undefined &&
+      startedAt < upstream.entry.startedAt;
+    const failure = demand === "proven" && isReplaced ? OTHER_PROCESS : REFUSED;
+    receiver.send({ kind: "failure", failure });
     receiver.end();
     return { onControl() {}, onLost() {} };
   }
@@ -194,7 +206,7 @@
       receiver.send({ kind: "failure", failure });
       receiver.end();
     },
-  });
+  }, demand);
   const flow = new RelayFlow({ exchange, receiver, timer });
   const controls: Record<RelayControl, () => void> = {
     cancel: () => exchange.cancel(),
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -18,6 +18,7 @@
 import type { FrontOptions } from "./front_options.ts";
 import { LoadSharing } from "./load_sharing.ts";
 import { NoticeReader } from "./notice_reader.ts";
+import { createProcessQuestions } from "./process_questions.ts";
 import { PermitWeights } from "./permit_weights.ts";
 import { type FrontReport, toNews } from "./protocol.ts";
 import { quotaCandidates } from "./quota_candidates.ts";
@@ -71,6 +72,10 @@
     contact,
     mayReceive: (process) => upstreamRegistry.mayReceive(process),
     echoedRequestId: (head) => protocol.echoedRequestId(head),
+    createQuestions: (entry) =>
+      createProcessQuestions(entry, protocol.processQueries),
+    onRestart: (process) => upstreamRegistry.recordRestart(process),
+    readsEntries: () => upstreamWatcher.isReachable,
   });
   const upstreamRegistry = new UpstreamRegistry({
     onInstanceGone: (id) => {
--- a/packages/front/src/mod.ts
+++ b/packages/front/src/mod.ts
@@ -11,6 +11,7 @@
   Digest,
   FrontMethods,
   FrontNotices,
+  ProcessQuery,
   Protocol,
   UpstreamRequestAttributes,
 } from "./protocol.ts";
--- a/packages/front/src/path_failure.ts
+++ b/packages/front/src/path_failure.ts
@@ -30,6 +30,16 @@
   "connect_timeout",
 ]);
 
+const UNPROVEN_REASONS: ReadonlySet<PathFailureReason> = new Set([
+  "other_process",
+  "unknown_process",
+]);
+
+/** Whether the request was not sent as its process could not be proven. */
+export function isUnproven({ reason }: PathFailure): boolean {
+  return UNPROVEN_REASONS.has(reason);
+}
+
 /** Whether a failure says nothing about the upstream. */
 export function isOwnPathFailure({ reason }: PathFailure): boolean {
   return OWN_PATH_REASONS.has(reason);
--- a/packages/front/src/protocol.ts
+++ b/packages/front/src/protocol.ts
@@ -53,6 +53,15 @@
   organisation: string | undefined;
 }
 
+/** A query whose answer may name the process of an upstream. */
+export interface ProcessQuery {
+  path: string;
+  /** Returns the headers for an upstream, as alternating names and values. */
+  formatHeaders(upstreamId: string): string[];
+  /** Parses an answer; undefined if it is invalid. */
+  parse(text: string): { name: string | undefined } | undefined;
+}
+
 /**
  * Protocol of callers and upstreams: names and semantics of headers, paths and
  * store keys. Implemented by an adapter.
@@ -83,6 +92,11 @@
   hasUpstreamMark(head: ResponseHead): boolean;
   /** Parses what an upstream says about itself in the head of a response. */
   parseNotice(head: ResponseHead): UpstreamNotice;
+  /**
+   * Queries whose answers name the process of an upstream. The name in the first
+   * one is its start time, in ms since the epoch, as a decimal number.
+   */
+  processQueries: readonly ProcessQuery[];
   /** Serialises the body of a directory response. */
   formatDirectoryResponse(
     response: { addresses: string[]; ttlMs: number },
--- a/packages/front/src/serve_call.ts
+++ b/packages/front/src/serve_call.ts
@@ -77,7 +77,7 @@
   }
   if (call.isAbandoned) return false;
   if (!startFailure) {
-    if (isResumption(call)) continueAtOrigin(call, turn);
+    if (isResumption(call)) continueAtOrigin(call, turn, opts);
     return true;
   }
   call.recorder.record(
@@ -105,9 +105,21 @@
   }
 }
 
-/** Sends a resumed stream to the service that began it, if its route may. */
-function continueAtOrigin(call: Call, turn: TurnState | undefined): void {
-  const service = turn?.origin?.service;
+/**
+ * Sends a resumed stream to the service that began it, if its route may. Its
+ * origin may name a process whose entry has not been read here.
+ */
+function continueAtOrigin(
+  call: Call,
+  turn: TurnState | undefined,
+  { upstreamRegistry }: ServeOptions,
+): void {
+  const origin = turn?.origin;
+  if (!origin) return;
+  const { service, upstream: id, startedAt, softwareVersion } = origin;
+  if (startedAt !== undefined) {
+    upstreamRegistry.recordRestart({ id, startedAt }, softwareVersion);
+  }
   const isAllowed = call.route.services.some((it) => it.service === service);
-  if (service !== undefined && isAllowed) call.service = service;
+  if (isAllowed) call.service = service;
 }
--- a/packages/front/src/turn_state.ts
+++ b/packages/front/src/turn_state.ts
@@ -12,6 +12,7 @@
 import type { EventTimes } from "./event_times.ts";
 import {
   createOrigin,
+  createUnknownOrigin,
   isResumption,
   runsSameSoftware,
 } from "./stream_origin.ts";
@@ -99,14 +100,20 @@
 
   /**
    * Makes sure that the record of the turn names the software of the upstream
-   * that is asked to begin the stream. Returns false if this is not confirmed.
+   * that is asked to begin the stream, or that nothing is known of it unless
+   * its process is proven. Returns false if this is not confirmed.
    */
-  async recordOrigin(entry: UpstreamEntry): Promise<boolean> {
+  async recordOrigin(
+    entry: UpstreamEntry,
+    { isProven }: { isProven: boolean },
+  ): Promise<boolean> {
     if (!this.#mustRecordOrigin) return true;
     const current = this.#origin;
-    if (current && runsSameSoftware(entry, current)) return true;
+    if (isProven && current && runsSameSoftware(entry, current)) return true;
     const ordinal = (current?.ordinal ?? 0) + FIRST_ORDINAL;
-    const origin = createOrigin(entry, ordinal);
+    const origin = isProven
+      ? createOrigin(entry, ordinal)
+      : createUnknownOrigin(entry, ordinal);
     const { verdict } = await this.#reserve(origin);
     if (verdict !== "granted") return false;
     this.#origin = origin;
--- a/packages/front/src/upstream_choice.ts
+++ b/packages/front/src/upstream_choice.ts
@@ -7,11 +7,17 @@
   type UpstreamEntry,
   urgencyOf,
 } from "@toucantrestle/routing";
+import type { ProcessDemand } from "@toucantrestle/upstream_channel";
 import type { Call } from "./call.ts";
 import type { EventTimes } from "./event_times.ts";
 import { LoadShare } from "./load_share.ts";
 import type { ServeOptions } from "./serve_options.ts";
-import { isResumption, runsSameSoftware } from "./stream_origin.ts";
+import {
+  completeOrigin,
+  demandOf,
+  isResumption,
+  runsSameSoftware,
+} from "./stream_origin.ts";
 import type { TurnState } from "./turn_state.ts";
 
 /** Expected output of a turn whose caller gives no estimate, in tokens. */
@@ -20,6 +26,8 @@
 export const DEFAULT_CALL_DURATION_MS = 100;
 /** Upstreams whose load is queried before a choice. */
 const MAX_QUERIED = 3;
+/** Unproven upstreams after which a new stream begins at any. */
+const MAX_UNPROVEN = 2;
 /** Fill of the slots up to which an attempt measures an upstream's speed. */
 const MAX_MEASURED_FILL = 0.5;
 
@@ -44,6 +52,10 @@
   readonly excluded = new Set<string>();
   /** Whether the caller has received events, so that the software is fixed. */
   hasEvents = false;
+  /** Excluded upstreams whose process could not be proven. */
+  readonly #unproven = new Set<string>();
+  #acceptsUnproven = false;
+  #hasReadmitted = false;
 
   constructor(call: Call, turn: TurnState | undefined, opts: ServeOptions) {
     this.#call = call;
@@ -51,6 +63,35 @@
     this.#opts = opts;
   }
 
+  /** Which process of an upstream may get the call. */
+  get demand(): ProcessDemand {
+    const acceptsAny = this.#acceptsUnproven && !this.isBegun;
+    return acceptsAny ? "any" : demandOf(this.#call);
+  }
+
+  /**
+   * Excludes an upstream whose process is not proven to be that of its entry. A
+   * new stream does not wait for many of them.
+   */
+  excludeUnproven(id: string): void {
+    this.excluded.add(id);
+    this.#unproven.add(id);
+    this.#acceptsUnproven ||= this.#unproven.size >= MAX_UNPROVEN;
+  }
+
+  /**
+   * Lets a new stream begin at a process that is not proven, for want of another.
+   * Returns whether that adds an upstream to the choice.
+   */
+  acceptUnproven(): boolean {
+    const hasAny = this.#unproven.size > 0 && !this.#hasReadmitted;
+    if (this.isBegun || !hasAny) return false;
+    for (const id of this.#unproven) this.excluded.delete(id);
+    this.#hasReadmitted = true;
+    this.#acceptsUnproven = true;
+    return true;
+  }
+
   /** Speed of the engines of the call's service. */
   get speed(): SpeedEstimate {
     return this.#opts.speedOf(this.#call.service);
@@ -97,7 +138,7 @@
     list: () => TrackedUpstream[],
   ): Promise<TrackedUpstream | undefined> {
     const { chooser, permits } = this.#opts;
-    const kind = this.#isBegun ? "continued" : "new";
+    const kind = this.isBegun ? "continued" : "new";
     const denied = new Set<string>();
     while (!this.#call.isAbandoned) {
       const all = list().filter((it) => !denied.has(it.entry.id));
@@ -212,7 +253,7 @@
 
   /** Whether a permit for an upstream may be available now. */
   #mayBePermitted({ entry }: TrackedUpstream, weight: number): boolean {
-    return this.#isBegun || this.#opts.permits.waitMs(entry, weight) === 0;
+    return this.isBegun || this.#opts.permits.waitMs(entry, weight) === 0;
   }
 
   /**
@@ -224,7 +265,7 @@
     const hasUnlimited = candidates.some(({ entry }) =>
       upstreamRegistry.notices.maxRequestsPerS(entry) === undefined
     );
-    if (!hasUnlimited || this.#isBegun) return 1;
+    if (!hasUnlimited || this.isBegun) return 1;
     return permitWeights.weightOf(this.#call.service, this.#workMs);
   }
 
@@ -257,15 +298,16 @@
   }
 
   /** Whether the caller has a part of the stream. */
-  get #isBegun(): boolean {
+  get isBegun(): boolean {
     return this.hasEvents || isResumption(this.#call);
   }
 
   /** Whether an upstream may write the next events of the call's stream. */
   #mayWrite(entry: UpstreamEntry): boolean {
     const origin = this.#turn?.origin;
-    return !this.#isBegun || origin === undefined ||
-      runsSameSoftware(entry, origin);
+    if (!this.isBegun || origin === undefined) return true;
+    const known = this.#opts.upstreamRegistry.get(origin.upstream);
+    return runsSameSoftware(entry, completeOrigin(origin, known?.entry));
   }
 
   get #kind(): WorkKind {
--- a/packages/front/src/upstream_paths.ts
+++ b/packages/front/src/upstream_paths.ts
@@ -4,6 +4,7 @@
   ExchangeControl,
   ExchangeSender,
   OutgoingRequest,
+  ProcessDemand,
   ResponseHandlers,
 } from "@toucantrestle/upstream_channel";
 import type { DirectPath } from "./direct_path.ts";
@@ -63,8 +64,14 @@
     const open = chooseRelay(dataCentre);
     return open && {
       kind: "sibling",
-      send: (req, handlers) =>
-        sendThroughSibling(open, entry, { req, timeLeftMs, handlers, log }),
+      send: (req, handlers, demand) =>
+        sendThroughSibling(open, entry, {
+          req,
+          timeLeftMs,
+          demand,
+          handlers,
+          log,
+        }),
     };
   }
 
@@ -75,6 +82,7 @@
       send(
         req: OutgoingRequest,
         handlers: ResponseHandlers<PathFailureReason>,
+        demand?: ProcessDemand,
       ): ExchangeControl {
         const endTracking = directPath.track();
         return pools.poolOf(upstream).send(req, {
@@ -87,7 +95,7 @@
             endTracking();
             handlers.onFailure(failure);
           },
-        });
+        }, demand);
       },
     };
   }
--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -336,7 +336,8 @@
   /** Whether a later process of the upstream is known. */
   #isReplaced({ id, startedAt }: UpstreamEntry): boolean {
     const known = this.#opts.upstreamRegistry.get(id);
-    return known !== undefined && startedAt < known.entry.startedAt;
+    return known !== undefined && !known.isInferred &&
+      startedAt < known.entry.startedAt;
   }
 
   #suspend(id: string): boolean {
--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -48,6 +48,11 @@
   res: ServerResponse,
 ) => void;
 
+/** Answers a query for the process of an upstream. */
+export type QueryHandler = (path: string, res: ServerResponse) => void;
+
+const QUERY_PATHS = new Set(testProtocol.processQueries.map((it) => it.path));
+
 /** In-process fronts, turn stores, upstreams and the store of one test. */
 export class TestCluster {
   readonly #timer = createTimerScope(createSystemTimer());
@@ -61,6 +66,7 @@
   readonly #servers: Server[] = [];
   readonly #upstreams = new Map<string, Server>();
   readonly #entries = new Map<string, UpstreamEntry>();
+  readonly #queryHandlers = new Map<string, QueryHandler>();
   readonly #turnStores: { server: TurnStoreServer; host: string }[] = [];
   readonly #fleets: Fleet[] = [];
   /** Data folders of the turn stores, by host. */
@@ -193,6 +199,10 @@
         const chunks: Buffer[] = [];
         req.on("data", (chunk) => chunks.push(chunk));
         req.on("end", () => {
+          if (QUERY_PATHS.has(req.url ?? "")) {
+            const answer = this.#queryHandlers.get(id) ?? answerUnknownQuery;
+            return answer(req.url ?? "", res);
+          }
           const received: ReceivedRequest = {
             id: String(req.headers["x-id"]),
             path: req.url ?? "",
@@ -226,6 +236,11 @@
     return entry;
   }
 
+  /** Sets what answers the queries for the process of an upstream. */
+  answerQueries(id: string, handler: QueryHandler): void {
+    this.#queryHandlers.set(id, handler);
+  }
+
   /** Returns the entry with which an upstream was added. */
   entryOf(id: string): UpstreamEntry {
     const entry = this.#entries.get(id);
@@ -355,6 +370,11 @@
   isResumable: false,
 };
 
+function answerUnknownQuery(_path: string, res: ServerResponse): void {
+  res.writeHead(404);
+  res.end();
+}
+
 const respondWithText: UpstreamHandler = (received, res) =>
   res.end(`did ${received.id}`);
 
--- a/packages/front/test/test_protocol.ts
+++ b/packages/front/test/test_protocol.ts
@@ -4,7 +4,7 @@
 } from "@toucantrestle/organisations";
 import type { RoutingConfig, UpstreamEntry } from "@toucantrestle/routing";
 import type { IncomingHttpHeaders } from "node:http";
-import type { Protocol } from "../src/mod.ts";
+import type { ProcessQuery, Protocol } from "../src/mod.ts";
 
 /** Protocol with simple header names and JSON entries, for tests. */
 export const testProtocol: Protocol = {
@@ -52,6 +52,10 @@
     maxRequestsPerS: parseNumber(headers.get("x-limit")),
     isLeaving: headers.has("x-leaving"),
   }),
+  processQueries: [
+    createQuery("/report", "startedAt"),
+    createQuery("/epoch", "epoch"),
+  ],
   formatDirectoryResponse: (response) => JSON.stringify(response),
   parseConfig(value, onInvalid) {
     const raw = JSON.parse(value);
@@ -75,6 +79,22 @@
   },
 };
 
+/** Creates a query for an object that names the process in one field. */
+function createQuery(path: string, field: string): ProcessQuery {
+  return {
+    path,
+    formatHeaders: () => [],
+    parse(value) {
+      try {
+        const name = JSON.parse(value)[field];
+        return { name: name === undefined ? undefined : String(name) };
+      } catch {
+        return undefined;
+      }
+    },
+  };
+}
+
 function text(headers: IncomingHttpHeaders, name: string): string | undefined {
   return headers[name] as string | undefined;
 }
--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -34,6 +34,11 @@
   missingSince: number | undefined;
   /** Whether the entry was replaced by one that names no usable upstream. */
   isSuspended: boolean;
+  /**
+   * Whether the entry is that of an earlier process, with the start time of the
+   * present one: its own has not been read yet.
+   */
+  isInferred: boolean;
   /** End of the backoff after a failure; the upstream gets no work before. */
   backoffUntil: number;
   consecutiveFailures: number;
@@ -105,10 +110,12 @@
       return "new";
     }
     const before = known.entry;
-    if (entry.startedAt < before.startedAt) return undefined;
+    const isOutdated = entry.startedAt < before.startedAt;
+    if (isOutdated && !known.isInferred) return undefined;
     known.entry = entry;
     known.missingSince = undefined;
     known.isSuspended = false;
+    known.isInferred = false;
     if (entry.startedAt === before.startedAt) {
       // The software of a process does not change while it runs.
       const softwareVersion = entry.softwareVersion ?? before.softwareVersion;
@@ -125,6 +132,36 @@
     return entry.isDraining && !before.isDraining ? "draining" : undefined;
   }
 
+  /**
+   * Records that a later process of an upstream has been heard of before its
+   * entry was read. Nothing that is known of the earlier process holds for it.
+   * An entry that is read later goes before this. Returns whether it is new.
+   */
+  recordRestart(
+    { id, startedAt }: UpstreamProcess,
+    softwareVersion?: string,
+  ): boolean {
+    const known = this.#upstreams.get(id);
+    if (!known || startedAt <= known.entry.startedAt) return false;
+    const { missingSince, isSuspended, siblingLoads } = known;
+    this.#onInstanceGone(id);
+    Object.assign(known, {
+      ...createState(),
+      entry: {
+        ...known.entry,
+        startedAt,
+        softwareVersion,
+        isDraining: false,
+        coldLeftMs: 0,
+      },
+      missingSince,
+      isSuspended,
+      siblingLoads,
+      isInferred: true,
+    });
+    return true;
+  }
+
   /** Removes an upstream whose entry was deleted. */
   remove(id: string): void {
     if (!this.#upstreams.delete(id)) return;
@@ -347,6 +384,7 @@
   return {
     missingSince: undefined,
     isSuspended: false,
+    isInferred: false,
     backoffUntil: 0,
     consecutiveFailures: 0,
     localLoad: { running: 0, prefillTokens: 0 },
--- a/packages/service/src/service_client.ts
+++ b/packages/service/src/service_client.ts
@@ -155,6 +155,8 @@
   connect_refused: (name) => `service ${name} refused the connection`,
   connect_timeout: (name) => `service ${name} did not accept the connection`,
   not_wanted: (name) => `request to service ${name} was not sent`,
+  other_process: (name) => `another process answers for service ${name}`,
+  unknown_process: (name) => `the process of service ${name} is not known`,
   connection_lost: (name) =>
     `service ${name} closed the connection before the response was complete`,
   bad_answer: (name) => `service ${name} sent a malformed response`,
--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -64,6 +64,7 @@
   #isSkipping = false;
   #isConnected = false;
   #isClosed = false;
+  #isBroken = false;
   #canKeepAlive = true;
   #idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS;
   #idleSince = 0;
@@ -91,6 +92,19 @@
     return this.#exchange !== undefined;
   }
 
+  /** Whether the connection was established. */
+  get isConnected(): boolean {
+    return this.#isConnected;
+  }
+
+  /**
+   * Whether the upstream reset or refused the connection, or ended it during a
+   * request, rather than close it while idle.
+   */
+  get isBroken(): boolean {
+    return this.#isBroken;
+  }
+
   /** Whether the connection is open, idle and not close to its idle timeout. */
   isUsable(now: number): boolean {
     if (this.#isClosed || this.#exchange) return false;
@@ -206,13 +220,15 @@
 
   #onEnd(): void {
     if (this.#isClosed) return;
-    const parts = wasReset(this.#socket) ? [] : this.#parser.finish();
+    this.#isBroken = wasReset(this.#socket);
+    const parts = this.#isBroken ? [] : this.#parser.finish();
     for (const part of parts) this.#deliver(part, false);
     this.#close("connection_lost");
   }
 
   #onError(err: Error): void {
     const { code } = err as NodeJS.ErrnoException;
+    if (!this.#isClosed) this.#isBroken = true;
     const isRefused = !this.#isConnected && code !== "ETIMEDOUT";
     this.#close(isRefused ? "connect_refused" : "connection_lost");
   }
@@ -244,6 +260,7 @@
     if (!echoedRequestId) return true;
     const echoedId = echoedRequestId(head);
     if (echoedId === req.id) return true;
+    if (echoedId === undefined && req.mayLackId) return true;
     log.warn(
       `skipping response to ${
         echoedId ?? "no request"
@@ -276,6 +293,8 @@
   #close(reason: ChannelFailure["reason"]): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
+    const isUnanswered = reason === "connection_lost" && this.isBusy;
+    this.#isBroken ||= isUnanswered || reason === "connect_timeout";
     this.#connectTimeout.cancel();
     this.#parser.free();
     this.#socket.destroy();
--- a/packages/upstream_channel/src/channel_pool.ts
+++ b/packages/upstream_channel/src/channel_pool.ts
@@ -7,9 +7,15 @@
   ExchangeControl,
   ExchangeSender,
   OutgoingRequest,
+  ProcessDemand,
   ResponseHandlers,
   ResponseHead,
 } from "./exchange.ts";
+import {
+  ProcessIdentity,
+  type ProcessIdentityOptions,
+} from "./process_identity.ts";
+import { sendProven } from "./proven_exchange.ts";
 
 /** Options of the connections to one upstream. */
 export interface ChannelPoolOptions {
@@ -31,6 +37,8 @@
    * one that is due.
    */
   echoedRequestId?: (head: ResponseHead) => string | undefined;
+  /** How to tell which process answers; by default any counts as proven. */
+  identity?: Omit<ProcessIdentityOptions, "timer"> | undefined;
 }
 
 const CONNECT_TIMEOUT_MS = 700;
@@ -41,6 +49,13 @@
   onReceived() {},
 };
 
+const NO_IDENTITY: Omit<ProcessIdentityOptions, "timer"> = {
+  questions: [],
+  expectedName: undefined,
+  onOther() {},
+  isCurrent: () => true,
+};
+
 /** Keep-alive connections to one upstream, reused in LIFO order. */
 export class ChannelPool implements ExchangeSender {
   readonly #opts: ChannelPoolOptions;
@@ -48,9 +63,16 @@
   #idle: Channel[] = [];
   #openedCount = 0;
   #isRetired = false;
+  /** Connections to the expected process. */
+  readonly #proven = new WeakSet<Channel>();
+  readonly #identity: ProcessIdentity;
 
   constructor(opts: ChannelPoolOptions) {
     this.#opts = opts;
+    this.#identity = new ProcessIdentity({
+      ...(opts.identity ?? NO_IDENTITY),
+      timer: opts.timer,
+    });
   }
 
   /** Number of connections opened since the start. */
@@ -71,10 +93,16 @@
 
   /**
    * Sends a request on an idle connection that has not rejected it, or on a new
-   * one if there is none.
+   * one if there is none. With the demand `proven`, the request fails unless the
+   * process at the other end is shown to be the expected one.
    */
-  send(req: OutgoingRequest, handlers: ResponseHandlers): ExchangeControl {
-    const channel = this.#takeIdle(req.id) ?? this.#open();
+  send(
+    req: OutgoingRequest,
+    handlers: ResponseHandlers,
+    demand: ProcessDemand = "any",
+  ): ExchangeControl {
+    if (demand === "proven") return this.#sendProven(req, handlers);
+    const channel = this.#take(req.id);
     channel.send(req, handlers);
     return {
       cancel: () => channel.cancel(req.id),
@@ -83,6 +111,22 @@
     };
   }
 
+  #sendProven(
+    req: OutgoingRequest,
+    handlers: ResponseHandlers,
+  ): ExchangeControl {
+    return sendProven({
+      req,
+      handlers,
+      identity: this.#identity,
+      timer: this.#opts.timer,
+      takeProven: () => this.#takeIdle(req.id, (it) => this.#proven.has(it)),
+      take: () => this.#take(req.id),
+      recordProven: (it) => this.#proven.add(it),
+      claim: (it) => this.#claim(it),
+    });
+  }
+
   /** Gives up connections that are not established yet. */
   closeUnconnected(): void {
     for (const channel of [...this.#channels]) channel.closeUnconnected();
@@ -107,11 +151,29 @@
     for (const channel of [...this.#channels]) channel.close();
   }
 
-  #takeIdle(requestId: string): Channel | undefined {
+  /** Takes a connection out of the idle ones; false if it isn't there. */
+  #claim(channel: Channel): boolean {
+    const isIdle = this.#idle.includes(channel);
+    this.#idle = this.#idle.filter((it) => it !== channel);
+    return isIdle;
+  }
+
+  /** Takes an idle connection, or opens one. */
+  #take(requestId: string): Channel {
+    this.#identity.recordUse();
+    return this.#takeIdle(requestId, () => true) ?? this.#open();
+  }
+
+  #takeIdle(
+    requestId: string,
+    mayTake: (channel: Channel) => boolean,
+  ): Channel | undefined {
     const now = this.#opts.timer.monotonicNow();
     const expired = this.#idle.filter((it) => !it.isUsable(now));
     for (const channel of expired) channel.close();
-    const index = this.#idle.findLastIndex((it) => !it.hasRejected(requestId));
+    const index = this.#idle.findLastIndex((it) =>
+      !it.hasRejected(requestId) && mayTake(it)
+    );
     return index < 0 ? undefined : this.#idle.splice(index, 1)[0];
   }
 
@@ -136,5 +198,7 @@
   #remove(channel: Channel): void {
     this.#channels.delete(channel);
     this.#idle = this.#idle.filter((it) => it !== channel);
+    if (!channel.isBroken || this.#channels.size > 0) return;
+    this.#identity.recordLoss();
   }
 }
--- a/packages/upstream_channel/src/exchange.ts
+++ b/packages/upstream_channel/src/exchange.ts
@@ -2,8 +2,10 @@
 
 /** A request to an upstream. */
 export interface OutgoingRequest {
-  /** Id that the response must echo, if it carries one. */
+  /** Id that the response must echo. */
   id: string;
+  /** Whether a response that echoes no id is the one to this request, too. */
+  mayLackId?: boolean;
   method: string;
   path: string;
   /** Alternating names and values. */
@@ -38,6 +40,10 @@
   | "bad_answer"
   /** The request waited for a connection and was not to be sent any more. */
   | "not_wanted"
+  /** Another process than the expected one answers. */
+  | "other_process"
+  /** The upstream does not say which process answers. */
+  | "unknown_process"
   | "cancelled";
 
 /** Failure of an exchange; `R` are the possible reasons. */
@@ -60,9 +66,16 @@
   onFailure(failure: ChannelFailure<R>): void;
 }
 
+/** Which process may get a request: any, or only one that has proved its identity. */
+export type ProcessDemand = "any" | "proven";
+
 /** Sends requests to one upstream. */
 export interface ExchangeSender<R extends string = ChannelFailureReason> {
-  send(req: OutgoingRequest, handlers: ResponseHandlers<R>): ExchangeControl;
+  send(
+    req: OutgoingRequest,
+    handlers: ResponseHandlers<R>,
+    demand?: ProcessDemand,
+  ): ExchangeControl;
 }
 
 /** Controls an exchange in flight; has no effect after its end. */
--- a/packages/upstream_channel/src/mod.ts
+++ b/packages/upstream_channel/src/mod.ts
@@ -11,6 +11,7 @@
   ExchangeControl,
   ExchangeSender,
   OutgoingRequest,
+  ProcessDemand,
   RawResponseHead,
   ResponseHandlers,
   ResponseHead,
@@ -19,4 +20,9 @@
 export { ChannelPool, type ChannelPoolOptions } from "./channel_pool.ts";
 export type { ContactListener } from "./contact.ts";
 export { type Dial, dialTcp } from "./dial.ts";
+export type {
+  ProcessAnswer,
+  ProcessIdentityOptions,
+  ProcessQuestion,
+} from "./process_identity.ts";
 export { isListening } from "./is_listening.ts";
