--- a/packages/routing/test/upstream_restart_test.ts
+++ b/packages/routing/test/upstream_restart_test.ts
@@ -85,3 +85,46 @@
     }));
   });
 });
+
+// Guards against what one process did counting for the next one, before the
+// entry of that one is read.
+describe("an upstream whose restart is heard of before its entry is read", () => {
+  it("has a later start, no version and nothing of its previous process", () => {
+    const gone: string[] = [];
+    const registry = new UpstreamRegistry({
+      onInstanceGone: (id) => gone.push(id),
+    });
+    registry.put(createEntry("u1", { ...OLD, softwareVersion: "v1" }));
+    registry.recordFailure(OLD, 0);
+    expect(registry.recordRestart(NEW)).toEqual(true);
+    expect(registry.recordRestart(NEW)).toEqual(false);
+    expect(registry.recordRestart(OLD)).toEqual(false);
+    const { entry, backoffUntil } = registry.get("u1")!;
+    expect([entry.startedAt, entry.softwareVersion, backoffUntil, gone])
+      .toEqual([NEW.startedAt, undefined, 0, ["u1"]]);
+  });
+
+  it("takes its version from the entry that is read then", () => {
+    const { registry, restart } = createRegistry(OLD.startedAt);
+    registry.recordRestart(NEW);
+    registry.put(createEntry("u1", { ...NEW, softwareVersion: "v2" }));
+    expect(registry.get("u1")?.entry.softwareVersion).toEqual("v2");
+    expect(restart()).toEqual(undefined);
+  });
+
+  // Guards against an upstream that can never be heard of again (DRAIN).
+  it("is what a later entry says, whatever was heard", () => {
+    const { registry } = createRegistry(OLD.startedAt);
+    registry.recordRestart({ id: "u1", startedAt: Number.MAX_SAFE_INTEGER });
+    registry.put(createEntry("u1", { ...OLD, isDraining: true }));
+    expect(registry.get("u1")?.entry)
+      .toEqual(createEntry("u1", { ...OLD, isDraining: true }));
+  });
+
+  it("stays missing and suspended", () => {
+    const { registry } = createRegistry(OLD.startedAt);
+    registry.markMissing("u1", 3);
+    registry.recordRestart(NEW);
+    expect(registry.get("u1")?.missingSince).toEqual(3);
+  });
+});
