--- a/packages/front/test/begun_response_test.ts
+++ b/packages/front/test/begun_response_test.ts
@@ -2,7 +2,7 @@
 import { request, type ServerResponse } from "node:http";
 import { connect, type Socket } from "node:net";
 import { subscribe } from "node:diagnostics_channel";
-import { after, before, beforeEach, describe, it } from "node:test";
+import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import type { BodyDelimiter } from "@toucantrestle/upstream_channel";
 import { TestCluster } from "./test_cluster.ts";
@@ -70,6 +70,8 @@
 
 after(() => cluster.close());
 
+afterEach((t) => cluster.printLogIfFailed(t));
+
 beforeEach(() => {
   sentBytes = 0;
 });
--- a/packages/front/test/interrupted_response_test.ts
+++ b/packages/front/test/interrupted_response_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { connect } from "node:net";
-import { after, before, beforeEach, describe, it } from "node:test";
+import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import {
   type CallResult,
   type RawResponse,
@@ -50,6 +50,8 @@
 
 after(() => cluster.close());
 
+afterEach((t) => cluster.printLogIfFailed(t));
+
 beforeEach(() => {
   cluster.received.length = 0;
 });
--- a/packages/front/test/kept_log.ts
+++ b/packages/front/test/kept_log.ts
@@ -1,6 +1,6 @@
 import type { LogFields, Logger, LoggerFactory } from "@toucantrestle/log";
 
-/** Lines that are kept of one test. */
+/** Lines that are kept of one test, or somewhat more. */
 const MAX_LINES = 2_000;
 
 /** Context of a test that has ended; `TestContext` declares no `passed`. */
@@ -9,28 +9,40 @@
   diagnostic(message: string): void;
 }
 
-/** Log of all parts of one test, which is printed only if the test fails. */
+interface Line {
+  /** Time since the start of the process, in ms. */
+  at: number;
+  part: string;
+  message: string;
+  fields: LogFields | undefined;
+}
+
+/** Log of all parts of a test, which is printed only if the test fails. */
 export class KeptLog {
-  readonly #lines: string[] = [];
+  #lines: Line[] = [];
 
   /** Creates the loggers of a part that writes here. */
   readonly loggers: LoggerFactory = (part) => {
     const write: Logger["info"] = (message, fields) =>
-      this.add(`[${part}] ${message}`, fields);
+      this.#add({ at: performance.now(), part, message, fields });
     return { error: write, warn: write, info: write, debug: write };
   };
 
-  /** Adds a line with the time since the start of the process, in ms. */
-  add(message: string, fields: LogFields = {}): void {
-    if (this.#lines.length >= MAX_LINES) this.#lines.shift();
-    const at = performance.now().toFixed(0);
-    this.#lines.push(`${at} ${message} ${JSON.stringify(fields)}`);
-  }
-
   /** Prints the lines if a test, given by its context, has failed. */
   printIfFailed(t: object): void {
+    const lines = this.#lines.splice(0);
     const test = t as EndedTest;
     if (test.passed) return;
-    for (const line of this.#lines) test.diagnostic(line);
+    for (const { at, part, message, fields = {} } of lines) {
+      const details = JSON.stringify(fields);
+      test.diagnostic(`${at.toFixed(0)} [${part}] ${message} ${details}`);
+    }
+  }
+
+  #add(line: Line): void {
+    this.#lines.push(line);
+    if (this.#lines.length > 2 * MAX_LINES) {
+      this.#lines = this.#lines.slice(-MAX_LINES);
+    }
   }
 }
--- a/packages/front/test/lost_answer_test.ts
+++ b/packages/front/test/lost_answer_test.ts
@@ -1,7 +1,6 @@
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import { KeptLog } from "./kept_log.ts";
 import { PathFault } from "./path_fault.ts";
 import { TestCluster, type UpstreamHandler, writeRaw } from "./test_cluster.ts";
 
@@ -20,15 +19,13 @@
 type Fault = "reset" | "interrupt" | "crash" | "interrupt_and_crash";
 
 let cluster: TestCluster;
-let log: KeptLog;
 /** Way from the front that is called to the upstreams. */
 let path: PathFault;
 let nextId: number;
 let popularRuns: number;
 
 beforeEach(async () => {
-  log = new KeptLog();
-  cluster = new TestCluster({ loggers: log.loggers });
+  cluster = new TestCluster();
   path = new PathFault();
   nextId = 0;
   popularRuns = 0;
@@ -49,7 +46,7 @@
 });
 
 afterEach(async (t) => {
-  log.printIfFailed(t);
+  cluster.printLogIfFailed(t);
   await cluster.close();
 });
 
--- a/packages/front/test/malformed_response_test.ts
+++ b/packages/front/test/malformed_response_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import type { Socket } from "node:net";
 import process from "node:process";
-import { after, before, beforeEach, describe, it } from "node:test";
+import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { PathFault } from "./path_fault.ts";
 import { type CallResult, TestCluster } from "./test_cluster.ts";
@@ -259,6 +259,8 @@
 
 after(() => cluster.close());
 
+afterEach((t) => cluster.printLogIfFailed(t));
+
 beforeEach(() => {
   malformed = undefined;
   cluster.received.length = 0;
--- a/packages/front/test/reader_news_test.ts
+++ b/packages/front/test/reader_news_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "earl";
-import { after, before, describe, it } from "node:test";
+import { after, afterEach, before, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { PacedStore } from "./paced_store.ts";
 import { TestCluster } from "./test_cluster.ts";
@@ -76,6 +76,8 @@
 
 after(() => cluster.close());
 
+afterEach((t) => cluster.printLogIfFailed(t));
+
 // Guards against DRAIN at fronts that rely on what others have read.
 describe("a fleet in which four fronts read the store often", () => {
   it("hears of an upstream that drains", async () => {
--- a/packages/front/test/stopping_turn_store_test.ts
+++ b/packages/front/test/stopping_turn_store_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "earl";
-import { after, before, describe, it } from "node:test";
+import { after, afterEach, before, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import {
   type CallResult,
@@ -41,6 +41,8 @@
 
 after(() => cluster.close());
 
+afterEach((t) => cluster.printLogIfFailed(t));
+
 function turnHeaders(program: string): Record<string, string> {
   return {
     "x-program": program,
--- a/packages/front/test/stream_software_test.ts
+++ b/packages/front/test/stream_software_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import type { ServerResponse } from "node:http";
-import { after, before, beforeEach, describe, it } from "node:test";
+import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import {
   type CallResult,
   type ReceivedRequest,
@@ -49,6 +49,8 @@
 
 after(() => cluster.close());
 
+afterEach((t) => cluster.printLogIfFailed(t));
+
 beforeEach(() => {
   interrupting = new Set();
   declining = new Set();
--- a/packages/front/test/test_cluster.ts
+++ b/packages/front/test/test_cluster.ts
@@ -1,6 +1,6 @@
 import { type ConfigStore, MemoryStore } from "@toucantrestle/config_store";
 import { Fleet, type HostEntry } from "@toucantrestle/fleet";
-import { createNoopLoggers, type LoggerFactory } from "@toucantrestle/log";
+import type { LoggerFactory } from "@toucantrestle/log";
 import { createNoopMetrics, type Metrics } from "@toucantrestle/metrics";
 import type { OrganisationEntry } from "@toucantrestle/organisations";
 import type { Route, UpstreamEntry } from "@toucantrestle/routing";
@@ -11,7 +11,7 @@
 } from "@toucantrestle/timer";
 import { writeState } from "@toucantrestle/turn_journal";
 import { openStoreDisk, TurnStoreServer } from "@toucantrestle/turn_store";
-import type { BodyDelimiter, Dial } from "@toucantrestle/upstream_channel";
+import type { Dial } from "@toucantrestle/upstream_channel";
 import { mkdtemp, rm } from "node:fs/promises";
 import {
   createServer,
@@ -23,9 +23,11 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Front } from "../src/mod.ts";
+import { KeptLog } from "./kept_log.ts";
 import { type CallResult, sendRequest } from "./send_request.ts";
 import { testProtocol } from "./test_protocol.ts";
 
+export { type RawResponse, writeRaw } from "./raw_response.ts";
 export { type CallResult, sendRequest } from "./send_request.ts";
 
 const READY_TIMEOUT_MS = 8_000;
@@ -66,11 +68,12 @@
   /** Data folders of the turn stores, by host. */
   readonly #folders = new Map<string, string>();
   readonly #linkAddresses = new Map<string, string>();
+  readonly #log = new KeptLog();
   readonly #loggers: LoggerFactory;
   #version = 0;
 
   constructor(opts: { loggers?: LoggerFactory } = {}) {
-    this.#loggers = opts.loggers ?? createNoopLoggers();
+    this.#loggers = opts.loggers ?? this.#log.loggers;
   }
 
   /** Stores a new version of the configuration with these routes. */
@@ -279,6 +282,11 @@
     throw new Error(`fronts not ready after ${timeoutMs} ms`);
   }
 
+  /** Prints what all parts have logged if a test, given by its context, failed. */
+  printLogIfFailed(t: object): void {
+    this.#log.printIfFailed(t);
+  }
+
   async close(): Promise<void> {
     this.#timer.end();
     for (const front of this.fronts) front.close();
@@ -367,43 +375,6 @@
   };
 }
 
-/** Response of an upstream as raw bytes. */
-export interface RawResponse {
-  delimiter: BodyDelimiter;
-  /** The part of the body that is sent. */
-  body: string;
-  /** True if the body lacks its rest. */
-  isCut: boolean;
-  /** How the connection ends after a body that is cut or has no length. */
-  ending: "close" | "reset";
-}
-
-/** Time between the last byte and the reset of a connection, in ms. */
-const RESET_DELAY_MS = 20;
-
-/** Writes a response to the connection of a request, byte by byte as given. */
-export function writeRaw(res: ServerResponse, response: RawResponse): void {
-  const { delimiter, body, isCut, ending } = response;
-  const { socket } = res.req;
-  const bytes = Buffer.byteLength(body);
-  const chunk = bytes === 0 ? "" : `${bytes.toString(16)}\r\n${body}\r\n`;
-  const framed: Record<BodyDelimiter, [header: string, body: string]> = {
-    length: [`content-length: ${isCut ? bytes + 10 : bytes}\r\n`, body],
-    chunked: [
-      "transfer-encoding: chunked\r\n",
-      isCut ? chunk : `${chunk}0\r\n\r\n`,
-    ],
-    close: ["", body],
-  };
-  const [header, framedBody] = framed[delimiter];
-  const id = `x-id: ${res.getHeader("x-id")}\r\n`;
-  const mark = `x-mark: ${res.getHeader("x-mark")}\r\n`;
-  socket.write(`HTTP/1.1 200 OK\r\n${id}${mark}${header}\r\n${framedBody}`);
-  if (ending === "reset") {
-    setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
-  } else if (isCut || delimiter === "close") socket.end();
-}
-
 export async function freeAddress(): Promise<string> {
   const server = createTcpServer();
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
--- a/packages/front/test/unreachable_upstreams_test.ts
+++ b/packages/front/test/unreachable_upstreams_test.ts
@@ -66,7 +66,10 @@
   await cluster.waitUntilReady("/turn/x", turnHeaders());
 });
 
-afterEach(() => cluster.close());
+afterEach(async (t) => {
+  cluster.printLogIfFailed(t);
+  await cluster.close();
+});
 
 /** Streams at once, or one event after the other for a slow path. */
 function serveStream(received: ReceivedRequest, res: ServerResponse): void {
--- a/packages/front/test/upstream_limit_test.ts
+++ b/packages/front/test/upstream_limit_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "earl";
-import { after, before, beforeEach, describe, it } from "node:test";
+import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { TestCluster } from "./test_cluster.ts";
 
 const FRONTS = 3;
@@ -42,6 +42,8 @@
 
 after(() => cluster.close());
 
+afterEach((t) => cluster.printLogIfFailed(t));
+
 beforeEach(() => {
   limits = new Map();
   arrivals = new Map(Object.keys(SERVICES).map((it) => [it, []]));
