Tests of the front: the caller sees that a response was reset

The caller of the tests (send_request.ts) called a response without a length complete although the front had reset its connection. Node.js reports a reset that is read together with the last bytes as the end of the connection; the front itself knows this (wasReset in upstream_channel), the caller did not.

Trace: malformed_response_test.ts, "a body without a length that is reset" (through a sibling, /large/), with the loop held at random for up to 900 ms (a trial): the front logs connection_lost after 300,000 bytes, then cut_off, and the caller reports a complete 200. No fault of the product.

send_request_test.ts needs no load: the server resets in the same turn. As strict: a reset was to be seen before, too, and an end without a reset still counts as complete.

--- a/packages/front/test/send_request.ts
+++ b/packages/front/test/send_request.ts
@@ -1,4 +1,5 @@
 import { type IncomingMessage, request } from "node:http";
+import type { Socket } from "node:net";
 
 /** Response as a caller received it. */
 export interface CallResult {
@@ -39,6 +40,9 @@
           headers: res.headers,
         }));
     });
+    req.on("socket", (socket) => {
+      socket.prependListener("end", () => isReset ||= wasReset(socket));
+    });
     // Node.js reports a response without a length as complete even if its
     // connection is reset.
     req.on("error", (err) => {
@@ -48,3 +52,12 @@
     req.end(opts.body);
   });
 }
+
+/**
+ * Whether a connection that is reported as ended was reset. Node.js reports a
+ * reset that arrives together with bytes as the end; the system then knows the
+ * other side no more. Nothing may read the address earlier, because it is kept.
+ */
+function wasReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
