Upstream connections: a request that waited for a question may no longer be wanted

What an upstream would have seen: a request on a resumable route that arrives after this front has learned that the upstream leaves or was replaced, if it learned that while it asked the process for its name (DRAIN).

Cause: the request was checked when it was chosen and when a new connection was established, but not after the question on that connection.

Evidence: packages/upstream_channel/test/proven_exchange_test.ts, "is not sent if it is not wanted after the question": sent before, `not_wanted` (not run) now.

--- a/packages/upstream_channel/src/channel_pool.ts
+++ b/packages/upstream_channel/src/channel_pool.ts
@@ -123,6 +123,7 @@
       takeProven: () => this.#takeIdle(req.id, (it) => this.#proven.has(it)),
       take: () => this.#take(req.id),
       recordProven: (it) => this.#proven.add(it),
+      maySend: () => this.#opts.maySend?.() ?? true,
       claim: (it) => this.#claim(it),
     });
   }
--- a/packages/upstream_channel/src/proven_exchange.ts
+++ b/packages/upstream_channel/src/proven_exchange.ts
@@ -22,6 +22,8 @@
   take: () => Channel;
   /** Records that the process at the end of a connection is proven. */
   recordProven: (channel: Channel) => void;
+  /** Whether the request may still be sent. */
+  maySend: () => boolean;
   /** Takes a connection that has become idle; false if it is gone. */
   claim: (channel: Channel) => boolean;
 }
@@ -85,6 +87,7 @@
     const verdict = identity.verdictOn(result);
     const isOver = verdict === "other_process" || verdict === "unknown_process";
     if (isOver) return fail(verdict);
+    if (!opts.maySend()) return fail("not_wanted");
     if (opts.claim(on)) HANDLERS[verdict](on);
     else retryOrFail("connection_lost");
   }
