Link, upstream channel: what has arrived is read before a timeout counts

What callers saw: 503 turns_unknown for turns whose stores had answered, and upstreams counted as crashed that had accepted the probe, if the front had no processor for longer than the timeout of its request or probe.

Cause: the event loop runs due timers before it reads. LinkClient.request failed and then dropped the result that lay in its socket; isListening settled on false with the connection established. Class: docs/incidents/held_up_stop.md.

Fix: after the timeout a turn of the loop, in which what has arrived is handled, passes before the failure counts. Bounds unchanged.

Open: timeouts of connections being opened still decide before reading.

--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -144,8 +144,9 @@
     }
     const id = this.#nextId++;
     return new Promise((resolve, reject) => {
-      const timeout = this.#opts.timer.after(timeoutMs, () => {
-        this.#pending.delete(id);
+      const timeout = this.#opts.timer.after(timeoutMs, async () => {
+        await readArrived();
+        if (!this.#pending.delete(id)) return;
         reject(
           new LinkError(
             `request "${name}" to ${this.address} timed out after ${timeoutMs} ms`,
@@ -340,3 +341,13 @@
     return pending;
   }
 }
+
+/**
+ * Resolves once all that has arrived is read: a process that was held up runs
+ * its timers before that.
+ */
+async function readArrived(): Promise<void> {
+  for (let i = 0; i < 2; i++) {
+    await new Promise<void>((resolve) => setImmediate(resolve));
+  }
+}
--- a/packages/link/test/link_test.ts
+++ b/packages/link/test/link_test.ts
@@ -31,6 +31,8 @@
 let servers: LinkServer<Methods, Notices>[];
 let clients: LinkClient<Methods, Notices>[];
 let receivedNews: string[];
+/** Called before a number is doubled. */
+let onDouble: () => unknown;
 
 beforeEach(async () => {
   scope = createTimerScope(createSystemTimer());
@@ -38,6 +40,7 @@
   servers = [];
   clients = [];
   receivedNews = [];
+  onDouble = () => {};
 });
 
 afterEach(() => {
@@ -97,6 +100,27 @@
     await new Promise((resolve) => setTimeout(resolve, 100));
     expect(lostCount).toEqual(0);
   });
+
+  // Guards against requests that fail although their results have arrived,
+  // because this process was held up (503 for turns that could be found).
+  it("takes a result that arrived in time while this process was held up", async () => {
+    await listen();
+    const client = dial();
+    await waitUntil(() => client.isOpen);
+    client.notify("news", "first");
+    await waitUntil(() => receivedNews.length === 1);
+    onDouble = () => setImmediate(() => blockFor(REQUEST_TIMEOUT_MS + 100));
+    expect(await client.request("double", 21, REQUEST_TIMEOUT_MS)).toEqual(42);
+  });
+
+  it("rejects a request without a result when its time is over", async () => {
+    await listen();
+    const client = dial();
+    await waitUntil(() => client.isOpen);
+    onDouble = () => new Promise(() => {});
+    await expect(client.request("double", 21, REQUEST_TIMEOUT_MS))
+      .toBeRejectedWith("timed out");
+  });
 });
 
 describe("a link to an address that cannot be dialled", () => {
@@ -157,7 +181,12 @@
 ): Promise<LinkServer<Methods, Notices>> {
   const server = new LinkServer<Methods, Notices>({
     log,
-    methods: { double: (n) => 2 * n },
+    methods: {
+      async double(n) {
+        await onDouble();
+        return 2 * n;
+      },
+    },
     notices: { news: onNews },
   });
   servers.push(server);
--- a/packages/upstream_channel/src/is_listening.ts
+++ b/packages/upstream_channel/src/is_listening.ts
@@ -16,8 +16,21 @@
       socket.destroy();
       resolve(isAccepting);
     };
-    const timeout = setTimeout(() => settle(false), PROBE_TIMEOUT_MS);
+    const timeout = setTimeout(async () => {
+      await readArrived();
+      settle(false);
+    }, PROBE_TIMEOUT_MS);
     socket.once("connect", () => settle(true));
     socket.once("error", () => settle(false));
   });
 }
+
+/**
+ * Resolves once what has arrived is handled: a process that was held up runs
+ * its timers before that.
+ */
+async function readArrived(): Promise<void> {
+  for (let i = 0; i < 2; i++) {
+    await new Promise<void>((resolve) => setImmediate(resolve));
+  }
+}
