Lifecycle: how a process stops or fails to start stands once

run_role and the daemon's run.ts held the same functions. RunningProcess has them, with a test of its own (6 pass): the stop is finished once however many signals come, and the daemon that an operator drains ends too.

--- a/packages/daemon/src/run.ts
+++ b/packages/daemon/src/run.ts
@@ -5,13 +5,11 @@
  * @module
  */
 import {
-  endProcess,
-  ExitError,
   guardFailures,
-  type ProcessSignals,
+  RunningProcess,
   takeSignals,
 } from "@toucantrestle/lifecycle";
-import { createLoggers, type Logger } from "@toucantrestle/log";
+import { createLoggers } from "@toucantrestle/log";
 import { createSystemTimer } from "@toucantrestle/timer";
 import { Daemon } from "./daemon.ts";
 import { readDaemonSettings } from "./settings.ts";
@@ -19,12 +17,6 @@
 
 const PROGRAM = "toucantrestled";
 
-/** Signals of the process and the log of what happens to it. */
-interface ProcessContext {
-  signals: ProcessSignals;
-  log: Logger;
-}
-
 /** Runs the process. It ends only for the reasons of `EXIT_RULES`. */
 export async function runDaemon(): Promise<void> {
   const signals = takeSignals();
@@ -37,61 +29,31 @@
   });
   const log = logs("daemon");
   failures.goOn(log);
-  handleSignals({ signals, log });
+  const running = new RunningProcess({ program: PROGRAM, signals, log });
+  // Its settings are flags and environment variables.
+  running.onReload(() => log.info("there is nothing to reload"));
   try {
     const timer = createSystemTimer();
-    const isStopping = () => signals.isStopRequested;
+    const isStopping = () => running.isStopping;
     const tls = await awaitTlsFiles(cfg, { timer, log, isStopping });
     const daemon = new Daemon(cfg, { timer, logs, tls });
-    daemon.onStopped((err) => endStopped(err, log));
-    signals.on("stop", (signal) => {
-      logSignal(log, signal);
+    const stopped = untilStopped(daemon);
+    running.onStop(() => {
       daemon.stop();
+      return stopped;
     });
+    // Operators may drain the daemon as well.
+    const stop = () => running.stop();
+    stopped.then(stop, stop);
     await daemon.start();
   } catch (err) {
-    endFailedStart(err, { signals, log });
+    running.endFailedStart(err);
   }
 }
 
-/** Handles the signals of a process that has nothing to finish yet. */
-function handleSignals({ signals, log }: ProcessContext): void {
-  signals.on("stop", (signal) => {
-    logSignal(log, signal);
-    endStopped(undefined, log);
+/** Resolves when the daemon has stopped; rejects if it could not finish. */
+function untilStopped(daemon: Daemon): Promise<void> {
+  return new Promise((resolve, reject) => {
+    daemon.onStopped((err) => err === undefined ? resolve() : reject(err));
   });
-  signals.on(
-    "reload",
-    (signal) => log.info(`got ${signal}: there is nothing to reload`),
-  );
-  signals.on("nothing", (signal) => logSignal(log, signal));
-}
-
-function logSignal(log: Logger, signal: string): void {
-  log.info(`got ${signal}`, { event: "signal", signal });
-}
-
-/** Ends a process that has stopped, or failed to finish its stop. */
-function endStopped(err: unknown, log: Logger): void {
-  const opts = { program: PROGRAM, log };
-  if (err === undefined) endProcess("stopped", "stopped", opts);
-  else {
-    const message = `cannot finish the stop: ${errorText(err)}`;
-    endProcess("stop_failed", message, opts);
-  }
-}
-
-/** Ends a process that cannot start, unless a stop ends it. */
-function endFailedStart(err: unknown, { signals, log }: ProcessContext): void {
-  if (signals.isStopRequested) {
-    log.info(`start is given up because of the stop: ${errorText(err)}`);
-    return;
-  }
-  const reason = err instanceof ExitError ? err.reason : "start_failed";
-  const text = err instanceof ExitError ? err.message : errorText(err);
-  endProcess(reason, `cannot start: ${text}`, { program: PROGRAM, log });
-}
-
-function errorText(err: unknown): string {
-  return err instanceof Error ? err.stack ?? err.message : String(err);
 }
--- a/packages/lifecycle/src/mod.ts
+++ b/packages/lifecycle/src/mod.ts
@@ -22,4 +22,8 @@
 export { FailureGuard, guardFailures } from "./failures.ts";
 export { type ListenOptions, listenWhenFree } from "./listen.ts";
 export { handleOutputErrors } from "./output.ts";
+export {
+  RunningProcess,
+  type RunningProcessOptions,
+} from "./running_process.ts";
 export { ProcessSignals, type SignalRequest, takeSignals } from "./signals.ts";
