--- a/packages/front/test/begun_response_test.ts
+++ b/packages/front/test/begun_response_test.ts
@@ -5,6 +5,7 @@
 import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import type { BodyDelimiter } from "@toucantrestle/upstream_channel";
+import { onReset } from "./send_request.ts";
 import { TestCluster } from "./test_cluster.ts";
 
 const cluster = new TestCluster();
@@ -152,6 +153,7 @@
       });
     });
     req.on("error", () => result.looksComplete = false);
+    onReset(req, () => result.looksComplete = false);
     req.end();
   });
 }
