Turn stores: a lack of descriptors is no damage of the disk

What callers may see: a store that had no descriptors for 60 s set its sound disk aside and joined with an empty one; all stores under the same load lose all copies (found in review, not reported).

Cause: EMFILE and the like were recorded as failures of the disk.

Evidence: read_failures_test.ts, 'are none if they say nothing of the disk', failed on: ['records...'] in place of [].

--- a/packages/turn_store/test/read_failures_test.ts
+++ b/packages/turn_store/test/read_failures_test.ts
@@ -45,4 +45,17 @@
     }
     expect(damages).toEqual(["records stay unreadable: EIO: read"]);
   });
+
+  // Guards against a sound disk that is set aside while the process, or all of
+  // its host, has no descriptors or no memory left.
+  it("are none if they say nothing of the disk", () => {
+    for (const code of ["EMFILE", "ENFILE", "ENOMEM", "EAGAIN"]) {
+      const { timer, failures, damages } = createFailures();
+      for (let ms = 0; ms <= 120_000; ms += 5_000) {
+        failures.record(createError(code));
+        timer.advance(5_000);
+      }
+      expect(damages).toEqual([]);
+    }
+  });
 });
