--- a/packages/config_store/src/list_and_watch.ts
+++ b/packages/config_store/src/list_and_watch.ts
@@ -44,6 +44,8 @@
   let retryMs = MIN_RETRY_MS;
   let subscription: Subscription | undefined;
   let confirmedAt = timer.monotonicNow();
+  /** Whether no watch has responded since a list replaced lost history. */
+  let isRelisted = false;
 
   function confirm(): void {
     confirmedAt = timer.monotonicNow();
@@ -99,6 +101,13 @@
     }
   }
 
+  /** Lists again without the lost history; a second time only after a pause. */
+  function relist(): void {
+    if (isRelisted) return retry(() => list(false));
+    isRelisted = true;
+    list(false);
+  }
+
   function watch(after: number, waitedMs = 0): void {
     if (isCancelled) return;
     let revision = after;
@@ -109,6 +118,7 @@
         onEvents(events, atRevision) {
           if (isCancelled) return;
           setReachable(true);
+          isRelisted = false;
           revision = atRevision;
           if (events.length > 0) apply(() => opts.onEvents(events, atRevision));
           confirm();
@@ -121,7 +131,7 @@
                 HISTORY_STATES[reason]
               }, listing again`,
             );
-            list(false);
+            relist();
             return;
           }
           if (reason === "outdated") {
--- a/packages/config_store/test/list_and_watch_test.ts
+++ b/packages/config_store/test/list_and_watch_test.ts
@@ -1,8 +1,13 @@
 import { createNoopLoggers } from "@toucantrestle/log";
-import { createSystemTimer } from "@toucantrestle/timer";
+import { createManualTimer, createSystemTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { listAndWatch, MemoryStore } from "../src/mod.ts";
+import {
+  listAndWatch,
+  MemoryStore,
+  type WatchEndReason,
+  type WatchOptions,
+} from "../src/mod.ts";
 
 let store: MemoryStore;
 let items: Map<string, string>;
@@ -153,3 +158,57 @@
     failing.cancel();
   });
 });
+
+/** A store that ends each watch at once, and counts the lists. */
+class ForgetfulStore extends MemoryStore {
+  readonly #reason: WatchEndReason;
+  listCount = 0;
+
+  constructor(reason: WatchEndReason) {
+    super();
+    this.#reason = reason;
+  }
+
+  override list(prefix: string): ReturnType<MemoryStore["list"]> {
+    this.listCount += 1;
+    return super.list(prefix);
+  }
+
+  override watch(_prefix: string, { handlers }: WatchOptions) {
+    setImmediate(() => handlers.onEnd(this.#reason));
+    return { cancel: () => true };
+  }
+}
+
+/** Lets everything happen that waits for no time. */
+async function settle(): Promise<void> {
+  for (let i = 0; i < 50; i++) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+describe("a store that has no history for any watch", () => {
+  for (const reason of ["compacted", "too_large"] as const) {
+    // Guards against lists that use up the processor and the store's reads.
+    it(`is listed again at once, and then after pauses (${reason})`, async () => {
+      const forgetful = new ForgetfulStore(reason);
+      const timer = createManualTimer();
+      const watching = listAndWatch({
+        store: forgetful,
+        prefix: "p/",
+        timer,
+        log: createNoopLoggers()("follow"),
+        onSnapshot: () => {},
+        onEvents: () => {},
+      });
+      const counts: number[] = [];
+      for (let i = 0; i < 3; i++) {
+        await settle();
+        counts.push(forgetful.listCount);
+        timer.advance(250);
+      }
+      watching.cancel();
+      expect(counts).toEqual([2, 3, 4]);
+    });
+  }
+});
