--- a/packages/turn_journal/src/journal.ts
+++ b/packages/turn_journal/src/journal.ts
@@ -303,11 +303,26 @@
    * unknown state. The next write starts a new segment.
    */
   async #abandonActiveSegment(): Promise<void> {
+    const segment = this.#activeSegment;
     this.#activeSegment = undefined;
     await this.#activeFile?.close().catch((err) =>
       this.#opts.log.warn(`cannot close the segment file: ${String(err)}`)
     );
     this.#activeFile = undefined;
+    if (segment?.syncedBytes === 0) await this.#deleteUnwritten(segment);
+  }
+
+  /** Deletes a segment that holds no acknowledged record. */
+  async #deleteUnwritten(segment: Segment): Promise<void> {
+    try {
+      await rm(this.#pathOf(segment.number, "log"), { force: true });
+      this.#segments = this.#segments.filter((it) => it !== segment);
+      this.#takenNumbers.delete(segment.number);
+    } catch (err) {
+      this.#opts.log.warn(
+        `cannot delete segment ${segment.number}: ${String(err)}`,
+      );
+    }
   }
 
   async #startSegment(): Promise<void> {
--- a/packages/turn_journal/test/journal_test.ts
+++ b/packages/turn_journal/test/journal_test.ts
@@ -8,6 +8,7 @@
   readFile,
   rm,
   stat,
+  symlink,
   truncate,
   writeFile,
 } from "node:fs/promises";
@@ -228,3 +229,39 @@
     expect(await readdir(folder)).toEqual(names);
   });
 });
+
+const SEGMENT_BYTES = 5_000;
+const FAILED_WRITES = 10;
+
+/** Returns the name of a segment. */
+function segmentName(number: number): string {
+  return `${String(number).padStart(8, "0")}.log`;
+}
+
+/** Makes all writes to the segments from `first` to `last` fail with ENOSPC. */
+async function fillDisk(first: number, last: number): Promise<void> {
+  for (let number = first; number <= last; number++) {
+    await symlink("/dev/full", join(folder, segmentName(number)));
+  }
+}
+
+describe("a journal on a full disk", () => {
+  // Guards against a file and a segment that stay after each failed write.
+  it("keeps no segment in which nothing was written", async () => {
+    const { journal } = await openJournal();
+    await fillDisk(2, 1 + FAILED_WRITES);
+    await journal.append(createEntry("a".repeat(SEGMENT_BYTES)));
+    for (let i = 0; i < FAILED_WRITES; i++) {
+      await expect(journal.append(createEntry("b")))
+        .toBeRejectedWith(/ENOSPC/);
+    }
+    await journal.append(createEntry("c"));
+    await journal.close();
+    const names = (await readdir(folder)).filter((it) => it.endsWith(".log"));
+    expect(names.sort()).toEqual(
+      [1, 2 + FAILED_WRITES].map((it) => segmentName(it)),
+    );
+    const { loaded } = await openJournal();
+    expect(loaded.map((it) => it[0])).toEqual(["a", "c"]);
+  });
+});
