Turn stores: nothing to set aside deletes nothing that was set aside

Cause: an empty folder counted as one whose files do not fit.

Why it works: the earlier files go only if others replace them or exceed the limit.

--- a/packages/turn_journal/src/set_aside.ts
+++ b/packages/turn_journal/src/set_aside.ts
@@ -31,7 +31,8 @@
   const target = join(folder, SET_ASIDE_FOLDER);
   const isKept = files.length > 0 && bytes <= maxBytes &&
     await tryEmpty(target, log);
-  if (!isKept) await rm(target, { recursive: true, force: true });
+  const isReplaced = !isKept && files.length > 0;
+  if (isReplaced) await rm(target, { recursive: true, force: true });
   const names = files.toSorted((a, b) =>
     Number(b === STATE_FILE) - Number(a === STATE_FILE)
   );
--- a/packages/turn_journal/test/journal_test.ts
+++ b/packages/turn_journal/test/journal_test.ts
@@ -3,6 +3,7 @@
 import {
   appendFile,
   copyFile,
+  mkdir,
   mkdtemp,
   readdir,
   readFile,
@@ -22,6 +23,8 @@
   Journal,
   JournalFullError,
   readState,
+  SET_ASIDE_FOLDER,
+  setAside,
   writeState,
 } from "../src/mod.ts";
 
@@ -265,3 +268,15 @@
     expect(loaded.map((it) => it[0])).toEqual(["a", "c"]);
   });
 });
+
+describe("a folder without files that is set aside", () => {
+  // Guards against damaged files that are deleted in place of no others.
+  it("keeps what was set aside before", async () => {
+    const earlier = join(folder, SET_ASIDE_FOLDER);
+    await mkdir(earlier);
+    await writeFile(join(earlier, segmentName(1)), "records");
+    const log = createNoopLoggers()("journal");
+    await setAside(folder, { maxBytes: 1_000, log });
+    expect(await readdir(earlier)).toEqual([segmentName(1)]);
+  });
+});
