Turn stores: what a killed process had set aside is kept

What operators may see: a turn store that is killed while it sets its disk aside deletes at the next start what it had moved, perhaps the only copy (found in review, not reported).

Cause: each call emptied the folder for damaged files first, and did not tell its own beginning from an earlier time.

Evidence: store_disk_test.ts, 'keeps what a process had set aside that was killed meanwhile', failed before: 9 in place of 11 files.

Why it works: the state is moved first, so that moved files with a state, beside a folder without one and without a name in common, are the beginning of the same set.

Measured: journal_test.ts, store_disk_test.ts, store_lifecycle_test.ts and any_damage_test.ts, 44 of 44 pass.

--- a/packages/turn_journal/src/set_aside.ts
+++ b/packages/turn_journal/src/set_aside.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "@toucantrestle/log";
-import { mkdir, rename, rm, stat } from "node:fs/promises";
+import { mkdir, readdir, rename, rm, stat } from "node:fs/promises";
 import { join } from "node:path";
 import { listFolder, STATE_FILE, syncFolder } from "./data_folder.ts";
 import { isNotFound } from "./errors.ts";
@@ -20,17 +20,19 @@
  * they are too large or cannot be moved. Files of others stay.
  *
  * The state goes first: a folder that is found with records and no state is set
- * aside again, so that a part of the files is never taken for the whole.
+ * aside again, so that a part of the files is never taken for the whole. What a
+ * process before has moved that was killed meanwhile is kept.
  */
 export async function setAside(
   folder: string,
   { maxBytes, log }: SetAsideOptions,
 ): Promise<void> {
   const { files } = await listFolder(folder);
-  const bytes = await totalSize(folder, files);
   const target = join(folder, SET_ASIDE_FOLDER);
+  const begun = await listBegun(folder, files);
+  const bytes = await totalSize(folder, files) + await totalSize(target, begun);
   const isKept = files.length > 0 && bytes <= maxBytes &&
-    await tryEmpty(target, log);
+    (begun.length > 0 || await tryEmpty(target, log));
   const isReplaced = !isKept && files.length > 0;
   if (isReplaced) await rm(target, { recursive: true, force: true });
   const names = files.toSorted((a, b) =>
@@ -53,6 +55,19 @@
   });
 }
 
+/**
+ * Returns the files that a call before has set aside which ended halfway, as in
+ * a kill: the state is among them and no longer in the folder. None if what was
+ * set aside is of an earlier time.
+ */
+async function listBegun(folder: string, files: string[]): Promise<string[]> {
+  if (files.includes(STATE_FILE) || !await hasSetAside(folder)) return [];
+  const moved = await readdir(join(folder, SET_ASIDE_FOLDER));
+  const isOfThese = moved.includes(STATE_FILE) &&
+    !files.some((it) => moved.includes(it));
+  return isOfThese ? moved : [];
+}
+
 /** Deletes files that were set aside. Returns whether there were any. */
 export async function deleteSetAside(folder: string): Promise<boolean> {
   const target = join(folder, SET_ASIDE_FOLDER);
--- a/packages/turn_store/test/store_disk_test.ts
+++ b/packages/turn_store/test/store_disk_test.ts
@@ -10,6 +10,7 @@
   mkdtempSync,
   readdirSync,
   readFileSync,
+  renameSync,
   rmSync,
   statSync,
   writeFileSync,
@@ -129,6 +130,20 @@
     expect([disk.isReplacement, readAll(disk)]).toEqual([true, []]);
   });
 
+  // Guards against files that are deleted because a set-aside was interrupted.
+  it("keeps what a process had set aside that was killed meanwhile", async () => {
+    await writeFolder(folder);
+    const target = join(folder, SET_ASIDE_FOLDER);
+    const names = readdirSync(folder);
+    mkdirSync(target);
+    for (const name of ["state.json", "00000001.log"]) {
+      renameSync(join(folder, name), join(target, name));
+    }
+    const disk = await open();
+    expect([disk.isReplacement, readAll(disk)]).toEqual([true, []]);
+    expect(readdirSync(target).sort()).toEqual(names.sort());
+  });
+
   it("keeps one set of damaged files, of a bounded size", async () => {
     for (let i = 0; i < 3; i++) {
       await writeFolder(folder);
