Daemon tests: ports that no outgoing connection can take

Its log was not kept, so that the cause is suspected only: the fixture drew ephemeral ports, which a connection of another test may take before the daemon listens; it waits 60 s for them then.

--- a/packages/daemon/test/daemon_process.ts
+++ b/packages/daemon/test/daemon_process.ts
@@ -1,12 +1,19 @@
 import { type ChildProcess, spawn } from "node:child_process";
+import { randomInt } from "node:crypto";
 import { request } from "node:http";
 import { request as requestTls } from "node:https";
-import { type AddressInfo, createServer, type Server } from "node:net";
+import { createServer, type Server } from "node:net";
 import process from "node:process";
 import { setTimeout as delay } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 
 const MAIN = fileURLToPath(new URL("../src/main.js", import.meta.url));
+/**
+ * The range lies below the ephemeral ports of the kernel: an outgoing
+ * connection could otherwise claim a port between the check and its use.
+ */
+const LOWEST_PORT = 12_000;
+const HIGHEST_PORT = 31_000;
 const POLL_MS = 25;
 const SERVE_TIMEOUT_MS = 15_000;
 const REQUEST_TIMEOUT_MS = 1_000;
@@ -142,8 +149,17 @@
 }
 
 async function findFreeAddress(): Promise<string> {
-  const server = await hold();
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return `127.0.0.1:${port}`;
+  while (true) {
+    const address = `127.0.0.1:${randomInt(LOWEST_PORT, HIGHEST_PORT)}`;
+    if (await isFree(address)) return address;
+  }
+}
+
+function isFree(address: string): Promise<boolean> {
+  const [ip, port] = address.split(":");
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen(Number(port), ip, () => server.close(() => resolve(true)));
+  });
 }
--- a/packages/daemon/test/start_test.ts
+++ b/packages/daemon/test/start_test.ts
@@ -80,7 +80,10 @@
 async function expectSurvival(daemon: StartedDaemon): Promise<void> {
   await Promise.race([daemon.exited, delay(SURVIVAL_MS)]);
   expect(daemon.end).toEqual(undefined);
-  expect(await daemon.serves()).toEqual(true);
+  const serves = await daemon.serves();
+  // Its log tells why it does not.
+  expect({ serves, log: serves ? "" : daemon.text })
+    .toEqual({ serves: true, log: "" });
 }
 
 async function expectStop(daemon: StartedDaemon): Promise<void> {
