Turn stores: an idle store notices that its data folder is gone

Cause: only a failed write told of the loss, and an idle store writes nothing once its first view is on disk; a busy machine deletes the folder after that.

Evidence: with the deletion after the first view the test failed ("it was not noticed", 20 s), and passes now; store_disk, stopping_store and turn_store_test pass (39). The test has a bound.

--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -446,6 +446,7 @@
         `cannot delete expired journal segments: ${String(err)}`,
       );
     }
+    await this.#disk.check();
     this.#isSweeping = false;
   }
 
--- a/packages/turn_store/src/store_disk.ts
+++ b/packages/turn_store/src/store_disk.ts
@@ -148,6 +148,16 @@
     return this.#saving;
   }
 
+  /** Notices that the folder is gone, although nothing is written there. */
+  async check(): Promise<void> {
+    try {
+      if (await readState(this.#folder)) return;
+      this.#failures.record(new DamagedDiskError("the state file is gone"));
+    } catch (err) {
+      this.#failures.record(err);
+    }
+  }
+
   /** Finishes what is being written. Later writes are rejected. */
   async close(): Promise<void> {
     await Promise.all([this.journal.close(), this.#saving]);
--- a/packages/turn_store/test/store_lifecycle_test.ts
+++ b/packages/turn_store/test/store_lifecycle_test.ts
@@ -15,6 +15,9 @@
 
 const STOP_TIMEOUT_MS = 1_000;
 const POLL_MS = 50;
+const IDLE_AFTER_MS = 2_500;
+/** Two sweeps, and time for a busy machine. */
+const NOTICE_TIMEOUT_MS = 20_000;
 
 const timer = createTimerScope(createSystemTimer());
 let folder: string;
@@ -82,9 +85,13 @@
     const { turnStore, failures } = await createStore(data);
     await turnStore.start();
     const first = await idOf(data);
+    // Its first view is written: from now on an idle store writes nothing.
+    await delay(IDLE_AFTER_MS);
     rmSync(data, { recursive: true });
     let second: string | undefined;
+    const until = performance.now() + NOTICE_TIMEOUT_MS;
     while (second === undefined || second === first) {
+      if (performance.now() > until) throw new Error("it was not noticed");
       await delay(POLL_MS);
       second = await idOf(data);
     }
