--- /dev/null
+++ b/packages/memory/src/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Memory that a process keeps for its peers.
+ *
+ * @module
+ */
+export { ByteCollector } from "./byte_collector.ts";
+export type { ByteCollectorOptions } from "./byte_collector.ts";
+export { MemoryHolders } from "./memory_holders.ts";
+export type { MemoryHolder, MemoryPurpose } from "./memory_holders.ts";
+export { measureMemory } from "./process_memory.ts";
+export type { MeasuredMemory } from "./process_memory.ts";
