--- a/packages/memory/src/mod.ts
+++ b/packages/memory/src/mod.ts
@@ -9,3 +9,5 @@
 export type { MemoryHolder, MemoryPurpose } from "./memory_holders.ts";
 export { measureMemory } from "./process_memory.ts";
 export type { MeasuredMemory } from "./process_memory.ts";
+export { MemoryWatch } from "./memory_watch.ts";
+export type { MemoryWatchOptions } from "./memory_watch.ts";
