--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -318,6 +318,7 @@
     if (this.#memoryGuard.isRefusing) return refuseUnread(res);
     try {
       const call = await readCall(req, res, {
+        holders: this.#serveOptions.holders,
         ...this.#opts,
         config: () => this.#configWatcher.config,
         keyRefusals: this.#keyRefusals,
--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -4,6 +4,7 @@
   type UpstreamProcess,
   UpstreamRegistry,
 } from "@toucantrestle/routing";
+import { MemoryHolders } from "@toucantrestle/memory";
 import { type Relay, TurnStoreClient } from "@toucantrestle/turn_store";
 import { dialTcp, isListening } from "@toucantrestle/upstream_channel";
 import { DEFAULT_BOUNDS } from "@toucantrestle/quota";
@@ -285,6 +286,7 @@
     queryLoads: (upstreams) => loadSharing.query(upstreams),
     upstreamsAgeMs: () => upstreamWatcher.ageMs,
     upstreamRevision: (id) => upstreamWatcher.revisionOf(id),
+    holders: opts.holders ?? new MemoryHolders(),
     timer,
     log: loggers("call"),
   };
--- a/packages/front/src/read_call.ts
+++ b/packages/front/src/read_call.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "@toucantrestle/log";
 import { hash64 } from "@toucantrestle/membership";
+import type { MemoryHolders } from "@toucantrestle/memory";
 import type { Metrics } from "@toucantrestle/metrics";
 import {
   chooseService,
@@ -29,6 +30,8 @@
   config: () => RoutingConfig | undefined;
   keyRefusals: KeyRefusals;
   protocol: Protocol;
+  /** What keeps memory for callers. */
+  holders: MemoryHolders;
   log: Logger;
   metrics: Metrics;
   timer: Timer;
--- a/packages/front/src/serve_options.ts
+++ b/packages/front/src/serve_options.ts
@@ -1,4 +1,5 @@
 import type { Logger } from "@toucantrestle/log";
+import type { MemoryHolders } from "@toucantrestle/memory";
 import type { SpeedEstimate, WorkKind } from "@toucantrestle/policy";
 import type {
   ChooserName,
@@ -56,6 +57,8 @@
   upstreamsAgeMs: () => number;
   /** Store revision of what is known of an upstream; 0 if nothing is. */
   upstreamRevision: (id: string) => number;
+  /** What keeps memory for callers and upstreams. */
+  holders: MemoryHolders;
   timer: Timer;
   log: Logger;
 }
