Routing: a call that met a failed upstream avoids others that failed before

Cause: after its backoff a failed upstream is a candidate like any other, and a call could spend all its four tries on upstreams that were down (log of c24: u1, u5, u7, u3). Ruled out: backoffs and limits of those that serve. Change: after one failure a call prefers upstreams without a failure. failed_upstreams_test failed in one of three runs before (503), passed five of five after; lost_answer_test, crashing_call_test and lost_store_test pass.

--- a/packages/front/src/upstream_choice.ts
+++ b/packages/front/src/upstream_choice.ts
@@ -239,12 +239,26 @@
     upstreamRegistry.recordDuration(entry, service, ms / (idleMs + 1), now);
   }
 
-  /** Upstreams that may take the call, apart from limits. */
+  /**
+   * Upstreams that may take the call, apart from limits. A call that has met a
+   * failed upstream is not spent on others that failed before, while there are
+   * any that did not.
+   */
   #candidates(): TrackedUpstream[] {
     const { upstreamRegistry, timer } = this.#opts;
-    return upstreamRegistry
+    const candidates = upstreamRegistry
       .candidates(this.#call.service, timer.monotonicNow())
       .filter((it) => this.#mayServe(it));
+    return this.#hasMetFailure ? preferUnfailed(candidates) : candidates;
+  }
+
+  get #hasMetFailure(): boolean {
+    const { upstreamRegistry } = this.#opts;
+    for (const id of this.excluded) {
+      const failures = upstreamRegistry.get(id)?.consecutiveFailures ?? 0;
+      if (failures > 0) return true;
+    }
+    return false;
   }
 
   #mayServe({ entry }: TrackedUpstream): boolean {
@@ -322,3 +336,9 @@
     return this.#call.head.expectedOutputTokens ?? DEFAULT_OUTPUT_TOKENS;
   }
 }
+
+/** Returns the upstreams that have not failed; all if each has. */
+function preferUnfailed(upstreams: TrackedUpstream[]): TrackedUpstream[] {
+  const unfailed = upstreams.filter((it) => it.consecutiveFailures === 0);
+  return unfailed.length > 0 ? unfailed : upstreams;
+}
