Loader: a damaged code cache no longer ends a process at its start

Cause: V8 takes compiled code without a checksum, and compares of its source only the length; the loader handed over any file. The loader compares all before it uses the code, and says in its line what differs.

--- a/deploy/build.js
+++ b/deploy/build.js
@@ -23,6 +23,7 @@
 mkdirSync("target");
 writeFileSync("target/package.json", '{ "type": "commonjs" }\n');
 copyFileSync("deploy/loader.cjs", "target/toucantrestle.js");
+copyFileSync("deploy/code_cache.cjs", "target/code_cache.cjs");
 await Promise.all(
   ROLES.map((role) => bundleRole(role, `target/${role}.cjs`)),
 );
--- a/deploy/loader.cjs
+++ b/deploy/loader.cjs
@@ -1,7 +1,7 @@
 /**
  * Starts the program of a role: `node FLAGS target/toucantrestle.js ROLE`.
- * Takes its compiled code from the cache that the build has made, if V8 accepts
- * it.
+ * Takes its compiled code from the cache that the build has made, if the cache
+ * is whole and fits.
  *
  * @module
  */
@@ -22,31 +22,24 @@
 const { readFileSync } = require("node:fs");
 const { join } = require("node:path");
 const { Script } = require("node:vm");
+const { unpackCodeCache } = require("./code_cache.cjs");
 
 const ROLES = ["front", "turn_store"];
 const BAD_USAGE_STATUS = 2;
 
 const role = process.argv[2] ?? "";
 if (ROLES.includes(role)) {
-  run(join(__dirname, `${role}.cjs`), readCache());
+  run(join(__dirname, `${role}.cjs`));
 } else {
   process.stderr.write(`toucantrestle: unknown role "${role}"\n`);
   process.exit(BAD_USAGE_STATUS);
 }
 
-function readCache() {
-  try {
-    return readFileSync(join(__dirname, `${role}.cache`));
-  } catch {
-    warn("there is no code cache");
-    return undefined;
-  }
-}
-
-function run(filename, cachedData) {
-  const script = new Script(readFileSync(filename, "latin1"), {
+function run(filename) {
+  const bundle = readFileSync(filename);
+  const script = new Script(bundle.latin1Slice(), {
     filename,
-    cachedData,
+    cachedData: readCode(bundle),
   });
   if (script.cachedDataRejected) {
     warn("the code cache does not fit this version or these flags of Node.js");
@@ -54,6 +47,19 @@
   script.runInThisContext()(exports, require, module, filename, __dirname);
 }
 
+/** Returns the compiled code of a bundle, if there is a cache that fits it. */
+function readCode(bundle) {
+  try {
+    const content = readFileSync(join(__dirname, `${role}.cache`));
+    const { code, reason } = unpackCodeCache(content, bundle);
+    if (!code) warn(`the code cache ${reason}`);
+    return code;
+  } catch {
+    warn("there is no code cache");
+    return undefined;
+  }
+}
+
 function warn(message) {
   const line = {
     time: new Date().toISOString(),
--- a/deploy/make_cache.cjs
+++ b/deploy/make_cache.cjs
@@ -8,12 +8,15 @@
 const { readFileSync, writeFileSync } = require("node:fs");
 const { join, resolve } = require("node:path");
 const { Script } = require("node:vm");
+const { packCodeCache } = require("./code_cache.cjs");
 
 const role = process.argv[2];
 const folder = resolve("target");
 const filename = join(folder, `${role}.cjs`);
-const script = new Script(readFileSync(filename, "latin1"), { filename });
+const bundle = readFileSync(filename);
+const script = new Script(bundle.latin1Slice(), { filename });
 process.on("exit", () => {
-  writeFileSync(join(folder, `${role}.cache`), script.createCachedData());
+  const content = packCodeCache(script.createCachedData(), bundle);
+  writeFileSync(join(folder, `${role}.cache`), content);
 });
 script.runInThisContext()(exports, require, module, filename, folder);
