--- a/packages/front/src/upstream_watcher.ts
+++ b/packages/front/src/upstream_watcher.ts
@@ -11,8 +11,6 @@
   type UpstreamRegistry,
 } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
-import { isDeepStrictEqual } from "node:util";
-import { InvalidEntryLog } from "./invalid_entry_log.ts";
 import type {
   MissingEntry,
   Protocol,
@@ -21,6 +19,11 @@
 } from "./protocol.ts";
 import { idOf, RecentChanges } from "./recent_changes.ts";
 import { StoreOutages } from "./store_outages.ts";
+import {
+  isSameEntry,
+  lastOfEachKey,
+  UpstreamEntries,
+} from "./upstream_entries.ts";
 import { UpstreamRevisions } from "./upstream_revisions.ts";
 
 const SWEEP_INTERVAL_MS = 200;
@@ -48,9 +51,7 @@
  */
 export class UpstreamWatcher {
   readonly #opts: UpstreamWatcherOptions;
-  readonly #invalidEntries: InvalidEntryLog;
-  /** Whether an upstream has stated when its process started. */
-  #hasStartTimes = false;
+  readonly #entries: UpstreamEntries;
   readonly #revisions = new UpstreamRevisions();
   readonly #outages: StoreOutages;
   readonly #recent: RecentChanges;
@@ -63,7 +64,7 @@
 
   constructor(opts: UpstreamWatcherOptions) {
     this.#opts = opts;
-    this.#invalidEntries = new InvalidEntryLog(opts);
+    this.#entries = new UpstreamEntries(opts);
     this.#recent = new RecentChanges(opts.timer);
     this.#outages = new StoreOutages(opts.timer);
   }
@@ -212,13 +213,11 @@
   }
 
   #applySnapshot(items: StoreItem[], revision: number): void {
-    const { upstreamRegistry, timer, log, protocol } = this.#opts;
+    const { upstreamRegistry, timer, log } = this.#opts;
     this.#lastUpdateAt = timer.monotonicNow();
-    this.#hasStartTimes ||= items.some(({ key, value }) =>
-      (protocol.parseUpstream(key, value)?.startedAt ?? 0) > 0
-    );
+    this.#entries.learnFrom(items);
     for (const item of items) this.#applyItem(item, "list");
-    const listed = new Set(items.map((it) => this.#idOfKey(it.key)));
+    const listed = new Set(items.map((it) => this.#entries.idOfKey(it.key)));
     for (const { entry: { id } } of upstreamRegistry.all()) {
       if (!listed.has(id)) this.#applyAbsence(id, { revision, source: "list" });
     }
@@ -245,20 +244,23 @@
     if (event.kind === "delete") return;
     const { key, value, modRevision } = event.item;
     // What left before its entry went missing is not used until it is back.
-    const isDraining = this.#parseEntry(key, value)?.isDraining;
+    const isDraining = this.#entries.parse(key, value)?.isDraining;
     if (isDraining) this.#applyItem(event.item, "event");
-    else this.#revisions.recordEntry(this.#idOfKey(key), modRevision);
+    else this.#revisions.recordEntry(this.#entries.idOfKey(key), modRevision);
   }
 
   #applyEvent(event: StoreEvent): void {
     if (event.kind === "put") return this.#applyItem(event.item, "event");
     const { key, revision } = event;
-    this.#applyAbsence(this.#idOfKey(key), { revision, source: "event" });
+    this.#applyAbsence(this.#entries.idOfKey(key), {
+      revision,
+      source: "event",
+    });
   }
 
   #applyItem({ key, value, modRevision }: StoreItem, source: ReadSource): void {
-    const entry = this.#parseEntry(key, value);
-    const id = this.#idOfKey(key);
+    const entry = this.#entries.parse(key, value);
+    const id = this.#entries.idOfKey(key);
     const change: UpstreamChange = entry
       ? { kind: "put", entry, revision: modRevision }
       : { kind: "suspend", id, revision: modRevision };
@@ -341,7 +343,7 @@
   }
 
   #suspend(id: string): boolean {
-    this.#invalidEntries.report(this.#opts.protocol.upstreamPrefix + id);
+    this.#entries.reportInvalid(id);
     return this.#opts.upstreamRegistry.suspend(id);
   }
 
@@ -374,44 +376,4 @@
     return change !== undefined || wasMissing === true ||
       !isSameEntry(before, entry);
   }
-
-  /**
-   * Parses an entry. If the upstreams of this deployment state when they
-   * started, an entry that does not is of another writer.
-   */
-  #parseEntry(key: string, text: string): UpstreamEntry | undefined {
-    const entry = this.#opts.protocol.parseUpstream(key, text);
-    if (isUpstreamEntry(entry)) {
-      if (entry.startedAt > 0) this.#hasStartTimes = true;
-      if (entry.startedAt > 0 || !this.#hasStartTimes) return entry;
-    }
-    this.#invalidEntries.report(key);
-    return undefined;
-  }
-
-  #idOfKey(key: string): string {
-    return key.slice(this.#opts.protocol.upstreamPrefix.length);
-  }
-}
-
-/** Returns the last event of each key. */
-function lastOfEachKey(events: StoreEvent[]): StoreEvent[] {
-  const last = new Map<string, StoreEvent>();
-  for (const event of events) {
-    const key = event.kind === "put" ? event.item.key : event.key;
-    last.set(key, event);
-  }
-  return [...last.values()];
-}
-
-/** Whether two entries differ in nothing but the rest of a warm-up. */
-function isSameEntry(
-  before: UpstreamEntry | undefined,
-  after: UpstreamEntry,
-): boolean {
-  return before !== undefined &&
-    isDeepStrictEqual({ ...before, coldLeftMs: 0 }, {
-      ...after,
-      coldLeftMs: 0,
-    });
 }
