Upstream channel, front: the chunks of one read are one piece of a response

Callers of a front lost all their calls when one upstream answered one call in chunks of one byte: SIGABRT for lack of heap within 2.5 s.

Cause: the parser made a buffer and a part of each chunk, and an attempt kept each on a list, or as three entries of the queue towards its caller. Bounds counted payload only.

Change: BodyJoiner joins what one read brings of a body; a piece alone stays a view. Attempts and questions for a process collect by ByteCollector, and an attempt registers with MemoryHolders while it lasts.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -1,3 +1,4 @@
+import { ByteCollector, type MemoryHolders } from "@toucantrestle/memory";
 import type { TrackedUpstream } from "@toucantrestle/routing";
 import type {
   ProcessDemand,
@@ -23,7 +24,7 @@
   | {
     kind: "complete";
     head: ResponseHead;
-    unsentBody: Buffer[];
+    unsentBody: Buffer;
     received: ReceivedBody;
   }
   /** The upstream did not run the request. */
@@ -60,6 +61,7 @@
   /** Id of the caller's last event, if this attempt resumes a stream. */
   resumeAfter: string | undefined;
   timeLeftMs: number;
+  holders: MemoryHolders;
   /** Called with each event before it is forwarded. */
   onEvent: (event: StreamEvent) => void;
   /** Called with the head of each response of the upstream. */
@@ -89,17 +91,26 @@
   const isEventStream = (from: ResponseHead) => isStream && from.status === 200;
   const splitter = new EventSplitter();
   let head: ResponseHead | undefined;
-  let buffered: Buffer[] = [];
-  let bufferedBytes = 0;
+  const buffered = new ByteCollector({ maxBytes: MAX_BUFFERED_BYTES });
   let bodyBytes = 0;
   let isForwarding = opts.resumeAfter !== undefined;
   let isPaused = false;
   let isPathLost = false;
   let stopReason: StopReason | undefined;
-  let resolveResult: (result: AttemptResult) => void;
+  let settle: (result: AttemptResult) => void;
   const result = new Promise<AttemptResult>((resolve) => {
-    resolveResult = resolve;
+    settle = resolve;
   });
+  const removeHolder = opts.holders.add({
+    purpose: isStream ? "streams" : "responses",
+    keptBytes: () => buffered.keptBytes + res.writableLength,
+    cut: () => fail(badResponse),
+  });
+
+  function resolveResult(value: AttemptResult): void {
+    removeHolder();
+    settle(value);
+  }
 
   function receivedBody(from: ResponseHead): ReceivedBody {
     return {
@@ -167,14 +178,15 @@
 
   function onBodyData(chunk: Buffer): void {
     if (isForwarding) return write(chunk);
-    buffered.push(Buffer.from(chunk));
-    bufferedBytes += chunk.length;
-    if (bufferedBytes <= MAX_BUFFERED_BYTES) return;
+    if (buffered.bytes + chunk.length <= MAX_BUFFERED_BYTES) {
+      buffered.push(chunk);
+      return;
+    }
     if (head && !reserveEnd(res, head, { isEventStream: false })) {
       return fail(endUnmarked);
     }
-    for (const part of buffered) write(part);
-    buffered = [];
+    write(buffered.take());
+    write(chunk);
   }
 
   const exchange = path.send(
@@ -227,7 +239,7 @@
         resolveResult({
           kind: "complete",
           head,
-          unsentBody: buffered,
+          unsentBody: buffered.take(),
           received,
         });
       },
--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -168,7 +168,7 @@
     upstream: TrackedUpstream,
     path: UpstreamPath,
   ): Promise<AttemptResult> {
-    const { timer, prefixIndex, protocol } = this.#opts;
+    const { timer, prefixIndex, protocol, holders } = this.#opts;
     const call = this.#call;
     const { id } = upstream.entry;
     const start = this.#startMeasurement(upstream, path.kind);
@@ -180,6 +180,7 @@
       upstream,
       path,
       protocol,
+      holders,
       body: this.#turn?.prompt ?? call.body,
       demand: this.#choice.demand,
       urgency: this.#choice.urgency(start.startedAt),
--- a/packages/front/src/finish_call.ts
+++ b/packages/front/src/finish_call.ts
@@ -36,7 +36,7 @@
     writeResponseHead(res, head, { isEventStream, isWhole: true });
   }
   turn?.settle();
-  for (const part of unsentBody) res.write(part);
+  if (unsentBody.length > 0) res.write(unsentBody);
   res.end();
   call.recorder.recordOutcome("answered", {
     status: head.status,
--- a/packages/upstream_channel/src/ask_process.ts
+++ b/packages/upstream_channel/src/ask_process.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from "@toucantrestle/memory";
 import type { Timer } from "@toucantrestle/timer";
 import type { Channel } from "./channel.ts";
 import type { ChannelFailure, ResponseHead } from "./exchange.ts";
@@ -27,8 +28,7 @@
   },
 ): () => void {
   const req = question.createRequest();
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const body = new ByteCollector({ maxBytes: MAX_ANSWER_BYTES });
   let head: ResponseHead | undefined;
   let isGivenUp = false;
   let timeout = timer.after(QUESTION_TIMEOUT_MS, onTimeout);
@@ -54,12 +54,10 @@
       head = received;
     },
     onData(chunk) {
-      bytes += chunk.length;
-      if (bytes > MAX_ANSWER_BYTES) giveUp();
-      else chunks.push(Buffer.from(chunk));
+      if (!body.push(chunk)) giveUp();
     },
     onEnd() {
-      const answer = head && question.parse(head, Buffer.concat(chunks));
+      const answer = head && question.parse(head, body.take());
       settle(answer ?? { kind: "unknown" });
     },
     onFailure(failure) {
--- a/packages/upstream_channel/src/llhttp.ts
+++ b/packages/upstream_channel/src/llhttp.ts
@@ -6,7 +6,11 @@
   onHeaderValue(bytes: Buffer): void;
   /** Returns whether the response has no body whatever its headers say. */
   onHeadersComplete(status: number, canKeepAlive: boolean): boolean;
-  onBody(bytes: Buffer): void;
+  /**
+   * The body goes on with the bytes of `input` between two indices; each chunk
+   * has some of its own.
+   */
+  onBody(input: Buffer, start: number, end: number): void;
   onMessageComplete(): void;
 }
 
@@ -50,7 +54,7 @@
 function load(): { llhttp: LlhttpExports; inputAt: number } {
   if (loaded) return loaded;
   const span =
-    (name: "onHeaderField" | "onHeaderValue" | "onBody") =>
+    (name: "onHeaderField" | "onHeaderValue") =>
     (_parser: number, at: number, bytes: number) => {
       active?.callbacks[name](active.inputPart(at, bytes));
       return OK;
@@ -61,7 +65,10 @@
     wasm_on_status: () => OK,
     wasm_on_header_field: span("onHeaderField"),
     wasm_on_header_value: span("onHeaderValue"),
-    wasm_on_body: span("onBody"),
+    wasm_on_body: (_parser: number, at: number, bytes: number) => {
+      active?.onBodyAt(at, bytes);
+      return OK;
+    },
     wasm_on_headers_complete: (
       _parser: number,
       status: number,
@@ -150,6 +157,12 @@
     return this.#input.subarray(start, start + bytes);
   }
 
+  /** Reports the part of the body that lies at an address of the module. */
+  onBodyAt(at: number, bytes: number): void {
+    const start = at - this.#inputAt;
+    this.callbacks.onBody(this.#input, start, start + bytes);
+  }
+
   #executePiece(piece: Buffer): { code: number; end: number } {
     const { memory } = this.#llhttp;
     const inputAt = this.#inputAt;
--- a/packages/upstream_channel/src/response_parser.ts
+++ b/packages/upstream_channel/src/response_parser.ts
@@ -1,8 +1,13 @@
+import { BodyJoiner } from "./body_joiner.ts";
 import type { ResponseHead } from "./exchange.ts";
 import { LlhttpParser } from "./llhttp.ts";
 import { checkResponseHead } from "./response_head.ts";
 
-/** Part of a response, in the order in which the connection brought them. */
+/**
+ * Part of a response, in the order in which the connection brought them. One
+ * call of `parse` returns a head, one part of body for each 64 KB of
+ * its bytes and an end at most.
+ */
 export type ResponsePart =
   | { kind: "head"; head: ResponseHead; canKeepAlive: boolean }
   | { kind: "data"; bytes: Buffer }
@@ -26,6 +31,9 @@
   /** Whether the responses have no body, as those to `HEAD`. */
   #skipsBodies = false;
   #parts: ResponsePart[] = [];
+  readonly #body = new BodyJoiner((bytes) =>
+    this.#parts.push({ kind: "data", bytes })
+  );
   #fault: string | undefined;
   #rawHeaders: string[] = [];
   #isInHead = true;
@@ -38,7 +46,7 @@
       onHeaderValue: (bytes) => this.#onHeaderValue(bytes),
       onHeadersComplete: (status, canKeepAlive) =>
         this.#onHeadersComplete(status, canKeepAlive),
-      onBody: (bytes) => this.#onBody(bytes),
+      onBody: (input, start, end) => this.#onBody(input, start, end),
       onMessageComplete: () => this.#onMessageComplete(),
     });
   }
@@ -73,6 +81,7 @@
   }
 
   #takeParts(): ResponsePart[] {
+    this.#body.flush();
     const parts = this.#parts;
     this.#parts = [];
     return parts;
@@ -116,12 +125,13 @@
     return this.#skipsBodies;
   }
 
-  #onBody(bytes: Buffer): void {
-    if (this.#fault === undefined) this.#parts.push({ kind: "data", bytes });
+  #onBody(input: Buffer, start: number, end: number): void {
+    if (this.#fault === undefined) this.#body.push(input, start, end);
   }
 
   #onMessageComplete(): void {
     this.#isInHead = true;
+    this.#body.flush();
     if (this.#fault === undefined) this.#parts.push({ kind: "end" });
   }
 }
