--- /dev/null
+++ b/packages/front/src/call_holders.ts
@@ -0,0 +1,52 @@
+import type { MemoryHolder, MemoryPurpose } from "@toucantrestle/memory";
+import type { Call } from "./call.ts";
+import { queuedBytes } from "./queued_bytes.ts";
+import { disconnectReader } from "./responses.ts";
+
+/** What waits for the caller of a call to take it. */
+export class CallerQueue implements MemoryHolder {
+  readonly call: Call;
+
+  constructor(call: Call) {
+    this.call = call;
+  }
+
+  get purpose(): MemoryPurpose {
+    return this.call.route.kind === "streaming" ? "streams" : "responses";
+  }
+
+  /** The response to a request that must not run again exists only once. */
+  get isIrreplaceable(): boolean {
+    return this.call.route.kind === "non_idempotent";
+  }
+
+  keptBytes(): number {
+    return queuedBytes(this.call.res);
+  }
+
+  cut(): void {
+    disconnectReader(this.call);
+  }
+}
+
+/** The body of a request in progress, which is not cut for it. */
+class RequestBody implements MemoryHolder {
+  readonly purpose = "request_bodies";
+  readonly #call: Call;
+
+  constructor(call: Call) {
+    this.#call = call;
+  }
+
+  keptBytes(): number {
+    return this.#call.body.length;
+  }
+}
+
+/** Returns what is kept for calls in progress. */
+export function* heldForCalls(calls: Iterable<Call>): Iterable<MemoryHolder> {
+  for (const call of calls) {
+    yield new CallerQueue(call);
+    yield new RequestBody(call);
+  }
+}
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -9,6 +9,7 @@
 import { answerClientErrors } from "./client_errors.ts";
 import { serveAuxiliary } from "./auxiliary.ts";
 import type { Call } from "./call.ts";
+import { heldForCalls } from "./call_holders.ts";
 import type { ConfigWatcher } from "./config_watcher.ts";
 import { buildDirectoryResponse } from "./directory.ts";
 import type { FrontReport, FrontState } from "./protocol.ts";
@@ -100,9 +101,11 @@
       timer: opts.timer,
     });
     answerClientErrors(this.#callerServer, this.#connections);
+    const { holders } = this.#serveOptions;
+    holders.addSource(() => heldForCalls(this.#activeCalls));
     this.#memoryGuard = new MemoryGuard({
       memoryBytes: opts.memoryBytes ?? Infinity,
-      calls: () => this.#activeCalls,
+      holders,
       timer: opts.timer,
       log: opts.loggers("front"),
       metrics: opts.metrics,
@@ -315,7 +318,7 @@
   async #onCall(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const request = this.#connections.add(req, res);
     if (!request) return;
-    if (this.#memoryGuard.isRefusing) return refuseUnread(res);
+    if (this.#isMemoryFull) return refuseUnread(res);
     try {
       const call = await readCall(req, res, {
         holders: this.#serveOptions.holders,
@@ -338,6 +341,11 @@
     }
   }
 
+  get #isMemoryFull(): boolean {
+    const isProcessFull = this.#opts.memoryWatch?.isFull ?? false;
+    return isProcessFull || this.#memoryGuard.isRefusing;
+  }
+
   #logCallError(err: unknown): void {
     const text = err instanceof Error ? err.stack ?? err.message : String(err);
     this.#opts.loggers("call").error(
--- a/packages/front/src/front_options.ts
+++ b/packages/front/src/front_options.ts
@@ -1,7 +1,7 @@
 import type { ConfigStore } from "@toucantrestle/config_store";
 import type { Fleet } from "@toucantrestle/fleet";
 import type { LoggerFactory } from "@toucantrestle/log";
-import type { MemoryHolders } from "@toucantrestle/memory";
+import type { MemoryHolders, MemoryWatch } from "@toucantrestle/memory";
 import type { Metrics } from "@toucantrestle/metrics";
 import type { QuotaBounds } from "@toucantrestle/quota";
 import type { ChooserName, Mechanism } from "@toucantrestle/routing";
@@ -43,6 +43,8 @@
   loggers: LoggerFactory;
   /** What keeps memory for peers; the front adds to it. */
   holders?: MemoryHolders;
+  /** Tells when the process lacks memory. */
+  memoryWatch?: Pick<MemoryWatch, "isFull">;
   metrics: Metrics;
   /** Opens connections to upstreams; TCP by default. */
   dial?: Dial;
--- a/packages/front/src/memory_guard.ts
+++ b/packages/front/src/memory_guard.ts
@@ -1,8 +1,9 @@
 import type { Logger } from "@toucantrestle/log";
+import type { MemoryHolder, MemoryHolders } from "@toucantrestle/memory";
 import type { Metrics } from "@toucantrestle/metrics";
 import type { Timer } from "@toucantrestle/timer";
-import { disconnectReader } from "./responses.ts";
 import type { Call } from "./call.ts";
+import { CallerQueue } from "./call_holders.ts";
 import {
   bufferBudget,
   decidePressure,
@@ -14,8 +15,8 @@
 export interface MemoryGuardOptions {
   /** Memory limit of the process. */
   memoryBytes: number;
-  /** Calls in progress. */
-  calls: () => Iterable<Call>;
+  /** What is kept for peers. Only queues to callers are cut here. */
+  holders: MemoryHolders;
   timer: Timer;
   log: Logger;
   metrics: Metrics;
@@ -26,8 +27,8 @@
 const LOG_INTERVAL_MS = 1_000;
 
 /**
- * Keeps the bytes that are buffered for callers within the budget of the
- * process. They are summed up now and then instead of with each chunk, so that
+ * Keeps the memory that is kept for peers within the budget of the process, by
+ * refusing new requests and cutting slow readers. The bytes are summed up now and then instead of with each chunk, so that
  * the path of a request does no accounting.
  */
 export class MemoryGuard {
@@ -35,7 +36,7 @@
   readonly #budgetBytes: number;
   /** Since when callers have not taken all that was sent, by call. */
   readonly #waitingSince = new WeakMap<Call, number>();
-  #decision: PressureDecision<Call>;
+  #decision: PressureDecision<MemoryHolder>;
   /** Since when new requests are refused; undefined while they are not. */
   #refusingSince: number | undefined;
   #loggedAt = -Infinity;
@@ -61,19 +62,25 @@
   }
 
   #check(): void {
-    const held: HeldBytes<Call>[] = [];
-    for (const call of this.#opts.calls()) held.push(...this.#heldBy(call));
+    const held: HeldBytes<MemoryHolder>[] = [];
+    for (const holder of this.#opts.holders) {
+      held.push(
+        holder instanceof CallerQueue
+          ? this.#heldForReader(holder)
+          : heldBeside(holder),
+      );
+    }
     if (held.length === 0 && this.heldBytes === 0) return;
     this.#decision = this.#decide(held);
     const { cut, isRefusing } = this.#decision;
-    for (const call of cut) disconnectReader(call);
+    for (const queue of cut) queue.cut?.();
     if (cut.length > 0) {
       this.#opts.metrics.count("slow_readers_cut", cut.length);
     }
     if (isRefusing) this.#logPressure();
   }
 
-  #decide(held: HeldBytes<Call>[]): PressureDecision<Call> {
+  #decide(held: HeldBytes<MemoryHolder>[]): PressureDecision<MemoryHolder> {
     const now = this.#opts.timer.monotonicNow();
     const decision = decidePressure(held, {
       budgetBytes: this.#budgetBytes,
@@ -84,31 +91,15 @@
     return decision;
   }
 
-  #heldBy(call: Call): HeldBytes<Call>[] {
+  #heldForReader(queue: CallerQueue): HeldBytes<MemoryHolder> {
     const now = this.#opts.timer.monotonicNow();
-    const { res, route, body } = call;
-    const bytes = res.writableLength;
+    const { call, purpose, isIrreplaceable } = queue;
+    const bytes = queue.keptBytes();
     if (bytes === 0) this.#waitingSince.delete(call);
     else if (!this.#waitingSince.has(call)) this.#waitingSince.set(call, now);
-    const isIrreplaceable = route.kind === "non_idempotent";
     const since = this.#waitingSince.get(call) ?? now;
-    return [
-      {
-        holder: call,
-        purpose: route.kind === "streaming" ? "streams" : "responses",
-        bytes,
-        waitingMs: now - since,
-        isIrreplaceable,
-      },
-      {
-        holder: call,
-        purpose: "request_bodies",
-        bytes: body.length,
-        // A request in progress is not cut for its body.
-        waitingMs: 0,
-        isIrreplaceable,
-      },
-    ];
+    const waitingMs = now - since;
+    return { holder: queue, purpose, bytes, waitingMs, isIrreplaceable };
   }
 
   #logPressure(): void {
@@ -125,3 +116,14 @@
     });
   }
 }
+
+/** What no reader waits for is not cut as that of a slow one. */
+function heldBeside(holder: MemoryHolder): HeldBytes<MemoryHolder> {
+  return {
+    holder,
+    purpose: holder.purpose,
+    bytes: holder.keptBytes(),
+    waitingMs: 0,
+    isIrreplaceable: holder.isIrreplaceable ?? false,
+  };
+}
--- a/packages/front/src/memory_pressure.ts
+++ b/packages/front/src/memory_pressure.ts
@@ -1,8 +1,4 @@
-/** What a front buffers bytes for. */
-export type MemoryPurpose =
-  | "request_bodies"
-  | "responses"
-  | "streams";
+import type { MemoryPurpose } from "@toucantrestle/memory";
 
 /** Bytes that are held for one reader. */
 export interface HeldBytes<T> {
@@ -22,7 +18,7 @@
 /** What a front does about the bytes that it holds. */
 export interface PressureDecision<T> {
   heldBytes: number;
-  bytesByPurpose: Record<MemoryPurpose, number>;
+  bytesByPurpose: Partial<Record<MemoryPurpose, number>>;
   /** Whether new requests are refused. */
   isRefusing: boolean;
   /** Readers to disconnect. */
@@ -63,12 +59,10 @@
     refusingMs: number;
   },
 ): PressureDecision<T> {
-  const bytesByPurpose: Record<MemoryPurpose, number> = {
-    request_bodies: 0,
-    responses: 0,
-    streams: 0,
-  };
-  for (const { purpose, bytes } of held) bytesByPurpose[purpose] += bytes;
+  const bytesByPurpose: Partial<Record<MemoryPurpose, number>> = {};
+  for (const { purpose, bytes } of held) {
+    bytesByPurpose[purpose] = (bytesByPurpose[purpose] ?? 0) + bytes;
+  }
   const heldBytes = held.reduce((sum, it) => sum + it.bytes, 0);
   const fill = heldBytes / budgetBytes;
   const isRefusing = fill >= REFUSE_AT;
--- a/packages/memory/src/mod.ts
+++ b/packages/memory/src/mod.ts
@@ -6,8 +6,16 @@
 export { ByteCollector } from "./byte_collector.ts";
 export type { ByteCollectorOptions } from "./byte_collector.ts";
 export { MemoryHolders } from "./memory_holders.ts";
-export type { MemoryHolder, MemoryPurpose } from "./memory_holders.ts";
-export { measureMemory } from "./process_memory.ts";
-export type { MeasuredMemory } from "./process_memory.ts";
+export type {
+  HolderSource,
+  MemoryHolder,
+  MemoryPurpose,
+} from "./memory_holders.ts";
+export { measureMemory, processMemory } from "./process_memory.ts";
+export type {
+  HeapMemory,
+  MeasuredMemory,
+  MemoryGauge,
+} from "./process_memory.ts";
 export { MemoryWatch } from "./memory_watch.ts";
 export type { MemoryWatchOptions } from "./memory_watch.ts";
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -45,6 +45,8 @@
   listRetiringHosts: () => string[];
   /** Called when a retiring host no longer holds records that others need. */
   onHostRetired: (host: string) => void;
+  /** Whether the process lacks memory; it does not by default. */
+  isMemoryFull?: () => boolean;
   timer: Timer;
   loggers: LoggerFactory;
   metrics: Metrics;
@@ -207,23 +209,23 @@
     return new LinkServer<StoreMethods, StoreNotices>({
       log: this.#log,
       methods: {
-        reserve: (args) => this.#unlessStopping(() => this.#reserve(args)),
+        reserve: (args) => this.#ifAccepting(() => this.#reserve(args)),
         spending: (args) =>
-          this.#unlessStopping(() =>
+          this.#ifAccepting(() =>
             this.#serveRead(
               args.viewNumber,
               args.program,
               () => this.#spendingOf(args),
             )
           ),
-        retain: (args) => this.#unlessStopping(() => this.#retain(args)),
+        retain: (args) => this.#ifAccepting(() => this.#retain(args)),
         find: (args) =>
-          this.#unlessStopping(() =>
+          this.#ifAccepting(() =>
             this.#serveRead(args.viewNumber, args.id, () => ({
               turn: this.#replica.findTurn(args.id),
             }))
           ),
-        put: (args) => this.#unlessStopping(() => this.#put(args)),
+        put: (args) => this.#ifAccepting(() => this.#put(args)),
         inventory: ({ view, member }) => this.#inventory(view, member),
         fetch: ({ ids }) => ({ turns: this.#fetch(ids) }),
         status: ({ id }) => {
@@ -243,9 +245,13 @@
     });
   }
 
-  /** Serves a request for records, which another replica serves as well. */
-  #unlessStopping<T>(serve: () => T): T | Refusal {
-    return this.#stopped ? { status: "copying" } : serve();
+  /**
+   * Serves a request for records, which another replica serves as well, unless
+   * the store stops or lacks memory.
+   */
+  #ifAccepting<T>(serve: () => T): T | Refusal {
+    const isRefusing = this.#stopped || this.#opts.isMemoryFull?.();
+    return isRefusing ? { status: "copying" } : serve();
   }
 
   #spendingOf(
