HTTP server: memory of bodies and of requests of one connection is bounded

Callers saw their calls on a daemon fail, which grew far over its memory, while one caller sent a body in chunks of one byte or many requests at once.

Cause: readBody kept one buffer for each chunk and counted its bytes; after a refusal the rest of a body was read on; requests of one connection were taken without a bound.

--- a/packages/cli/test/run_test.ts
+++ b/packages/cli/test/run_test.ts
@@ -34,6 +34,7 @@
       routes: this.#routes(),
       maxBodyBytes: 1_000_000,
       tls: undefined,
+      timer: LISTEN_OPTIONS.timer,
       authenticate: (key) =>
         key === KEY ? { name: "op", role: "operator" } : undefined,
       isReady: () => true,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,7 +6,6 @@
   type HostRun,
   TailStore,
 } from "@toucantrestle/membership";
-import { createMetrics, type Metrics } from "@toucantrestle/metrics";
 import type { DaemonFaults } from "@toucantrestle/operator";
 import { type PeerHandlers, SiblingNet } from "@toucantrestle/sibling";
 import type { Timeline } from "@toucantrestle/timeline";
@@ -61,7 +60,7 @@
   readonly #cfg: DaemonSettings;
   readonly #timer: Timer;
   readonly #logs: LoggerFactory;
-  readonly #metrics: Metrics;
+  readonly #context: DaemonContext;
   readonly #timeline: Timeline;
   readonly #self: HostRun;
   readonly #faults: DaemonFaults = { cut: [] };
@@ -90,16 +89,13 @@
   #isStopping = false;
   #onStopped: (err?: unknown) => void = () => {};
 
-  constructor(cfg: DaemonSettings, { timer, logs, tls }: DaemonContext) {
+  constructor(cfg: DaemonSettings, context: DaemonContext) {
+    const { timer, logs, tls } = context;
     this.#cfg = cfg;
+    this.#context = context;
     this.#timer = timer;
     this.#logs = logs;
     this.#tls = tls;
-    this.#metrics = createMetrics({
-      address: cfg.statsd,
-      host: cfg.host,
-      dataCentre: cfg.dataCentre,
-    });
     this.#timeline = createDaemonTimeline(cfg, { timer, logs });
     this.#self = {
       runId: randomUUID(),
@@ -133,7 +129,7 @@
       net: () => this.#net,
       timer: this.#timer,
       logs: this.#logs,
-      metrics: this.#metrics,
+      metrics: this.#context.metrics,
     });
     this.#callerLimits = scheduling.callerLimits;
     this.#placementQueue = scheduling.placementQueue;
@@ -244,7 +240,7 @@
         view: this.#view,
         net: this.#net,
       });
-      this.#metrics.close();
+      this.#context.metrics.close();
       this.#onStopped();
     } catch (err) {
       this.#onStopped(err);
@@ -293,7 +289,7 @@
       logs: this.#logs,
       timer: this.#timer,
       timeline: this.#timeline,
-      metrics: this.#metrics,
+      metrics: this.#context.metrics,
       journal: this.#journal,
       placementQueue: this.#placementQueue,
       upstreams: this.#upstreams,
@@ -347,6 +343,8 @@
       keyring: this.#keyring,
       view: this.#view,
       shards: this.#shards,
+      timer: this.#timer,
+      holders: this.#context.holders,
       log: this.#logs("entry"),
       isReady: () => this.#links.isReady,
       allowFaults: this.#cfg.allowFaults,
--- a/packages/daemon/src/daemon_http.ts
+++ b/packages/daemon/src/daemon_http.ts
@@ -6,11 +6,13 @@
   type HttpTls,
 } from "@toucantrestle/http";
 import type { Logger } from "@toucantrestle/log";
+import type { MemoryHolders } from "@toucantrestle/memory";
 import {
   type OperatorHandlers,
   operatorRoutes,
   pageRoutes,
 } from "@toucantrestle/operator";
+import type { Timer } from "@toucantrestle/timer";
 import type { RequestRouter } from "./request_router.ts";
 import type { Keyring } from "./keyring.ts";
 import type { OwnedShard } from "./owned_shard.ts";
@@ -23,6 +25,8 @@
   keyring: Keyring;
   view: StoreView;
   shards: ReadonlyMap<number, OwnedShard>;
+  timer: Timer;
+  holders: MemoryHolders;
   log: Logger;
   isReady: () => boolean;
   allowFaults: boolean;
@@ -36,6 +40,8 @@
     routes: createRoutes(opts),
     maxBodyBytes: opts.maxBodyBytes,
     tls: opts.tls,
+    timer: opts.timer,
+    holders: opts.holders,
     authenticate: (key) => opts.keyring.authenticate(key),
     isReady: () => opts.view.isUsable,
     onError: (err) => opts.log.error(describeError(err)),
--- a/packages/daemon/src/run.ts
+++ b/packages/daemon/src/run.ts
@@ -10,9 +10,11 @@
   takeSignals,
 } from "@toucantrestle/lifecycle";
 import { createLoggers } from "@toucantrestle/log";
+import { createMetrics } from "@toucantrestle/metrics";
 import { createSystemTimer } from "@toucantrestle/timer";
 import { Daemon } from "./daemon.ts";
 import { readDaemonSettings } from "./settings.ts";
+import { watchMemory } from "./watch_memory.ts";
 import { awaitTlsFiles } from "./tls_files.ts";
 
 const PROGRAM = "toucantrestled";
@@ -36,7 +38,13 @@
     const timer = createSystemTimer();
     const isStopping = () => running.isStopping;
     const tls = await awaitTlsFiles(cfg, { timer, log, isStopping });
-    const daemon = new Daemon(cfg, { timer, logs, tls });
+    const metrics = createMetrics({
+      address: cfg.statsd,
+      host: cfg.host,
+      dataCentre: cfg.dataCentre,
+    });
+    const holders = watchMemory({ timer, metrics, log });
+    const daemon = new Daemon(cfg, { timer, logs, metrics, holders, tls });
     const stopped = untilStopped(daemon);
     running.onStop(() => {
       daemon.stop();
--- a/packages/daemon/test/daemon_process.ts
+++ b/packages/daemon/test/daemon_process.ts
@@ -28,6 +28,8 @@
 export interface DaemonOptions {
   /** Flags that are added or replaced. */
   flags?: Record<string, string>;
+  /** Flags of Node.js. */
+  nodeArgs?: string[];
   /** Where its output goes; a file descriptor, or a pipe to the test. */
   output?: number;
   isTls?: boolean;
@@ -54,7 +56,7 @@
 
 /** Prepares a daemon, so that its addresses are known before its start. */
 export async function prepareDaemon(
-  { flags = {}, output, isTls = false }: DaemonOptions = {},
+  { flags = {}, nodeArgs = [], output, isTls = false }: DaemonOptions = {},
 ): Promise<StartedDaemon> {
   const address = await findFreeAddress();
   const siblingAddress = await findFreeAddress();
@@ -88,7 +90,7 @@
     },
     start() {
       const args = Object.entries(all).map(([name, it]) => `--${name}=${it}`);
-      child = spawn(process.execPath, [MAIN, ...args], {
+      child = spawn(process.execPath, [...nodeArgs, MAIN, ...args], {
         stdio: ["ignore", output ?? "pipe", output ?? "pipe"],
       });
       child.stdout?.on("data", (chunk) => text += chunk);
--- a/packages/http/src/body.ts
+++ b/packages/http/src/body.ts
@@ -1,26 +1,62 @@
-import { BadRequestError, TooLargeError } from "@toucantrestle/verdict";
-import { Buffer } from "node:buffer";
+import { ByteCollector, type MemoryHolders } from "@toucantrestle/memory";
+import {
+  BadRequestError,
+  TooLargeError,
+  UnavailableError,
+  type Verdict,
+} from "@toucantrestle/verdict";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 
+/** Options of `readBody`. */
+export interface ReadBodyOptions {
+  maxBytes: number;
+  /** Where the body is counted while it arrives. */
+  holders: MemoryHolders;
+}
+
+const NO_MEMORY_RETRY_AFTER_MS = 1_000;
+
 /**
  * Reads a request body as text.
  *
  * @throws {TooLargeError} if the body exceeds `maxBytes`
+ * @throws {UnavailableError} if the process lacks memory for it
  */
 export async function readBody(
   req: IncomingMessage,
-  maxBytes: number,
+  { maxBytes, holders }: ReadBodyOptions,
 ): Promise<string> {
   const declaredBytes = Number(req.headers["content-length"] ?? 0);
   if (declaredBytes > maxBytes) throw tooLargeError(maxBytes);
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of req) {
-    bytes += (chunk as Buffer).length;
-    if (bytes > maxBytes) throw tooLargeError(maxBytes);
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks).toString();
+  const collector = new ByteCollector({ maxBytes });
+  return await new Promise((resolve, reject) => {
+    const onData = (chunk: Buffer) => {
+      if (!collector.push(chunk)) fail(tooLargeError(maxBytes));
+    };
+    const settle = () => {
+      req.off("data", onData);
+      removeHolder();
+    };
+    const fail = (err: Error) => {
+      settle();
+      collector.clear();
+      reject(err);
+    };
+    const removeHolder = holders.add({
+      purpose: "request_bodies",
+      keptBytes: () => collector.keptBytes,
+      cut: () => fail(noMemoryError()),
+    });
+    if (req.destroyed) return fail(brokenOffError());
+    req.on("data", onData);
+    req.once("end", () => {
+      settle();
+      resolve(collector.take().toString());
+    });
+    req.once("error", fail);
+    req.once("close", () => fail(brokenOffError()));
+  });
 }
 
 /**
@@ -39,3 +75,14 @@
 function tooLargeError(maxBytes: number) {
   return new TooLargeError(`the body is over the limit of ${maxBytes} bytes`);
 }
+
+function noMemoryError() {
+  const verdict: Verdict = "not_run";
+  return new UnavailableError("the host lacks memory for the body", {
+    props: { verdict, retryAfterMs: NO_MEMORY_RETRY_AFTER_MS },
+  });
+}
+
+function brokenOffError() {
+  return new BadRequestError("the connection closed before the body ended");
+}
--- a/packages/http/src/response.ts
+++ b/packages/http/src/response.ts
@@ -1,5 +1,6 @@
 import { type Problem, PROBLEM_CONTENT_TYPE } from "@toucantrestle/verdict";
 import type { ServerResponse } from "node:http";
+import { isLeftUnread } from "./unread_body.ts";
 
 const MS_PER_S = 1_000;
 
@@ -9,6 +10,7 @@
   status: number,
   body: unknown,
 ): void {
+  announceEndIfUnread(res);
   res.writeHead(status, { "content-type": "application/json" });
   res.end(JSON.stringify(body));
 }
@@ -23,6 +25,7 @@
     res.destroy();
     return;
   }
+  announceEndIfUnread(res);
   res.setHeader("content-type", PROBLEM_CONTENT_TYPE);
   if (problem.retry_after_ms !== undefined) {
     const seconds = Math.ceil(problem.retry_after_ms / MS_PER_S);
@@ -31,3 +34,7 @@
   res.writeHead(problem.status);
   res.end(JSON.stringify(problem));
 }
+
+function announceEndIfUnread(res: ServerResponse): void {
+  if (isLeftUnread(res.req)) res.setHeader("connection", "close");
+}
--- a/packages/http/src/server.ts
+++ b/packages/http/src/server.ts
@@ -1,4 +1,6 @@
 import { type ListenOptions, listenWhenFree } from "@toucantrestle/lifecycle";
+import { MemoryHolders } from "@toucantrestle/memory";
+import type { Timer } from "@toucantrestle/timer";
 import {
   BadRequestError,
   ForbiddenError,
@@ -52,6 +54,9 @@
   routes: HttpRoute[];
   maxBodyBytes: number;
   tls: HttpTls | undefined;
+  timer: Timer;
+  /** Where bodies are counted while they arrive. */
+  holders?: MemoryHolders;
   authenticate(key: string): Principal | undefined;
   /** Returns false until the server can authenticate keys. */
   isReady(): boolean;
@@ -81,7 +86,8 @@
 const NOT_READY_RETRY_AFTER_MS = 500;
 
 /** Creates an HTTP server, or an HTTPS server if TLS is configured. */
-export function createHttpServer(opts: HttpServerOptions): HttpServer {
+export function createHttpServer(options: HttpServerOptions): HttpServer {
+  const opts = { holders: new MemoryHolders(), ...options };
   const router = FindMyWay({
     defaultRoute: (req, res) => {
       const message = `no route for ${req.method} ${req.url?.split("?")[0]}`;
@@ -107,10 +113,10 @@
     ? createTlsServer(opts.tls, listener)
     : createServer(listener);
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
-  const connections = new Connections(
-    server,
-    opts.tls ? "secureConnection" : "connection",
-  );
+  const connections = new Connections(server, {
+    event: opts.tls ? "secureConnection" : "connection",
+    timer: opts.timer,
+  });
   return {
     listen: (address, opts) => listenWhenFree(server, address, opts),
     setTls: (tls) => {
@@ -120,6 +126,8 @@
   };
 }
 
+type ServeOptions = HttpServerOptions & { holders: MemoryHolders };
+
 interface RoutedRequest {
   req: IncomingMessage;
   res: ServerResponse;
@@ -128,7 +136,7 @@
 
 async function serveRoute(
   route: HttpRoute,
-  opts: HttpServerOptions,
+  opts: ServeOptions,
   routed: RoutedRequest,
 ): Promise<void> {
   try {
@@ -145,10 +153,14 @@
 function createContext(
   routed: RoutedRequest,
   principal: Principal,
-  opts: HttpServerOptions,
+  opts: ServeOptions,
 ): HttpContext {
   const url = new URL(routed.req.url ?? "/", "http://host");
-  const text = () => readBody(routed.req, opts.maxBodyBytes);
+  const text = () =>
+    readBody(routed.req, {
+      maxBytes: opts.maxBodyBytes,
+      holders: opts.holders,
+    });
   return {
     ...routed,
     principal,
--- a/packages/http/test/drain_test.ts
+++ b/packages/http/test/drain_test.ts
@@ -45,6 +45,7 @@
     }],
     maxBodyBytes: 1_000,
     tls: undefined,
+    timer: LISTEN_OPTIONS.timer,
     authenticate: () => undefined,
     isReady: () => true,
     onError() {},
--- a/packages/http/test/tls_test.ts
+++ b/packages/http/test/tls_test.ts
@@ -50,6 +50,7 @@
       routes: [],
       maxBodyBytes: 1_000,
       tls: await createTls("first"),
+      timer: LISTEN_OPTIONS.timer,
       authenticate: () => undefined,
       isReady: () => true,
       onError: () => {},
--- a/scenarios/test/server_errors_test.ts
+++ b/scenarios/test/server_errors_test.ts
@@ -1,5 +1,7 @@
 import { Daemon, type DaemonSettings } from "@toucantrestle/daemon";
 import { createNoopLoggers } from "@toucantrestle/log";
+import { MemoryHolders } from "@toucantrestle/memory";
+import { createNoopMetrics } from "@toucantrestle/metrics";
 import {
   failToAccept,
   findFreePorts,
@@ -44,6 +46,8 @@
   const daemon = new Daemon(cfg, {
     timer,
     logs: createNoopLoggers(),
+    metrics: createNoopMetrics(),
+    holders: new MemoryHolders(),
     tls: isTls ? { http, siblings, watch() {} } : undefined,
   });
   const clientTls = isTls ? http : undefined;
