--- a/packages/daemon/src/watch_memory.ts
+++ b/packages/daemon/src/watch_memory.ts
@@ -18,6 +18,7 @@
     memoryBytes: undefined,
     timer,
     log,
+    metrics,
   });
   watch.start();
   timer.every(GAUGE_INTERVAL_MS, () => watch.reportGauges(metrics));
--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -103,7 +103,7 @@
   });
   const removeHolder = opts.holders.add({
     purpose: isStream ? "streams" : "responses",
-    keptBytes: () => buffered.keptBytes + res.writableLength,
+    keptBytes: () => buffered.keptBytes,
     cut: () => fail(badResponse),
   });
 
