Demo: its daemons and stand-ins end with it, however it ends

Cause: the harness kills what it started at the event exit, which SIGTERM, SIGHUP, SIGKILL and a crash skip.

--- a/demo/src/main.ts
+++ b/demo/src/main.ts
@@ -1,7 +1,8 @@
 /**
  * Starts three daemons and the stand-ins of the external systems on loopback,
  * runs the sample workloads, and checks that every service call was executed
- * exactly once. `--keep` leaves the processes running until SIGINT.
+ * exactly once. `--keep` leaves the processes running until a signal ends the
+ * demo; they end with it, however it ends.
  *
  * @module
  */
@@ -22,6 +23,7 @@
 import { readWorkload } from "./workload.ts";
 
 const WORKLOADS = ["samples/interest.yaml", "samples/dispatch.yaml"];
+const END_SIGNALS = ["SIGINT", "SIGTERM", "SIGHUP"] as const;
 const RETRY_TIMEOUT_MS = 30_000;
 
 /** API keys of the sample callers, keyed by caller name. */
@@ -36,7 +38,7 @@
 } catch (err) {
   console.error(err);
 }
-if (isKeptRunning && status === 0) await waitForInterrupt();
+if (isKeptRunning && status === 0) await waitForSignal();
 await fleet.stop();
 process.exit(status);
 
@@ -126,8 +128,10 @@
   printLine("press Ctrl-C to stop");
 }
 
-async function waitForInterrupt(): Promise<void> {
-  await new Promise((resolve) => process.once("SIGINT", resolve));
+async function waitForSignal(): Promise<void> {
+  await new Promise((resolve) => {
+    for (const it of END_SIGNALS) process.once(it, resolve);
+  });
 }
 
 function printLine(line: string): void {
--- a/stand_ins/src/harness/process.ts
+++ b/stand_ins/src/harness/process.ts
@@ -2,6 +2,7 @@
 import { createWriteStream, mkdirSync } from "node:fs";
 import { dirname } from "node:path";
 import process from "node:process";
+import { fileURLToPath } from "node:url";
 
 /** A process started by the harness. */
 export interface ManagedProcess {
@@ -29,6 +30,11 @@
   logFile: string | undefined;
 }
 
+/** Is no module of the build, as it is loaded before the script. */
+const END_WITH_PARENT = fileURLToPath(
+  new URL("../../../src/harness/end_with_parent.cjs", import.meta.url),
+);
+
 const runningProcesses = new Set<ManagedProcess>();
 
 process.on("exit", () => {
@@ -37,15 +43,22 @@
 
 /**
  * Starts a Node.js process, which is killed at the latest when the harness
- * exits.
+ * ends, whether it exits or is killed itself.
  */
 export function startProcess(spec: ProcessSpec): ManagedProcess {
   const child = spawn(process.execPath, [
+    "--require",
+    END_WITH_PARENT,
     ...(spec.nodeArgs ?? []),
     spec.script,
     ...spec.args,
   ], {
-    stdio: ["ignore", "ignore", spec.logFile === undefined ? "ignore" : "pipe"],
+    stdio: [
+      "ignore",
+      "ignore",
+      spec.logFile === undefined ? "ignore" : "pipe",
+      "pipe",
+    ],
     env: { ...process.env, ...spec.env },
   });
   if (spec.logFile !== undefined) pipeStderrToFile(child, spec.logFile);
