Front: a caller's body is kept as joined bytes, within a deadline, and not read on

Cause: a list of one buffer for each chunk, counted by payload; requests that their head already rules out were read whole, and after the answer the body was read on for ever.

Change: BodyReader joins the pieces, registers with MemoryHolders (cut: 503, not run) and has a deadline (408, not run).

--- a/packages/front/src/caller_connection.ts
+++ b/packages/front/src/caller_connection.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { lingerAtEnd, stopReading } from "@toucantrestle/connection";
+import type { Timer } from "@toucantrestle/timer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Call } from "./call.ts";
@@ -76,7 +78,7 @@
 export class CallerConnection {
   readonly socket: Socket;
   readonly #policy: ConnectionPolicy;
-  readonly #now: () => number;
+  readonly #timer: Timer;
   readonly #open: OpenRequest[] = [];
   /** Whether requests that arrive from now on are not served. */
   #isClosing = false;
@@ -94,12 +96,12 @@
 
   constructor(
     socket: Socket,
-    opts: { policy: ConnectionPolicy; now: () => number },
+    opts: { policy: ConnectionPolicy; timer: Timer },
   ) {
     this.socket = socket;
     this.#policy = opts.policy;
-    this.#now = opts.now;
-    this.#idleSince = opts.policy.isStopping ? opts.now() : -Infinity;
+    this.#timer = opts.timer;
+    this.#idleSince = opts.policy.isStopping ? this.#now() : -Infinity;
     socket.on("close", () => this.#removeAll());
   }
 
@@ -154,6 +156,10 @@
   endAfter(request: OpenRequest): boolean {
     if (this.#open.at(-1) !== request) return false;
     this.#isClosing = true;
+    if (!request.req.complete) {
+      lingerAtEnd(this.socket, this.#timer);
+      stopReading(request.req);
+    }
     return true;
   }
 
@@ -165,6 +171,7 @@
     if (this.#isClosing) return;
     this.#isClosing = true;
     this.#errorStatus = status;
+    lingerAtEnd(this.socket, this.#timer);
     if (this.#open.length === 0) this.#sendError();
   }
 
@@ -190,6 +197,10 @@
     this.socket.destroy();
   }
 
+  #now(): number {
+    return this.#timer.monotonicNow();
+  }
+
   get #isPartlyRead(): boolean {
     return this.socket.bytesRead > this.#readBytes;
   }
--- a/packages/front/src/caller_connections.ts
+++ b/packages/front/src/caller_connections.ts
@@ -28,7 +28,7 @@
 
   constructor({ server, timer }: { server: Server; timer: Timer }) {
     this.#server = server;
-    const opts = { policy: this.#policy, now: () => timer.monotonicNow() };
+    const opts = { policy: this.#policy, timer };
     server.on("connection", (socket: Socket) => {
       this.#connections.set(socket, new CallerConnection(socket, opts));
       socket.on("close", () => this.#connections.delete(socket));
--- a/packages/front/src/client_errors.ts
+++ b/packages/front/src/client_errors.ts
@@ -42,7 +42,9 @@
     connections.of(socket)?.endWithError(BAD_REQUEST);
   });
   server.on("checkExpectation", (req: IncomingMessage, res: ServerResponse) => {
-    if (connections.add(req, res)) res.writeHead(417).end();
+    if (!connections.add(req, res)) return;
+    closeAfter(res);
+    res.writeHead(417).end();
   });
 }
 
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -2,12 +2,11 @@
 import type { TurnStoreClient } from "@toucantrestle/turn_store";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as TcpServer, type Socket } from "node:net";
-import { neverAttempted } from "./attempt_ledger.ts";
-import { refuse, refuseCall, sendText } from "./responses.ts";
-import { closeAfter } from "./caller_connection.ts";
+import { refuseCall, refuseUnread, sendText } from "./responses.ts";
 import { CallerConnections } from "./caller_connections.ts";
 import { answerClientErrors } from "./client_errors.ts";
 import { serveAuxiliary } from "./auxiliary.ts";
+import { BodyReader } from "./body_reader.ts";
 import type { Call } from "./call.ts";
 import { heldForCalls } from "./call_holders.ts";
 import type { ConfigWatcher } from "./config_watcher.ts";
@@ -52,6 +51,7 @@
   readonly #turnStore: TurnStoreClient;
   readonly #serveOptions: ServeOptions;
   readonly #keyRefusals: KeyRefusals;
+  readonly #bodies: BodyReader;
   readonly #callerServer: Server;
   readonly #connections: CallerConnections;
   readonly #auxiliaryServers: Server[] = [];
@@ -102,6 +102,7 @@
     });
     answerClientErrors(this.#callerServer, this.#connections);
     const { holders } = this.#serveOptions;
+    this.#bodies = new BodyReader({ holders, timer: opts.timer });
     holders.addSource(() => heldForCalls(this.#activeCalls));
     this.#memoryGuard = new MemoryGuard({
       memoryBytes: opts.memoryBytes ?? Infinity,
@@ -136,6 +137,7 @@
     if (this.isStopping) return;
     await this.#listen();
     this.#memoryGuard.start();
+    this.#bodies.start();
     timer.every(READY_CHECK_INTERVAL_MS, () => this.#reportReadiness());
     timer.every(SWEEP_INTERVAL_MS, () => this.#sweep());
   }
@@ -318,11 +320,11 @@
   async #onCall(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const request = this.#connections.add(req, res);
     if (!request) return;
-    if (this.#isMemoryFull) return refuseUnread(res);
+    if (this.#isMemoryFull) return refuseUnread(res, "memory_full");
     try {
       const call = await readCall(req, res, {
-        holders: this.#serveOptions.holders,
         ...this.#opts,
+        bodies: this.#bodies,
         config: () => this.#configWatcher.config,
         keyRefusals: this.#keyRefusals,
         log: this.#opts.loggers("call"),
@@ -392,9 +394,3 @@
 function hasCallerClosed({ req: { socket } }: Call): boolean {
   return socket.readableEnded || socket.errored !== null;
 }
-
-/** Refuses a request whose body is not read. */
-function refuseUnread(res: ServerResponse): void {
-  closeAfter(res);
-  refuse(res, "memory_full", { proof: neverAttempted() });
-}
--- a/packages/front/src/responses.ts
+++ b/packages/front/src/responses.ts
@@ -1,9 +1,9 @@
 import { type RefusalReason, retryAfterMs } from "@toucantrestle/routing";
 import type { Verdict } from "@toucantrestle/verdict";
 import type { ServerResponse } from "node:http";
-import type { NotRunProof } from "./attempt_ledger.ts";
+import { neverAttempted, type NotRunProof } from "./attempt_ledger.ts";
 import type { Call } from "./call.ts";
-import { connectionHeaders } from "./caller_connection.ts";
+import { closeAfter, connectionHeaders } from "./caller_connection.ts";
 
 /**
  * Statuses of own responses. They do not assure a caller that its request has
@@ -22,7 +22,7 @@
   | 504;
 
 /** Statuses that assure a caller that its request has not run and will not. */
-export type RefusalStatus = 429 | 503;
+export type RefusalStatus = 408 | 429 | 503;
 
 /** Longest time after which a refused caller is asked to return. */
 const MAX_RETRY_AFTER_MS = 600_000;
@@ -46,6 +46,12 @@
   });
 }
 
+/** Refuses a request whose body is not read; its connection ends. */
+export function refuseUnread(res: ServerResponse, reason: RefusalReason): void {
+  closeAfter(res);
+  refuse(res, reason, { proof: neverAttempted() });
+}
+
 /** Formats a time as seconds. A time that a sibling gave may be any number. */
 function formatRetryAfter(ms: number): string {
   const waitMs = Number.isNaN(ms) ? 0 : Math.max(0, ms);
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -8,6 +8,7 @@
   | "origin_unknown"
   | "events_unknown"
   | "memory_full"
+  | "late_body"
   | "suspected"
   | "convicted"
   | "over_quota"
@@ -22,6 +23,7 @@
   origin_unknown: 250,
   events_unknown: 250,
   memory_full: 500,
+  late_body: 50,
   // It is known by then whether the upstreams have crashed.
   suspected: 1_000,
   convicted: 5_000,
