Front: small events are joined towards their caller

Cause: each event was an entry of the queue of the caller's response (three with the framing of chunks), whose bound counts payload. A partial event kept a buffer for each of its parts.

Change: ResponseWriter writes at once while the caller has taken what came before and joins the rest until it has, held back at the high-water mark of the response. The events of one read are one piece. EventSplitter collects a partial event by ByteCollector, and looks at each line feed once: with CRLFs it searched the rest of a read again for each event. Its tests now read the events by their ends, and compare them with those that a regular expression finds.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -13,6 +13,7 @@
 import type { Protocol } from "./protocol.ts";
 import { isWholeStream, type ReceivedBody } from "./response_body.ts";
 import { reserveEnd, writeResponseHead } from "./response_head.ts";
+import { ResponseWriter } from "./response_writer.ts";
 import type { UpstreamPath } from "./upstream_paths.ts";
 
 /** Result of one attempt on an upstream. */
@@ -70,8 +71,6 @@
 
 /** Response bodies up to this size, in bytes, are buffered until complete. */
 const MAX_BUFFERED_BYTES = 262_144;
-/** A longer event than this, in bytes, is not one. */
-const MAX_EVENT_BYTES = 262_144;
 
 /** An attempt in progress. */
 export interface Attempt {
@@ -94,7 +93,6 @@
   const buffered = new ByteCollector({ maxBytes: MAX_BUFFERED_BYTES });
   let bodyBytes = 0;
   let isForwarding = opts.resumeAfter !== undefined;
-  let isPaused = false;
   let isPathLost = false;
   let stopReason: StopReason | undefined;
   let settle: (result: AttemptResult) => void;
@@ -103,11 +101,19 @@
   });
   const removeHolder = opts.holders.add({
     purpose: isStream ? "streams" : "responses",
-    keptBytes: () => buffered.keptBytes,
+    keptBytes: () => buffered.keptBytes + splitter.keptBytes + writer.keptBytes,
     cut: () => fail(badResponse),
   });
 
+  const writer = new ResponseWriter({
+    res,
+    onFull: () => exchange.pause(),
+    onTaken: () => exchange.resume(),
+  });
+
+  /** What was received before is written, as another attempt may go on. */
   function resolveResult(value: AttemptResult): void {
+    writer.flush();
     removeHolder();
     settle(value);
   }
@@ -146,27 +152,20 @@
 
   function write(bytes: Buffer): void {
     forwardHead();
-    if (!res.write(bytes)) pauseUntilSent();
-  }
-
-  /** Lets a caller that reads slowly slow down its own response. */
-  function pauseUntilSent(): void {
-    if (isPaused) return;
-    isPaused = true;
-    exchange.pause();
-    res.once("drain", () => {
-      isPaused = false;
-      exchange.resume();
-    });
+    if (!writer.write(bytes)) fail(badResponse);
   }
 
   function onStreamData(chunk: Buffer): void {
-    for (const event of splitter.push(chunk)) {
-      if (isAlreadyForwarded(event, opts.resumeAfter)) return fail(badResponse);
+    const { bytes, events } = splitter.push(chunk);
+    let acceptedBytes = 0;
+    for (const event of events) {
+      if (isAlreadyForwarded(event, opts.resumeAfter)) break;
       opts.onEvent(event);
-      write(event.bytes);
+      acceptedBytes = event.end;
     }
-    if (splitter.partialEventBytes > MAX_EVENT_BYTES) fail(badResponse);
+    if (acceptedBytes > 0) write(bytes.subarray(0, acceptedBytes));
+    const isSound = acceptedBytes === bytes.length && !splitter.isTooLong;
+    if (!isSound) fail(badResponse);
   }
 
   /** Ignores the body; one that is too long is not awaited. */
--- a/packages/front/src/event_splitter.ts
+++ b/packages/front/src/event_splitter.ts
@@ -1,20 +1,35 @@
+import { ByteCollector } from "@toucantrestle/memory";
+
 /** One server-sent event. */
 export interface StreamEvent {
-  /** Unmodified bytes of the event, including the empty line at its end. */
-  bytes: Buffer;
+  /** Index of its end, empty line included, in the bytes of its `SplitEvents`. */
+  end: number;
   id: string | undefined;
   /** Values of the data lines, joined by line feeds. */
   data: string;
 }
 
+/** Events that a part of a stream completes. */
+export interface SplitEvents {
+  /** Unmodified bytes of all of them. */
+  bytes: Buffer;
+  events: StreamEvent[];
+}
+
+/** A longer event than this, in bytes, is not one. */
+const MAX_EVENT_BYTES = 262_144;
 /** Bytes before the last one of the longest delimiter of events. */
 const MAX_DELIMITER_PREFIX_BYTES = 3;
+const LF = 0x0a;
+const CR = 0x0d;
+const NO_BYTES = Buffer.alloc(0);
 
 /** Splits a byte stream into complete events. */
 export class EventSplitter {
-  /** Parts of the incomplete event, which are joined only once. */
-  #parts: Buffer[] = [];
-  #pendingBytes = 0;
+  /** Beginning of the incomplete event. */
+  readonly #pending = new ByteCollector({ maxBytes: MAX_EVENT_BYTES });
+  /** Last pending bytes, in which a delimiter may have begun. */
+  #lastPending: Buffer = NO_BYTES;
   #eventCount = 0;
 
   /** Number of complete events. */
@@ -24,71 +39,97 @@
 
   /** Size of the incomplete event in the buffer, in bytes. */
   get partialEventBytes(): number {
-    return this.#pendingBytes;
+    return this.#pending.bytes;
+  }
+
+  /** Whether the incomplete event is too long; then nothing is kept of it. */
+  get isTooLong(): boolean {
+    return this.#pending.hasOverflowed;
+  }
+
+  /** Memory that is kept for the incomplete event, in bytes. */
+  get keptBytes(): number {
+    return this.#pending.keptBytes;
   }
 
   /** Appends a chunk and returns the events that it completes. */
-  push(chunk: Buffer): StreamEvent[] {
+  push(chunk: Buffer): SplitEvents {
+    const ends = this.#endsIn(chunk);
+    const lastEnd = ends.at(-1) ?? 0;
+    const pendingBytes = this.#pending.bytes;
+    const bytes = lastEnd > 0 ? this.#complete(chunk, lastEnd) : NO_BYTES;
     const events: StreamEvent[] = [];
-    let rest = chunk;
-    for (let end = this.#endIn(rest); end > 0; end = this.#endIn(rest)) {
-      events.push(parseEvent(this.#joinParts(rest.subarray(0, end))));
-      this.#pendingBytes = 0;
-      rest = rest.subarray(end);
+    let start = 0;
+    for (const end of ends) {
+      events.push(parseEvent(bytes, { start, end: pendingBytes + end }));
+      start = pendingBytes + end;
     }
     this.#eventCount += events.length;
-    if (rest.length > 0) this.#parts.push(Buffer.from(rest));
-    this.#pendingBytes += rest.length;
-    return events;
+    this.#keep(chunk.subarray(lastEnd));
+    return { bytes, events };
   }
 
-  /** Returns the event that `last` completes; most events are in one part. */
-  #joinParts(last: Buffer): Buffer {
-    if (this.#parts.length === 0) return last;
-    const event = Buffer.concat([...this.#parts, last]);
-    this.#parts = [];
-    return event;
+  /** Returns all bytes up to an end; most events begin and end in one chunk. */
+  #complete(chunk: Buffer, end: number): Buffer {
+    const last = chunk.subarray(0, end);
+    this.#lastPending = NO_BYTES;
+    if (this.#pending.bytes === 0) return last;
+    return Buffer.concat([this.#pending.take(), last]);
   }
 
-  /** Returns the index in `rest` after the end of the current event, or 0. */
-  #endIn(rest: Buffer): number {
-    if (this.#parts.length === 0) return eventEnd(rest);
-    const before = this.#lastPendingBytes();
-    const end = eventEnd(Buffer.concat([before, rest]));
-    return Math.max(0, end - before.length);
+  #keep(rest: Buffer): void {
+    if (rest.length === 0) return;
+    this.#pending.push(rest);
+    this.#lastPending = rest.length >= MAX_DELIMITER_PREFIX_BYTES
+      ? Buffer.from(rest.subarray(-MAX_DELIMITER_PREFIX_BYTES))
+      : Buffer.concat([this.#lastPending, rest])
+        .subarray(-MAX_DELIMITER_PREFIX_BYTES);
   }
 
-  /** Returns the pending bytes in which a delimiter may have begun. */
-  #lastPendingBytes(): Buffer {
-    let last: Buffer = Buffer.alloc(0);
-    for (let i = this.#parts.length - 1; i >= 0; i--) {
-      last = Buffer.concat([this.#parts[i] as Buffer, last]);
-      if (last.length >= MAX_DELIMITER_PREFIX_BYTES) break;
+  /** Returns the indices in a chunk after each empty line that ends an event. */
+  #endsIn(chunk: Buffer): number[] {
+    const ends: number[] = [];
+    let before = this.#lastPending;
+    let start = 0;
+    for (let at = chunk.indexOf(LF); at >= 0; at = chunk.indexOf(LF, at + 1)) {
+      if (!endsEvent(chunk, { at, start, before })) continue;
+      ends.push(at + 1);
+      start = at + 1;
+      before = NO_BYTES;
     }
-    return last.subarray(-MAX_DELIMITER_PREFIX_BYTES);
+    return ends;
   }
 }
 
-/** Returns the index after the empty line that ends an event; 0 if none. */
-function eventEnd(bytes: Buffer): number {
-  const lf = bytes.indexOf("\n\n", 0, "latin1");
-  // A delimiter of CRLFs that begins before may overlap this one by a byte.
-  const beforeLf = lf >= 0 ? bytes.subarray(0, lf + 3) : bytes;
-  const crlf = beforeLf.indexOf("\r\n\r\n", 0, "latin1");
-  if (crlf >= 0) return crlf + 4;
-  return lf >= 0 ? lf + 2 : 0;
+/**
+ * Whether the line feed at an index ends an empty line. The event begins at
+ * `start`, behind the bytes of it that came `before`.
+ */
+function endsEvent(
+  chunk: Buffer,
+  { at, start, before }: { at: number; start: number; before: Buffer },
+): boolean {
+  const byteBefore = (distance: number) => {
+    const index = at - distance;
+    return index >= start ? chunk[index] : before.at(index - start);
+  };
+  if (byteBefore(1) === LF) return true;
+  return byteBefore(1) === CR && byteBefore(2) === LF && byteBefore(3) === CR;
 }
 
-function parseEvent(bytes: Buffer): StreamEvent {
-  const text = bytes.toString("utf8");
+function parseEvent(
+  bytes: Buffer,
+  { start, end: eventEnd }: { start: number; end: number },
+): StreamEvent {
+  const text = bytes.toString("utf8", start, eventEnd);
   let id: string | undefined;
   let data: string | undefined;
-  let start = 0;
-  while (start < text.length) {
-    const lf = text.indexOf("\n", start);
+  let lineStart = 0;
+  while (lineStart < text.length) {
+    const lf = text.indexOf("\n", lineStart);
     const end = lf < 0 ? text.length : lf;
-    const line = text.slice(start, text[end - 1] === "\r" ? end - 1 : end);
-    start = end + 1;
+    const line = text.slice(lineStart, text[end - 1] === "\r" ? end - 1 : end);
+    lineStart = end + 1;
     const colon = line.indexOf(":");
     if (colon <= 0) continue;
     const value = line.slice(line[colon + 1] === " " ? colon + 2 : colon + 1);
@@ -97,5 +138,5 @@
       data = data === undefined ? value : `${data}\n${value}`;
     } else if (name === "id") id = value;
   }
-  return { bytes, id, data: data ?? "" };
+  return { end: eventEnd, id, data: data ?? "" };
 }
--- a/packages/front/test/event_splitter_test.ts
+++ b/packages/front/test/event_splitter_test.ts
@@ -1,10 +1,18 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { describe, it } from "node:test";
-import { EventSplitter } from "../src/event_splitter.ts";
+import { EventSplitter, type SplitEvents } from "../src/event_splitter.ts";
 
 const LONG_EVENT_BYTES = 2_000_000;
 const MAX_COPIES = 4;
+const PARTIAL_BYTES = 100_000;
+
+/** Returns the bytes of each event as text. */
+function textsOf({ bytes, events }: SplitEvents): string[] {
+  return events.map((it, i) =>
+    bytes.toString("utf8", events[i - 1]?.end ?? 0, it.end)
+  );
+}
 
 function split(text: string, sizes: number[]): string[] {
   const splitter = new EventSplitter();
@@ -14,7 +22,7 @@
   for (let i = 0; start < bytes.length; i++) {
     const end = start + (sizes[i % sizes.length] ?? 1);
     const chunk = bytes.subarray(start, end);
-    events.push(...splitter.push(chunk).map((it) => it.bytes.toString()));
+    events.push(...textsOf(splitter.push(chunk)));
     start = end;
   }
   expect(events.join("").length + splitter.partialEventBytes).toEqual(
@@ -31,10 +39,47 @@
       .map((lines) => lines.map((it) => it.join("")).join(""));
     const sizes = fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1 });
     fc.assert(fc.property(text, sizes, (all, chunkSizes) => {
-      expect(split(all, chunkSizes)).toEqual(split(all, [all.length]));
+      const events = all.match(/[^]*?(?:\n\n|\r\n\r\n)/g) ?? [];
+      expect(split(all, chunkSizes)).toEqual([...events]);
+      expect(split(all, [all.length])).toEqual([...events]);
     }));
   });
 
+  // Guards against a buffer for each byte of an event that does not end.
+  it("keeps little more than the bytes of an event in parts", () => {
+    const splitter = new EventSplitter();
+    const part = Buffer.from("x");
+    for (let i = 0; i < PARTIAL_BYTES; i++) splitter.push(part);
+    expect(splitter.partialEventBytes).toEqual(PARTIAL_BYTES);
+    expect(splitter.keptBytes < MAX_COPIES * PARTIAL_BYTES).toEqual(true);
+  });
+
+  it("keeps nothing of an event that is too long", () => {
+    const splitter = new EventSplitter();
+    const part = Buffer.alloc(65_536, "x");
+    for (let i = 0; i < 4; i++) splitter.push(part);
+    expect(splitter.isTooLong).toEqual(false);
+    splitter.push(part);
+    expect(splitter.isTooLong).toEqual(true);
+    expect(splitter.keptBytes).toEqual(0);
+  });
+
+  it("returns the bytes of all events of a chunk unchanged", () => {
+    const splitter = new EventSplitter();
+    splitter.push(Buffer.from("id: 1\ndata: a"));
+    const { bytes, events } = splitter.push(
+      Buffer.from("\r\n\r\nid: 2\ndata: b\ndata: c\n\nid: 3"),
+    );
+    expect(bytes.toString()).toEqual(
+      "id: 1\ndata: a\r\n\r\nid: 2\ndata: b\ndata: c\n\n",
+    );
+    expect(events.map(({ id, data }) => ({ id, data }))).toEqual([
+      { id: "1", data: "a" },
+      { id: "2", data: "b\nc" },
+    ]);
+    expect(splitter.partialEventBytes).toEqual(5);
+  });
+
   // Guards against a long event that is copied again with each chunk.
   it("copies each byte of an event that does not end a few times at most", () => {
     for (const size of [64, 1_024, 65_536]) {
