Front: a stream that brings clearly more than was asked for is cut

Callers that asked for 50 tokens got events without end, and on routes that keep turns a front kept all of them, in two buffers each.

Cause: the number of tokens of a request was used for its reservation only.

Evidence: endless_responses_test, "with more events than asked for is cut": none of five streams was over after 3 s. Now all are, and their connections to the upstream are closed.

Change: StreamBudget counts events and bytes over all attempts at a call. Beyond that the attempt fails as "beyond_request": nothing of it is passed on, kept or resumed. The output of a turn is collected by ByteCollector.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -11,6 +11,7 @@
 import { upstreamHeaders } from "./headers.ts";
 import type { PathFailure } from "./path_failure.ts";
 import type { Protocol } from "./protocol.ts";
+import type { StreamBudget } from "./stream_budget.ts";
 import { isWholeStream, type ReceivedBody } from "./response_body.ts";
 import { reserveEnd, writeResponseHead } from "./response_head.ts";
 import { ResponseWriter } from "./response_writer.ts";
@@ -63,6 +64,10 @@
   resumeAfter: string | undefined;
   timeLeftMs: number;
   holders: MemoryHolders;
+  /** What the stream may still bring. */
+  budget: StreamBudget;
+  /** Returns the memory that is kept for the turn's output, in bytes. */
+  keptOutputBytes: () => number;
   /** Called with each event before it is forwarded. */
   onEvent: (event: StreamEvent) => void;
   /** Called with the head of each response of the upstream. */
@@ -160,10 +165,12 @@
     let acceptedBytes = 0;
     for (const event of events) {
       if (isAlreadyForwarded(event, opts.resumeAfter)) break;
+      if (!opts.budget.take(event.end - acceptedBytes)) break;
       opts.onEvent(event);
       acceptedBytes = event.end;
     }
     if (acceptedBytes > 0) write(bytes.subarray(0, acceptedBytes));
+    if (opts.budget.isSpent) return fail(beyondRequest);
     const isSound = acceptedBytes === bytes.length && !splitter.isTooLong;
     if (!isSound) fail(badResponse);
   }
@@ -279,6 +286,11 @@
   hasDeliveredHead: false,
 };
 
+const beyondRequest: PathFailure = {
+  ...badResponse,
+  reason: "beyond_request",
+};
+
 const endUnmarked: PathFailure = { ...badResponse, reason: "end_unmarked" };
 
 /**
--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -32,6 +32,7 @@
 import { RunCount } from "./run_count.ts";
 import type { ServeOptions } from "./serve_options.ts";
 import { stopWhenSlow } from "./slow_attempt.ts";
+import { streamBoundOf, StreamBudget } from "./stream_budget.ts";
 import type { PathKind, UpstreamPath } from "./upstream_paths.ts";
 import type { TurnState } from "./turn_state.ts";
 import {
@@ -60,6 +61,7 @@
   readonly #choice: UpstreamChoice;
   readonly #quota: CallQuota | undefined;
   readonly #count: RunCount;
+  readonly #budget: StreamBudget;
   /** Id of the last event forwarded to the caller. */
   #lastEventId: string | undefined;
   /** Until when the call waits for an upstream, once none was left. */
@@ -81,6 +83,7 @@
     this.#choice = choice;
     this.#quota = quota;
     this.#count = new RunCount(call, opts);
+    this.#budget = new StreamBudget(streamBoundOf(call));
   }
 
   /** Attempts the call on one upstream after another until it is finished. */
@@ -181,6 +184,8 @@
       path,
       protocol,
       holders,
+      budget: this.#budget,
+      keptOutputBytes: () => this.#turn?.keptOutputBytes ?? 0,
       body: this.#turn?.prompt ?? call.body,
       demand: this.#choice.demand,
       urgency: this.#choice.urgency(start.startedAt),
@@ -444,7 +449,7 @@
   #resumeOrAbort(): boolean {
     const call = this.#call;
     const canResume = this.#lastEventId !== undefined &&
-      this.#count.canResume();
+      !this.#budget.isSpent && this.#count.canResume();
     if (!canResume) {
       abortResponse(call, "upstream failed, stream cannot be resumed");
       return true;
--- a/packages/front/src/path_failure.ts
+++ b/packages/front/src/path_failure.ts
@@ -12,6 +12,8 @@
   | "relay_lost"
   /** The sibling does not forward the exchange. */
   | "relay_refused"
+  /** The stream brings clearly more than was asked for. */
+  | "beyond_request"
   /** Only the end of the caller's connection could end the body. */
   | "end_unmarked";
 
--- a/packages/front/src/turn_state.ts
+++ b/packages/front/src/turn_state.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from "@toucantrestle/memory";
 import type { SpeedEstimate } from "@toucantrestle/policy";
 import type { UpstreamEntry, UpstreamProcess } from "@toucantrestle/routing";
 import {
@@ -16,6 +17,7 @@
   isResumption,
   runsSameSoftware,
 } from "./stream_origin.ts";
+import { MAX_KEPT_OUTPUT_BYTES } from "./stream_budget.ts";
 
 /** Why a turn cannot start. */
 export type TurnStartFailure =
@@ -32,7 +34,7 @@
   readonly #store: TurnStoreClient;
   readonly #call: Call;
   readonly #tokensPerEvent: number;
-  readonly #outputs: Buffer[] = [];
+  readonly #output = new ByteCollector({ maxBytes: MAX_KEPT_OUTPUT_BYTES });
   #prompt: Buffer;
   #events = 0;
   #isReserved = false;
@@ -120,6 +122,11 @@
     return true;
   }
 
+  /** Memory that is kept for the output, in bytes. */
+  get keptOutputBytes(): number {
+    return this.#output.keptBytes;
+  }
+
   /** Number of output tokens forwarded to the caller. */
   get outputTokens(): number {
     return this.#events * this.#tokensPerEvent;
@@ -143,7 +150,8 @@
   recordEvent(event: StreamEvent): void {
     this.#events += 1;
     if (!this.#call.route.keepsTurns) return;
-    this.#outputs.push(Buffer.from(event.data), LINE_FEED);
+    this.#output.push(Buffer.from(event.data));
+    this.#output.push(LINE_FEED);
   }
 
   /** Records the upstream that prefilled the prompt and completed the turn. */
@@ -155,7 +163,8 @@
   async persist(upstream: string): Promise<boolean> {
     const { route, head, deadlineAt } = this.#call;
     if (!route.keepsTurns) return true;
-    const prompt = Buffer.concat([this.#prompt, ...this.#outputs]);
+    if (this.#output.hasOverflowed) return false;
+    const prompt = Buffer.concat([this.#prompt, this.#output.take()]);
     const tokens = (head.promptTokens ?? 0) +
       this.outputTokens;
     return await this.#store.put(
