--- a/packages/front/src/recent_changes.ts
+++ b/packages/front/src/recent_changes.ts
@@ -1,8 +1,11 @@
+import { setNewest } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
 import type { UpstreamChange } from "./protocol.ts";
 
 /** Siblings that connect are told the changes of this time. */
 const RECENT_CHANGES_MS = 30_000;
+/** Upstreams whose changes are kept; siblings may name any. */
+const MAX_UPSTREAMS = 20_000;
 
 /** Which changes of upstreams are recent, and which of them siblings know. */
 export class RecentChanges {
@@ -18,7 +21,8 @@
 
   /** Adds a change, which replaces earlier ones of its upstream. */
   add(change: UpstreamChange): void {
-    this.#recent.set(idOf(change), { change, at: this.#timer.monotonicNow() });
+    const recent = { change, at: this.#timer.monotonicNow() };
+    setNewest(this.#recent, [idOf(change), recent], MAX_UPSTREAMS);
   }
 
   /** Returns the recent changes. */
@@ -36,7 +40,7 @@
     const { revision } = change;
     if (!Number.isSafeInteger(revision)) return false;
     if (revision <= (this.#sharedRevisions.get(id) ?? 0)) return false;
-    this.#sharedRevisions.set(id, revision);
+    setNewest(this.#sharedRevisions, [id, revision], MAX_UPSTREAMS);
     return true;
   }
 }
--- a/packages/front/src/upstream_revisions.ts
+++ b/packages/front/src/upstream_revisions.ts
@@ -1,3 +1,5 @@
+import { setNewest } from "@toucantrestle/routing";
+
 /** Revisions of the store at which an upstream was seen. */
 interface SeenRevisions {
   /** Revision of the newest known entry; 0 if there was none. */
@@ -6,6 +8,8 @@
   newest: number;
 }
 
+/** Upstreams whose revisions are kept; siblings may name any. */
+const MAX_UPSTREAMS = 20_000;
 const NEVER_SEEN: SeenRevisions = { entry: 0, newest: 0 };
 
 /**
@@ -29,7 +33,7 @@
   /** Records an entry. Returns whether nothing as new was known. */
   recordEntry(id: string, revision: number): boolean {
     if (!isRevision(revision) || revision <= this.#of(id).newest) return false;
-    this.#seen.set(id, { entry: revision, newest: revision });
+    this.#set(id, { entry: revision, newest: revision });
     return true;
   }
 
@@ -40,10 +44,14 @@
   recordAbsence(id: string, revision: number): boolean {
     const { entry, newest } = this.#of(id);
     if (!isRevision(revision) || revision < entry) return false;
-    this.#seen.set(id, { entry, newest: Math.max(newest, revision) });
+    this.#set(id, { entry, newest: Math.max(newest, revision) });
     return true;
   }
 
+  #set(id: string, seen: SeenRevisions): void {
+    setNewest(this.#seen, [id, seen], MAX_UPSTREAMS);
+  }
+
   #of(id: string): SeenRevisions {
     return this.#seen.get(id) ?? NEVER_SEEN;
   }
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+export { setNewest } from "./bounded_map.ts";
 export type {
   EngineInfo,
   Route,
--- a/packages/routing/src/upstream_notices.ts
+++ b/packages/routing/src/upstream_notices.ts
@@ -1,3 +1,4 @@
+import { setNewest } from "./bounded_map.ts";
 import type { UpstreamEntry } from "./upstream_entry.ts";
 
 /** What an upstream says about itself in the head of a response. */
@@ -22,6 +23,8 @@
 
 /** Notices of upstreams that were not heard for this long are dropped. */
 const RETENTION_MS = 600_000;
+/** Upstreams of which notices are kept; siblings may name any. */
+const MAX_UPSTREAMS = 20_000;
 
 /** Keeps the newest notice of each upstream. Times are monotonic, in ms. */
 export class UpstreamNotices {
@@ -41,7 +44,8 @@
     const isLate = before !== undefined && notice.at < before.at;
     const newest = isLate ? before : notice;
     const isLeaving = notice.isLeaving || before?.isLeaving === true;
-    this.#received.set(notice.upstream, { ...newest, isLeaving });
+    const kept = { ...newest, isLeaving };
+    setNewest(this.#received, [notice.upstream, kept], MAX_UPSTREAMS);
     const changes = changesBetween(before, { ...newest, isLeaving });
     if (changes.length > 0) this.#notable.add(notice.upstream);
     return changes;
@@ -76,9 +80,10 @@
   /** Drops notices of upstreams that were not heard for a long time. */
   sweep(now: number): void {
     for (const [id, { at }] of this.#received) {
-      if (now - at <= RETENTION_MS) continue;
-      this.#received.delete(id);
-      this.#notable.delete(id);
+      if (now - at > RETENTION_MS) this.#received.delete(id);
+    }
+    for (const id of this.#notable) {
+      if (!this.#received.has(id)) this.#notable.delete(id);
     }
   }
 }
