--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -106,7 +106,9 @@
   });
   const removeHolder = opts.holders.add({
     purpose: isStream ? "streams" : "responses",
-    keptBytes: () => buffered.keptBytes + splitter.keptBytes + writer.keptBytes,
+    keptBytes: () =>
+      buffered.keptBytes + splitter.keptBytes + writer.keptBytes +
+      opts.keptOutputBytes(),
     cut: () => fail(badResponse),
   });
 
