Store client: a response that becomes too much once parsed is refused before

Cause: the bytes of a response were bounded, the number of its values not. Change: fitsJsonBounds (packages/memory) counts depth, containers and separators of a text; the store's client refuses more than its largest list can have. Texts below 64 KiB are not looked at.

--- a/packages/memory/src/mod.ts
+++ b/packages/memory/src/mod.ts
@@ -5,6 +5,8 @@
  */
 export { ByteCollector } from "./byte_collector.ts";
 export type { ByteCollectorOptions } from "./byte_collector.ts";
+export { fitsJsonBounds } from "./json_bounds.ts";
+export type { JsonBounds } from "./json_bounds.ts";
 export { MemoryHolders } from "./memory_holders.ts";
 export type {
   HolderSource,
