Upstream channel: one endless response does not keep the event loop

A call beside 20 plain responses in chunks of one byte took up to 1.5 s, beside 40 streams of small events up to 3.3 s, with memory enough.

Cause: the runtime reads up to 32 times 64 KB of one connection in a row, and each read of tiny pieces takes some 3 ms to handle.

Change: a connection whose bytes took 1 ms or longer is read on in the next turn of the event loop. An ordinary read costs one look at the clock more.

--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -50,6 +50,11 @@
 const MAX_REJECTED_IDS = 1_000;
 /** Lowest status of a response that may be followed by another attempt. */
 const MIN_REJECTION_STATUS = 300;
+/**
+ * A connection whose bytes take longer than this to handle, in ms, is read on
+ * in the next turn of the event loop: others have bytes or callers waiting.
+ */
+const MAX_TURN_MS = 1;
 /** Idle timeout if the upstream announces none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
 
@@ -64,6 +69,10 @@
   #isSkipping = false;
   #isConnected = false;
   #isClosed = false;
+  /** Whether the handlers of the exchange do not want more bytes now. */
+  #isHeldBack = false;
+  /** Whether others come first in this turn of the event loop. */
+  #isYielding = false;
   #isBroken = false;
   #canKeepAlive = true;
   #idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS;
@@ -134,12 +143,14 @@
 
   /** Stops reading the response to the request with this id. */
   pause(id: string): void {
-    if (this.#exchange?.req.id === id) this.#socket.pause();
+    if (this.#exchange?.req.id !== id) return;
+    this.#isHeldBack = true;
+    this.#socket.pause();
   }
 
   /** Reads the response to the request with this id again. */
   resume(id: string): void {
-    if (this.#exchange?.req.id === id) this.#socket.resume();
+    if (this.#exchange?.req.id === id) this.#readOn();
   }
 
   /** Closes the connection if it is not established yet. */
@@ -177,8 +188,34 @@
     this.#socket.uncork();
   }
 
+  #readOn(): void {
+    this.#isHeldBack = false;
+    if (!this.#isYielding) this.#socket.resume();
+  }
+
   #onData(chunk: Buffer): void {
     if (this.#isClosed) return;
+    const startedAt = this.#opts.timer.monotonicNow();
+    this.#handle(chunk);
+    const ms = this.#opts.timer.monotonicNow() - startedAt;
+    if (ms >= MAX_TURN_MS) this.#yieldToOthers();
+  }
+
+  /**
+   * Lets others be served before the next read. The system would hand over up
+   * to 32 reads of one connection in a row.
+   */
+  #yieldToOthers(): void {
+    if (this.#isClosed || this.#isYielding) return;
+    this.#isYielding = true;
+    this.#socket.pause();
+    setImmediate(() => {
+      this.#isYielding = false;
+      if (!this.#isHeldBack) this.#socket.resume();
+    });
+  }
+
+  #handle(chunk: Buffer): void {
     this.#opts.contact.onReceived();
     if (!this.#exchange) return this.#close("bad_answer");
     this.#bytesWithoutBody += chunk.length;
@@ -278,7 +315,7 @@
     const exchange = this.#exchange;
     if (!exchange) return;
     this.#exchange = undefined;
-    this.#socket.resume();
+    this.#readOn();
     this.#idleSince = this.#opts.timer.monotonicNow();
     if (this.#status >= MIN_REJECTION_STATUS) {
       this.#rejectedIds.add(exchange.req.id);
