Memory guard: resident memory refuses new work while much is in use; open calls count

Found by the soak of senders: pipelined requests grew the resident memory of three fronts to 207 and 214 MB with a heap of 95 MB; nothing was refused. Change: resident memory near its limit refuses new work while half of heap and buffers is in use, and a call in progress counts 6 KB in the budget of a front.

--- a/packages/front/src/call_holders.ts
+++ b/packages/front/src/call_holders.ts
@@ -29,8 +29,11 @@
   }
 }
 
-/** The body of a request in progress, which is not cut for it. */
-class RequestBody implements MemoryHolder {
+/** Memory of a call in progress beside its bodies: head, objects, timers. */
+const CALL_BYTES = 6_000;
+
+/** The request of a call in progress, which is not cut for it. */
+class OpenRequest implements MemoryHolder {
   readonly purpose = "request_bodies";
   readonly #call: Call;
 
@@ -39,7 +42,7 @@
   }
 
   keptBytes(): number {
-    return this.#call.body.length;
+    return CALL_BYTES + this.#call.body.length;
   }
 }
 
@@ -47,6 +50,6 @@
 export function* heldForCalls(calls: Iterable<Call>): Iterable<MemoryHolder> {
   for (const call of calls) {
     yield new CallerQueue(call);
-    yield new RequestBody(call);
+    yield new OpenRequest(call);
   }
 }
--- a/packages/memory/src/memory_watch.ts
+++ b/packages/memory/src/memory_watch.ts
@@ -102,8 +102,8 @@
     const memory = this.#measure();
     const fill = this.#fillOf(memory);
     if (fill.resident < HIGH_AT) this.#residentAtCut = 0;
-    if (!isFull(fill)) this.#isFull = false;
     if (isFull(fill) || isResidentFull(fill)) this.#defend(memory);
+    else this.#isFull = false;
     if (fill.most < HIGH_AT) return false;
     this.#log(memory);
     return true;
@@ -118,9 +118,9 @@
     this.#collectedHeapBytes = memory.heapBytes;
     this.#hasCut = false;
     const fill = this.#fillOf(memory);
-    this.#isFull = isFull(fill);
-    if (this.#isFull) this.#cutHeaviest(memory, this.#excessOf(memory));
-    else if (isResidentFull(fill)) this.#defendResident(memory);
+    this.#isFull = isFull(fill) || isResidentFull(fill);
+    if (isFull(fill)) this.#cutHeaviest(memory, this.#excessOf(memory));
+    else if (this.#isFull) this.#defendResident(memory);
   }
 
   /** Cuts one peer each time that the resident memory has grown. */
--- a/packages/memory/test/memory_watch_test.ts
+++ b/packages/memory/test/memory_watch_test.ts
@@ -125,6 +125,9 @@
     process.resident = 153;
     process.timer.advance(10 * SECOND_MS);
     expect(process.cut).toEqual(["peer-4", "peer-3"]);
+    expect(process.watch.isFull).toEqual(true);
+    process.inUse = 20;
+    process.timer.advance(SECOND_MS);
     expect(process.watch.isFull).toEqual(false);
   });
 
