Daemon: responses of its peers are bounded by what is kept for them

Callers lost all calls on a daemon that ended for lack of memory, while an engine, the host list, the key-value service or a caller sent small chunks or many JSON values.

Cause: streams of the HTTP client keep an entry for each chunk; bounds counted bytes, the host list had none; parsed values take many times their text.

Change: collectResponse and parseJsonText (packages/memory) for control calls, host list and store; ByteCollector for services, partial events and partial lines; a stream is cut beyond the tokens that were asked for; a bound on the index of a tool call.

--- a/packages/config_store/src/http_store.ts
+++ b/packages/config_store/src/http_store.ts
@@ -1,8 +1,15 @@
+import {
+  type CollectedResponse,
+  collectResponse,
+  MemoryHolders,
+  parseJsonText,
+} from "@toucantrestle/memory";
 import type { Subscription } from "@toucantrestle/timer";
 import type { Verdict } from "@toucantrestle/verdict";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Client, type Dispatcher, errors } from "undici";
 import { StoreError } from "./errors.ts";
+import { LineReader } from "./line_reader.ts";
 import type {
   Compare,
   ConfigStore,
@@ -33,6 +40,14 @@
   timeoutMs: number;
   /** Fault injection: while it returns true, calls and watches fail. */
   isCut?: () => boolean;
+  /** Where responses are counted while they arrive. */
+  holders?: MemoryHolders;
+}
+
+/** Bounds of one call. */
+interface CallOptions {
+  maxBytes?: number;
+  timeoutMs?: number;
 }
 
 /** Interval at which a watch is compared with the service. */
@@ -40,9 +55,14 @@
 const WATCH_CHECK_TIMEOUT_MS = 700;
 /** Time for an event that is on its way when the service has a newer key. */
 const EVENT_DELAY_MS = 300;
-const MAX_RESPONSE_BYTES = 32_000_000;
-/** Longest line of a watch, in characters. */
-const MAX_WATCH_LINE_LENGTH = 8_000_000;
+/** Largest list of keys with their values. */
+const MAX_LIST_BYTES = 32_000_000;
+/** Largest response with few keys. */
+const MAX_SHORT_BYTES = 8_000_000;
+/** Longest line of a watch. */
+const MAX_WATCH_LINE_BYTES = 8_000_000;
+/** Most values of one response or line; a key with its value has some ten. */
+const MAX_VALUES = 1_000_000;
 const CONNECTION_COUNT = 4;
 const REQUESTS_PER_CONNECTION = 1;
 
@@ -50,17 +70,15 @@
 export class HttpStore implements ConfigStore {
   readonly #opts: HttpStoreOptions;
   readonly #clients: Client[];
+  readonly #holders: MemoryHolders;
   #nextClient = 0;
 
   constructor(opts: HttpStoreOptions) {
     this.#opts = opts;
+    this.#holders = opts.holders ?? new MemoryHolders();
     this.#clients = Array.from(
       { length: CONNECTION_COUNT },
-      () =>
-        new Client(opts.url, {
-          pipelining: REQUESTS_PER_CONNECTION,
-          maxResponseSize: MAX_RESPONSE_BYTES,
-        }),
+      () => new Client(opts.url, { pipelining: REQUESTS_PER_CONNECTION }),
     );
   }
 
@@ -76,7 +94,7 @@
     const range = await this.#call<WireRange>("/v3/kv/range", {
       key: encode(from ?? prefix),
       range_end: encode(prefixEnd(prefix)),
-    });
+    }, { maxBytes: MAX_LIST_BYTES });
     return {
       items: (range.kvs ?? []).map(toStoreItem),
       revision: Number(range.header?.revision ?? 0),
@@ -174,7 +192,7 @@
       min_mod_revision: String(revision + 1),
       keys_only: true,
       limit: "1",
-    }, WATCH_CHECK_TIMEOUT_MS);
+    }, { timeoutMs: WATCH_CHECK_TIMEOUT_MS });
     return (range.kvs ?? []).length > 0;
   }
 
@@ -214,26 +232,30 @@
     handlers: WatchHandlers,
   ): Promise<WatchEndReason> {
     if (res.statusCode !== 200) return "lost";
-    let partialLine = "";
-    for await (const chunk of res.body.setEncoding("utf8")) {
-      if (this.#opts.isCut?.()) return "lost";
-      const text = String(chunk);
-      const lines = text.split("\n");
-      lines[0] = partialLine + lines[0];
-      partialLine = lines.pop() ?? "";
-      if (partialLine.length > MAX_WATCH_LINE_LENGTH) return "lost";
-      for (const line of lines) {
-        const reason = handleWatchLine(line, handlers);
-        if (reason) return reason;
+    const reader = new LineReader({ maxBytes: MAX_WATCH_LINE_BYTES });
+    const removeHolder = this.#holders.add({
+      purpose: "store_responses",
+      keptBytes: () => reader.keptBytes,
+      cut: () => res.body.destroy(),
+    });
+    try {
+      for await (const piece of res.body) {
+        if (this.#opts.isCut?.()) return "lost";
+        for (const line of reader.read(piece as Uint8Array)) {
+          const reason = handleWatchLine(line, handlers);
+          if (reason) return reason;
+        }
       }
+      return "lost";
+    } finally {
+      removeHolder();
     }
-    return "lost";
   }
 
   async #call<T>(
     path: string,
     body: unknown,
-    timeoutMs = this.#opts.timeoutMs,
+    opts: CallOptions = {},
   ): Promise<T> {
     if (this.#opts.isCut?.()) {
       throw new StoreError(
@@ -246,23 +268,39 @@
     const client = this
       .#clients[this.#nextClient++ % CONNECTION_COUNT] as Client;
     try {
-      const res = await client.request({
+      const res = await this.#collect(client, {
         path,
         method: "POST",
         headers: { "content-type": "application/json" },
         body: JSON.stringify(body),
-        signal: AbortSignal.timeout(timeoutMs),
-      });
-      const text = await res.body.text();
-      if (res.statusCode === 200) return JSON.parse(text) as T;
+      }, opts);
+      if (res.status === 200) return parse(res.text) as T;
       throw new StoreError(
-        `the key-value service returned status ${res.statusCode}`,
-        { props: { verdict: toVerdict(res.statusCode) } },
+        `the key-value service returned status ${res.status}`,
+        { props: { verdict: toVerdict(res.status) } },
       );
     } catch (err) {
       throw toStoreError(err);
     }
   }
+
+  #collect(
+    client: Client,
+    req: Dispatcher.DispatchOptions,
+    { maxBytes = MAX_SHORT_BYTES, timeoutMs = this.#opts.timeoutMs }:
+      CallOptions,
+  ): Promise<CollectedResponse> {
+    return collectResponse({
+      maxBytes,
+      purpose: "store_responses",
+      signal: AbortSignal.timeout(timeoutMs),
+      holders: this.#holders,
+    }, (handler) => client.dispatch(req, handler));
+  }
+}
+
+function parse(text: string): unknown {
+  return parseJsonText(text, { maxValues: MAX_VALUES });
 }
 
 /** Waits; returns false if the signal is aborted by then. */
@@ -280,7 +318,7 @@
   handlers: WatchHandlers,
 ): WatchEndReason | undefined {
   if (line.trim() === "") return undefined;
-  const parsed = JSON.parse(line) as WireWatch;
+  const parsed = parse(line) as WireWatch;
   if (parsed.result?.canceled) {
     return parsed.result.compact_revision === undefined ? "lost" : "compacted";
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -108,6 +108,7 @@
     this.#store = new HttpStore({
       url: cfg.storeUrl,
       timeoutMs: cfg.storeTimeoutMs,
+      holders: context.holders,
       isCut: () => this.#faults.cut.includes("store"),
     });
     this.#view = new StoreView({
@@ -130,6 +131,7 @@
       timer: this.#timer,
       logs: this.#logs,
       metrics: this.#context.metrics,
+      holders: this.#context.holders,
     });
     this.#callerLimits = scheduling.callerLimits;
     this.#placementQueue = scheduling.placementQueue;
--- a/packages/daemon/src/scheduling_setup.ts
+++ b/packages/daemon/src/scheduling_setup.ts
@@ -1,5 +1,6 @@
 import { createHostList } from "@toucantrestle/host_list";
 import type { LoggerFactory } from "@toucantrestle/log";
+import type { MemoryHolders } from "@toucantrestle/memory";
 import type { Metrics } from "@toucantrestle/metrics";
 import type { SiblingNet } from "@toucantrestle/sibling";
 import type { Timer } from "@toucantrestle/timer";
@@ -27,13 +28,15 @@
   timer: Timer;
   logs: LoggerFactory;
   metrics: Metrics;
+  holders: MemoryHolders;
 }
 
 const HOST_LIST_TIMEOUT_MS = 2_000;
 
 /** Creates and connects the scheduling components. */
 export function setUpScheduling(opts: SchedulingOptions): Scheduling {
-  const { hostListUrl, selfHost, view, net, timer, logs, metrics } = opts;
+  const { hostListUrl, selfHost, view, net, timer, logs, metrics, holders } =
+    opts;
   const callerLimits: CallerLimits = new CallerLimits({
     view,
     net,
@@ -51,11 +54,14 @@
   });
   const upstreams = new Upstreams({
     view: () => view.tableView,
-    hostList: hostListUrl === undefined
-      ? undefined
-      : createHostList({ url: hostListUrl, timeoutMs: HOST_LIST_TIMEOUT_MS }),
+    hostList: hostListUrl === undefined ? undefined : createHostList({
+      url: hostListUrl,
+      timeoutMs: HOST_LIST_TIMEOUT_MS,
+      holders,
+    }),
     timer,
     log: logs("upstream"),
+    holders,
     onChange: (infos) => placementQueue.setUpstreams(infos),
   });
   const loadReader = new LoadReader({
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -1,6 +1,7 @@
 import { EngineClient } from "@toucantrestle/engine";
 import type { HostEntry, HostList } from "@toucantrestle/host_list";
 import type { Logger } from "@toucantrestle/log";
+import type { MemoryHolders } from "@toucantrestle/memory";
 import type { UpstreamInfo } from "@toucantrestle/policy";
 import { ServiceClient } from "@toucantrestle/service";
 import type { TableView, UpstreamPolicy } from "@toucantrestle/table";
@@ -22,10 +23,12 @@
   readonly #view: () => TableView;
   readonly #timer: Timer;
   readonly #log: Logger;
+  readonly #holders: MemoryHolders;
   readonly #clients = new Map<string, UpstreamClient>();
   readonly #onChange: (infos: UpstreamInfo[]) => void;
   #leavingHosts = new Set<string>();
   #hostEntries: HostEntry[] = [];
+  #isPollingHosts = false;
 
   constructor(
     opts: {
@@ -33,12 +36,14 @@
       hostList: HostList | undefined;
       timer: Timer;
       log: Logger;
+      holders: MemoryHolders;
       onChange: (infos: UpstreamInfo[]) => void;
     },
   ) {
     this.#view = opts.view;
     this.#timer = opts.timer;
     this.#log = opts.log;
+    this.#holders = opts.holders;
     this.#onChange = opts.onChange;
     const { hostList } = opts;
     if (hostList) {
@@ -97,13 +102,14 @@
     const { name, address } = policy;
     const timer = this.#timer;
     const log = this.#log;
+    const holders = this.#holders;
     this.#clients.set(name, {
       address,
       engine: policy.kind === "engine"
-        ? new EngineClient({ name, address })
+        ? new EngineClient({ name, address, holders })
         : undefined,
       service: policy.kind === "service"
-        ? new ServiceClient({ name, address, timer, log })
+        ? new ServiceClient({ name, address, timer, log, holders })
         : undefined,
     });
   }
@@ -114,7 +120,10 @@
   }
 
   async #pollHostList(hostList: HostList): Promise<void> {
+    if (this.#isPollingHosts) return;
+    this.#isPollingHosts = true;
     const entries = await hostList.read().catch(() => undefined);
+    this.#isPollingHosts = false;
     if (!entries) return;
     this.#hostEntries = entries;
     const leaving = new Set(
--- a/packages/daemon/test/caller_memory_test.ts
+++ b/packages/daemon/test/caller_memory_test.ts
@@ -1,146 +1,59 @@
 import { expect } from "earl";
 import { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
-import { readFileSync } from "node:fs";
-import { createServer, request, type Server } from "node:http";
-import { type AddressInfo, connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { setTimeout as delay } from "node:timers/promises";
-import { prepareDaemon, type StartedDaemon } from "./daemon_process.ts";
+import {
+  MemoryFixtures,
+  ONE_BYTE_CHUNKS,
+  sendEndlessly,
+} from "./memory_fixtures.ts";
 
-/** Memory that a daemon may take with these flags. */
-const MEMORY_LIMIT_BYTES = 200 * 1_048_576;
-const NODE_ARGS = ["--max-old-space-size=110", "--max-semi-space-size=2"];
 const KEY = "caller-key";
-const SENDING_MS = 4_000;
-const BYSTANDER_PAUSE_MS = 50;
-const BYSTANDER_TIMEOUT_MS = 4_000;
 const SENDER_COUNT = 4;
 /** Requests that a caller sends at once. */
 const PIPELINED_BYTES = 500_000;
 /** Its program has no owner, so that each waits for some seconds. */
 const PIPELINED_REQUEST =
   `GET /v1/programs/p00-a HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${KEY}\r\n\r\n`;
+/** Below the largest body. */
+const NESTED_BYTES = 7_900_000;
 
-let daemon: StartedDaemon;
-let store: Server;
-let sockets: Socket[];
+let fixtures: MemoryFixtures;
 
 beforeEach(async () => {
-  sockets = [];
-  daemon = await prepareDaemon({
-    flags: { "store-url": await startStore() },
-    nodeArgs: NODE_ARGS,
+  fixtures = new MemoryFixtures();
+  const hash = createHash("sha256").update(KEY).digest("hex");
+  const store = await fixtures.startStore({
+    [`keys/${hash}`]: '{"name":"x","role":"caller","createdAt":1}',
   });
-  daemon.start();
-  if (!await daemon.serves()) throw new Error(daemon.text);
+  await fixtures.startDaemon({ "store-url": store });
 });
 
-afterEach(async () => {
-  for (const it of sockets) it.destroy();
-  daemon.signal("SIGKILL");
-  await daemon.exited;
-  store.closeAllConnections();
-  store.close();
-});
+afterEach(() => fixtures.close());
 
-/** Starts a key-value service that has the key of a caller, and no more. */
-async function startStore(): Promise<string> {
-  const encode = (text: string) => Buffer.from(text).toString("base64");
-  const hash = createHash("sha256").update(KEY).digest("hex");
-  const kv = {
-    key: encode(`/toucantrestle/meta/keys/${hash}`),
-    value: encode('{"name":"x","role":"caller","createdAt":1}'),
-    mod_revision: "5",
-  };
-  const listing = JSON.stringify({ header: { revision: "5" }, kvs: [kv] });
-  store = createServer((req, res) => {
-    req.resume();
-    if (req.url === "/v3/kv/range") res.end(listing);
-    else res.writeHead(503).end();
-  });
-  await new Promise<void>((resolve) => store.listen(0, "127.0.0.1", resolve));
-  return `http://127.0.0.1:${(store.address() as AddressInfo).port}`;
-}
-
-/** Opens a connection of a caller that never reads. */
-function open(): Socket {
-  const [host = "", port] = daemon.address.split(":");
-  const socket = connect({ host, port: Number(port) });
-  sockets.push(socket);
-  socket.on("error", () => {});
-  return socket;
-}
-
-/** Writes the same bytes again and again until the daemon closes. */
-function sendEndlessly(socket: Socket, bytes: Buffer): void {
-  const send = () => {
-    while (!socket.destroyed && socket.write(bytes));
-    if (!socket.destroyed) socket.once("drain", () => setImmediate(send));
-  };
-  send();
+/** Returns the head of a request with a body in chunks. */
+function headOf(requestLine: string, key: string | undefined): string {
+  const authorization = key ? `authorization: Bearer ${key}\r\n` : "";
+  return `${requestLine} HTTP/1.1\r\nhost: x\r\n${authorization}` +
+    "transfer-encoding: chunked\r\n\r\n";
 }
 
 /** Starts a request whose body comes in chunks of one byte, without end. */
 function sendEndlessBody(requestLine: string, key: string | undefined): Socket {
-  const socket = open();
-  const authorization = key ? `authorization: Bearer ${key}\r\n` : "";
-  socket.write(
-    `${requestLine} HTTP/1.1\r\nhost: x\r\n${authorization}` +
-      "transfer-encoding: chunked\r\n\r\n",
-  );
-  sendEndlessly(socket, Buffer.from("1\r\nx\r\n".repeat(10_000)));
+  const socket = fixtures.open(fixtures.daemon.address);
+  socket.write(headOf(requestLine, key));
+  sendEndlessly(socket, ONE_BYTE_CHUNKS);
   return socket;
 }
 
-/** Calls the daemon as a caller that does nothing wrong. */
-function call(): Promise<number> {
-  const [host, port] = daemon.address.split(":");
-  return new Promise((resolve) => {
-    const req = request({ host, port, path: "/health", agent: false });
-    req.setTimeout(BYSTANDER_TIMEOUT_MS, () => req.destroy());
-    req.on("response", (res) => {
-      res.resume();
-      res.on("error", () => {});
-      res.on("close", () => resolve(res.complete ? res.statusCode ?? 0 : 0));
-    });
-    req.on("error", () => resolve(0));
-    req.end();
-  });
-}
-
-/** Calls the daemon for some time, and returns how many calls failed. */
-async function countFailedCalls(): Promise<number> {
-  const end = performance.now() + SENDING_MS;
-  let failed = 0;
-  while (performance.now() < end) {
-    if (await call() !== 200) failed += 1;
-    await delay(BYSTANDER_PAUSE_MS);
-  }
-  return failed;
-}
-
-function peakResidentBytes(): number {
-  const status = readFileSync(`/proc/${daemon.pid}/status`, "utf8");
-  return 1_024 * Number(/^VmHWM:\s*(\d+) kB$/m.exec(status)?.[1] ?? 0);
-}
-
-async function expectBystandersServed(): Promise<void> {
-  const failed = await countFailedCalls();
-  expect(daemon.end).toEqual(undefined);
-  expect(failed).toEqual(0);
-  const peak = peakResidentBytes();
-  expect({ peak, isBelow: peak < MEMORY_LIMIT_BYTES })
-    .toEqual({ peak, isBelow: true });
-}
-
 describe("daemon with a caller that sends a body without end", () => {
   // Guards against a list of one buffer for each chunk of one byte.
   it("keeps no more than its bytes for chunks of one byte", async () => {
     for (let i = 0; i < SENDER_COUNT; i++) {
       sendEndlessBody("POST /v1/chat/completions", KEY);
     }
-    await expectBystandersServed();
+    await fixtures.expectBystandersServed();
   });
 
   for (
@@ -156,7 +69,7 @@
         { length: SENDER_COUNT },
         () => sendEndlessBody(requestLine, key),
       );
-      await expectBystandersServed();
+      await fixtures.expectBystandersServed();
       expect(senders.map((it) => it.destroyed)).toEqual(
         senders.map(() => true),
       );
@@ -164,15 +77,26 @@
   }
 });
 
+describe("daemon with a caller that sends a body of many values", () => {
+  // Guards against values that take many times the memory of their text.
+  it("refuses it", async () => {
+    const text = `[${"[],".repeat(NESTED_BYTES / 3)}0]`;
+    const body = `${text.length.toString(16)}\r\n${text}\r\n0\r\n\r\n`;
+    const socket = fixtures.open(fixtures.daemon.address);
+    socket.write(headOf("POST /v1/chat/completions", KEY) + body);
+    await fixtures.expectBystandersServed();
+  });
+});
+
 describe("daemon with a caller that sends many requests at once", () => {
   // Guards against requests of one connection that are kept without a bound.
   it("keeps a bounded number of them open", async () => {
     const count = Math.ceil(PIPELINED_BYTES / PIPELINED_REQUEST.length);
     for (let i = 0; i < SENDER_COUNT; i++) {
-      const socket = open();
+      const socket = fixtures.open(fixtures.daemon.address);
       socket.pause();
       sendEndlessly(socket, Buffer.from(PIPELINED_REQUEST.repeat(count)));
     }
-    await expectBystandersServed();
+    await fixtures.expectBystandersServed();
   });
 });
--- a/packages/engine/src/engine_client.ts
+++ b/packages/engine/src/engine_client.ts
@@ -1,3 +1,10 @@
+import {
+  ByteCollector,
+  type CollectedResponse,
+  collectResponse,
+  MemoryHolders,
+  parseJsonText,
+} from "@toucantrestle/memory";
 import {
   ConflictError,
   parseDeclaredVerdict,
@@ -8,7 +15,7 @@
   UpstreamError,
   type Verdict,
 } from "@toucantrestle/verdict";
-import { Pool } from "undici";
+import { type Dispatcher, Pool } from "undici";
 import * as z from "zod";
 import type {
   CompletionCall,
@@ -62,14 +69,29 @@
 const KEEP_ALIVE_MS = 2_000;
 /** Largest response, of a whole stream. */
 const MAX_RESPONSE_BYTES = 16_000_000;
+const MAX_CONTROL_BYTES = 4_000_000;
+/** Longest body of an error whose verdict is read. */
+const MAX_ERROR_BYTES = 65_536;
+/** Events without a token of their own that a stream may have. */
+const SPARE_EVENTS = 16;
+
+/** Options of `EngineClient`. */
+export interface EngineClientOptions {
+  name: string;
+  address: string;
+  /** Where responses are counted while they arrive. */
+  holders?: MemoryHolders;
+}
 
 /** Client of one model engine. */
 export class EngineClient {
   readonly #name: string;
   readonly #pool: Pool;
+  readonly #holders: MemoryHolders;
 
-  constructor(opts: { name: string; address: string }) {
+  constructor(opts: EngineClientOptions) {
     this.#name = opts.name;
+    this.#holders = opts.holders ?? new MemoryHolders();
     this.#pool = new Pool(`http://${opts.address}`, {
       connect: { timeout: CONNECT_TIMEOUT_MS },
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -91,8 +113,16 @@
     opts: { signal: AbortSignal; onDelta: (delta: CompletionDelta) => void },
   ): Promise<CompletionResult> {
     const parser = new StreamParser();
+    const errorBody = new ByteCollector({ maxBytes: MAX_ERROR_BYTES });
+    const maxTokens = call.maxTokens + SPARE_EVENTS;
+    const abort = new AbortController();
+    const removeHolder = this.#holders.add({
+      purpose: "streams",
+      keptBytes: () => parser.keptBytes + errorBody.keptBytes,
+      cut: () => abort.abort(new Error("the process lacks memory")),
+    });
     let status = 0;
-    let errorBody = "";
+    let tokens = 0;
     let retryAfterMs: number | undefined;
     try {
       await streamRequest(this.#pool, {
@@ -104,26 +134,31 @@
           "x-step": String(call.step),
         },
         body: JSON.stringify(toWireRequest(call)),
-        signal: opts.signal,
+        signal: AbortSignal.any([opts.signal, abort.signal]),
         onHead: (it, headers) => {
           status = it;
           retryAfterMs = parseRetryAfterMs(headers["retry-after"]);
         },
         onText: (text) => {
           if (status !== 200) {
-            errorBody += text;
+            errorBody.push(Buffer.from(text));
             return;
           }
           const delta = parser.read(text);
+          tokens += delta.tokens;
+          if (tokens > maxTokens) throw new Error("more than was asked for");
           if (delta.tokens > 0) opts.onDelta(delta);
         },
       });
     } catch (err) {
       if (err instanceof RequestError) throw err;
       throw toUpstreamError(this.#name, err);
+    } finally {
+      removeHolder();
     }
     if (status !== 200) {
-      throw this.#errorOfStatus(status, { body: errorBody, retryAfterMs });
+      const body = errorBody.takeText();
+      throw this.#errorOfStatus(status, { body, retryAfterMs });
     }
     if (parser.isDone) return parser.result();
     throw toUpstreamError(
@@ -200,22 +235,32 @@
     timeoutMs = CONTROL_TIMEOUT_MS,
   ): Promise<unknown> {
     try {
-      const res = await this.#pool.request({
+      const res = await this.#collect({
         path,
         method,
         headers: { "content-type": "application/json" },
         body: body === undefined ? null : JSON.stringify(body),
-        signal: AbortSignal.timeout(timeoutMs),
-      });
-      const text = await res.body.text();
-      if (res.statusCode === 200) return JSON.parse(text);
-      throw this.#errorOfStatus(res.statusCode, { body: text });
+      }, timeoutMs);
+      if (res.status === 200) return parseJsonText(res.text);
+      throw this.#errorOfStatus(res.status, { body: res.text });
     } catch (err) {
       if (err instanceof RequestError) throw err;
       throw toUpstreamError(this.#name, err);
     }
   }
 
+  #collect(
+    req: Dispatcher.DispatchOptions,
+    timeoutMs: number,
+  ): Promise<CollectedResponse> {
+    return collectResponse({
+      maxBytes: MAX_CONTROL_BYTES,
+      purpose: "reports",
+      signal: AbortSignal.timeout(timeoutMs),
+      holders: this.#holders,
+    }, (handler) => this.#pool.dispatch(req, handler));
+  }
+
   #errorOfStatus(
     status: number,
     { body, retryAfterMs }: { body: string; retryAfterMs?: number | undefined },
--- a/packages/engine/src/mod.ts
+++ b/packages/engine/src/mod.ts
@@ -12,6 +12,7 @@
 export {
   type CacheEvent,
   EngineClient,
+  type EngineClientOptions,
   type EngineLoadReport,
   type EngineOrder,
   isInterruptedCall,
--- a/packages/engine/src/stream_parser.ts
+++ b/packages/engine/src/stream_parser.ts
@@ -1,3 +1,5 @@
+import { ByteCollector } from "@toucantrestle/memory";
+import { Buffer } from "node:buffer";
 import type { CompletionDelta, CompletionResult } from "./completion.ts";
 
 interface WireToolCall {
@@ -32,15 +34,18 @@
 const EVENT_SEPARATOR = "\n\n";
 const DATA_PREFIX = "data: ";
 const DONE_MARKER = "[DONE]";
-/** A longer event than this, in characters, is not one. */
-const MAX_EVENT_LENGTH = 262_144;
+/** A longer event than this is not one. */
+const MAX_EVENT_BYTES = 262_144;
+const MAX_TOOL_CALLS = 1_000;
 
 /**
  * Parses the server-sent events of a streamed completion. Events that contain
  * output are returned unchanged; the closing events are only parsed.
  */
 export class StreamParser {
-  #buffer = "";
+  /** Beginning of an event whose end has not arrived. */
+  readonly #partial = new ByteCollector({ maxBytes: MAX_EVENT_BYTES });
+  #endsWithLine = false;
   #finishReason = "";
   #usage: WireUsage | undefined;
   readonly #toolCalls: WireToolCall[] = [];
@@ -51,23 +56,28 @@
     return this.#isDone;
   }
 
+  /** Memory that is kept for an event whose end has not arrived, in bytes. */
+  get keptBytes(): number {
+    return this.#partial.keptBytes;
+  }
+
   /**
    * Reads a chunk of the stream and returns the events that it completes.
    *
-   * @throws {Error} if an event is too long
+   * @throws {Error} if an event is too long or malformed
    */
   read(chunk: string): CompletionDelta {
-    const text = this.#buffer + chunk;
-    const end = text.lastIndexOf(EVENT_SEPARATOR);
-    if (end === -1) {
-      this.#buffer = text;
-      if (text.length > MAX_EVENT_LENGTH) {
-        throw new Error(`event exceeds ${MAX_EVENT_LENGTH} characters`);
-      }
-      return { events: "", text: "", tokens: 0 };
-    }
-    this.#buffer = text.slice(end + EVENT_SEPARATOR.length);
     const delta: CompletionDelta = { events: "", text: "", tokens: 0 };
+    const isSplit = this.#endsWithLine && chunk.startsWith("\n");
+    if (!isSplit && !chunk.includes(EVENT_SEPARATOR)) {
+      this.#keep(chunk);
+      return delta;
+    }
+    const text = this.#partial.bytes === 0
+      ? chunk
+      : this.#partial.takeText() + chunk;
+    const end = text.lastIndexOf(EVENT_SEPARATOR);
+    this.#keep(text.slice(end + EVENT_SEPARATOR.length));
     for (const event of text.slice(0, end).split(EVENT_SEPARATOR)) {
       this.#readEvent(event, delta);
     }
@@ -87,6 +97,16 @@
     };
   }
 
+  #keep(text: string): void {
+    if (text === "") {
+      this.#endsWithLine &&= this.#partial.bytes > 0;
+      return;
+    }
+    this.#endsWithLine = text.endsWith("\n");
+    if (this.#partial.push(Buffer.from(text))) return;
+    throw new Error(`event exceeds ${MAX_EVENT_BYTES} bytes`);
+  }
+
   #readEvent(event: string, delta: CompletionDelta): void {
     if (!event.startsWith(DATA_PREFIX)) return;
     const data = event.slice(DATA_PREFIX.length);
@@ -117,6 +137,9 @@
 
   #mergeToolCall(fragment: WireToolCall): void {
     const index = fragment.index ?? 0;
+    if (!Number.isInteger(index) || index < 0 || index >= MAX_TOOL_CALLS) {
+      throw new Error(`tool call has index ${index}`);
+    }
     const existing = this.#toolCalls[index];
     if (!existing) {
       this.#toolCalls[index] = structuredClone(fragment);
--- a/packages/engine/test/engine_client_test.ts
+++ b/packages/engine/test/engine_client_test.ts
@@ -167,6 +167,58 @@
   });
 });
 
+describe("a stream of an engine that sends too much", () => {
+  const sendEvents = (events: string) =>
+    startEngine({ delimiter: "chunked", body: events, ending: "close" });
+
+  // Guards against events without end for a few tokens that were asked for.
+  it("is cut once it has more events than tokens were asked for", async () => {
+    const many = await sendEvents(TEXT_EVENT.repeat(30) + LAST_EVENTS);
+    expect(await complete(many)).toEqual("may_have_run");
+    const fitting = await sendEvents(TEXT_EVENT.repeat(5) + LAST_EVENTS);
+    expect(await complete(fitting)).toEqual("stop");
+  });
+
+  // Guards against a list that is filled up to an index an engine has chosen.
+  it("is cut at a tool call with a huge index", async () => {
+    const call = { index: 1e9, id: "c", function: { name: "f" } };
+    const event = { choices: [{ index: 0, delta: { tool_calls: [call] } }] };
+    const client = await sendEvents(
+      `data: ${JSON.stringify(event)}\n\n${LAST_EVENTS}`,
+    );
+    expect(await complete(client)).toEqual("may_have_run");
+  });
+});
+
+describe("StreamParser", () => {
+  it("finds the same events however they are cut", () => {
+    const text = TEXT_EVENT.replace("hi", "ü") + TEXT_EVENT + LAST_EVENTS;
+    const whole = new StreamParser();
+    const expected = whole.read(text);
+    for (let size = 1; size <= text.length; size++) {
+      const parser = new StreamParser();
+      const found = { events: "", text: "", tokens: 0 };
+      for (let i = 0; i < text.length; i += size) {
+        const delta = parser.read(text.slice(i, i + size));
+        found.events += delta.events;
+        found.text += delta.text;
+        found.tokens += delta.tokens;
+      }
+      expect(found).toEqual(expected);
+      expect(parser.isDone).toEqual(true);
+      expect(parser.keptBytes).toEqual(0);
+    }
+  });
+
+  // Guards against a text that is copied with each character that arrives.
+  it("keeps little more than the bytes of an event", () => {
+    const parser = new StreamParser();
+    const bytes = 200_000;
+    for (let i = 0; i < bytes; i++) parser.read("x");
+    expect(parser.keptBytes).toBeLessThan(2 * bytes);
+  });
+});
+
 describe("an engine that limits its requests", () => {
   // Guards against LIMIT: what an upstream says of its limit was not read.
   for (const status of [429, 503]) {
--- a/packages/host_list/src/mod.ts
+++ b/packages/host_list/src/mod.ts
@@ -4,8 +4,13 @@
  *
  * @module
  */
+import {
+  collectResponse,
+  type MemoryHolders,
+  parseJsonText,
+} from "@toucantrestle/memory";
 import { UnavailableError } from "@toucantrestle/verdict";
-import { request } from "undici";
+import { Agent } from "undici";
 import * as z from "zod";
 
 const entrySchema = z.object({
@@ -33,17 +38,37 @@
   read(): Promise<HostEntry[]>;
 }
 
-/** Creates a client of the host list service with the base URL `url`. */
+/** Options of `createHostList`. */
+export interface HostListOptions {
+  /** Base URL of the service. */
+  url: string;
+  timeoutMs: number;
+  /** Where responses are counted while they arrive. */
+  holders?: MemoryHolders;
+}
+
+const MAX_RESPONSE_BYTES = 4_000_000;
+
+/** Creates a client of the host list service. */
 export function createHostList(
-  opts: { url: string; timeoutMs: number },
+  { url, timeoutMs, holders }: HostListOptions,
 ): HostList {
+  const agent = new Agent();
+  const { origin, pathname, search } = new URL(`${url}/v1/hosts`);
   return {
     async read() {
       try {
-        const res = await request(`${opts.url}/v1/hosts`, {
-          signal: AbortSignal.timeout(opts.timeoutMs),
-        });
-        return listSchema.parse(await res.body.json()).hosts;
+        const { text } = await collectResponse({
+          maxBytes: MAX_RESPONSE_BYTES,
+          purpose: "reports",
+          signal: AbortSignal.timeout(timeoutMs),
+          holders,
+        }, (handler) =>
+          agent.dispatch(
+            { origin, path: pathname + search, method: "GET" },
+            handler,
+          ));
+        return listSchema.parse(parseJsonText(text)).hosts;
       } catch (err) {
         throw new UnavailableError("cannot read the host list", { cause: err });
       }
--- a/packages/http/src/body.ts
+++ b/packages/http/src/body.ts
@@ -1,4 +1,9 @@
-import { ByteCollector, type MemoryHolders } from "@toucantrestle/memory";
+import {
+  ByteCollector,
+  type MemoryHolders,
+  parseJsonText,
+  TooManyValuesError,
+} from "@toucantrestle/memory";
 import {
   BadRequestError,
   TooLargeError,
@@ -52,7 +57,7 @@
     req.on("data", onData);
     req.once("end", () => {
       settle();
-      resolve(collector.take().toString());
+      resolve(collector.takeText());
     });
     req.once("error", fail);
     req.once("close", () => fail(brokenOffError()));
@@ -63,11 +68,15 @@
  * Parses JSON text.
  *
  * @throws {BadRequestError} if the text is not valid JSON
+ * @throws {TooLargeError} if it has too many values
  */
 export function parseJson(text: string): unknown {
   try {
-    return JSON.parse(text);
-  } catch {
+    return parseJsonText(text);
+  } catch (err) {
+    if (err instanceof TooManyValuesError) {
+      throw new TooLargeError("the body has too many JSON values");
+    }
     throw new BadRequestError("the body is not valid JSON");
   }
 }
--- a/packages/memory/src/byte_collector.ts
+++ b/packages/memory/src/byte_collector.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import { StringDecoder } from "node:string_decoder";
 
 /** Options of `ByteCollector`. */
 export interface ByteCollectorOptions {
@@ -69,6 +70,20 @@
     return bytes;
   }
 
+  /**
+   * Returns all bytes as UTF-8 text, and starts anew. They are not joined
+   * before, which would take their size once more.
+   */
+  takeText(): string {
+    const blocks = this.#usedBlocks();
+    this.clear();
+    if (blocks.length === 1) return (blocks[0] as Buffer).toString();
+    const decoder = new StringDecoder("utf8");
+    let text = "";
+    for (const it of blocks) text += decoder.write(it);
+    return text + decoder.end();
+  }
+
   /** Drops all bytes. */
   clear(): void {
     this.#blocks = [];
@@ -106,16 +121,22 @@
   }
 
   #join(): Buffer {
-    const last = this.#blocks.at(-1);
-    if (!last) return Buffer.alloc(0);
-    const lastPart = last.subarray(0, this.#lastUsed);
-    if (this.#blocks.length === 1) return lastPart;
+    const blocks = this.#usedBlocks();
+    if (blocks.length === 0) return Buffer.alloc(0);
+    if (blocks.length === 1) return blocks[0] as Buffer;
     const joined = Buffer.allocUnsafeSlow(this.#bytes);
     let at = 0;
-    for (const block of [...this.#blocks.slice(0, -1), lastPart]) {
+    for (const block of blocks) {
       joined.set(block, at);
       at += block.length;
     }
     return joined;
   }
+
+  /** Returns the blocks without the unused end of the last one. */
+  #usedBlocks(): Buffer[] {
+    const last = this.#blocks.at(-1);
+    if (!last) return [];
+    return [...this.#blocks.slice(0, -1), last.subarray(0, this.#lastUsed)];
+  }
 }
--- a/packages/memory/src/mod.ts
+++ b/packages/memory/src/mod.ts
@@ -21,3 +21,18 @@
 } from "./process_memory.ts";
 export { MemoryWatch } from "./memory_watch.ts";
 export type { MemoryWatchOptions } from "./memory_watch.ts";
+export {
+  type CollectedHeaders,
+  type CollectedResponse,
+  collectResponse,
+  type CollectResponseOptions,
+  MemoryCutError,
+  type RequestControl,
+  type ResponseHandler,
+  ResponseTooLargeError,
+} from "./collect_response.ts";
+export {
+  type ParseJsonOptions,
+  parseJsonText,
+  TooManyValuesError,
+} from "./parse_json.ts";
--- a/packages/memory/test/byte_collector_test.ts
+++ b/packages/memory/test/byte_collector_test.ts
@@ -27,6 +27,25 @@
     );
   });
 
+  it("returns the text of all pieces, wherever they are cut", () => {
+    fc.assert(
+      fc.property(
+        fc.string({ unit: "grapheme", minLength: 500, maxLength: 3_000 }),
+        fc.integer({ min: 1, max: 100 }),
+        (text, size) => {
+          const bytes = Buffer.from(text);
+          const pieces: Buffer[] = [];
+          for (let i = 0; i < bytes.length; i += size) {
+            pieces.push(bytes.subarray(i, i + size));
+          }
+          const { collector } = collect(pieces);
+          expect(collector.takeText()).toEqual(bytes.toString());
+          expect(collector.takeText()).toEqual("");
+        },
+      ),
+    );
+  });
+
   // Guards against a body whose pieces of one byte cost a buffer each.
   it("keeps at most about twice the bytes of pieces of one byte", () => {
     const pieces = Array.from({ length: 50_000 }, () => Buffer.from("x"));
--- a/packages/service/src/service_client.ts
+++ b/packages/service/src/service_client.ts
@@ -1,4 +1,5 @@
 import type { Logger } from "@toucantrestle/log";
+import { ByteCollector, MemoryHolders } from "@toucantrestle/memory";
 import type { Timer } from "@toucantrestle/timer";
 import {
   type ChannelFailure,
@@ -48,6 +49,8 @@
   address: string;
   timer: Timer;
   log: Logger;
+  /** Where responses are counted while they arrive. */
+  holders?: MemoryHolders;
 }
 
 const TOO_MANY_REQUESTS_STATUS = 429;
@@ -57,8 +60,13 @@
   readonly #name: string;
   readonly #timer: Timer;
   readonly #pool: ChannelPool;
+  readonly #holders: MemoryHolders;
 
-  constructor({ name, address, timer, log }: ServiceClientOptions) {
+  constructor(
+    { name, address, timer, log, holders = new MemoryHolders() }:
+      ServiceClientOptions,
+  ) {
+    this.#holders = holders;
     this.#name = name;
     this.#timer = timer;
     this.#pool = new ChannelPool({ address, timer, log });
@@ -87,9 +95,7 @@
   }
 
   #exchange(call: ServiceCall): Promise<ServiceResponse> {
-    const chunks: Buffer[] = [];
-    let bodyBytes = 0;
-    let isTooLarge = false;
+    const collector = new ByteCollector({ maxBytes: MAX_RESPONSE_BYTES });
     let head: ResponseHead | undefined;
     let hasTimedOut = false;
     return new Promise((resolve, reject) => {
@@ -98,18 +104,17 @@
           head = received;
         },
         onData: (chunk) => {
-          chunks.push(Buffer.from(chunk));
-          bodyBytes += chunk.length;
-          isTooLarge = bodyBytes > MAX_RESPONSE_BYTES;
-          if (isTooLarge) exchange.cancel();
+          if (!collector.push(chunk)) exchange.cancel();
         },
         onEnd: () => {
-          timeout.cancel();
-          resolve(toResponse(head as ResponseHead, chunks));
+          finish();
+          resolve(toResponse(head as ResponseHead, collector.takeText()));
         },
         onFailure: (failure) => {
-          timeout.cancel();
-          const reason = isTooLarge ? "bad_answer" : failure.reason;
+          finish();
+          const reason = collector.hasOverflowed
+            ? "bad_answer"
+            : failure.reason;
           reject(this.#toError({ ...failure, reason }, hasTimedOut));
         },
       });
@@ -117,6 +122,15 @@
         hasTimedOut = true;
         exchange.cancel();
       });
+      const removeHolder = this.#holders.add({
+        purpose: "responses",
+        keptBytes: () => collector.keptBytes,
+        cut: () => exchange.cancel(),
+      });
+      const finish = () => {
+        timeout.cancel();
+        removeHolder();
+      };
     });
   }
 
@@ -163,11 +177,11 @@
   cancelled: (name) => `call of service ${name} was cancelled`,
 };
 
-function toResponse(head: ResponseHead, chunks: Buffer[]): ServiceResponse {
+function toResponse(head: ResponseHead, body: string): ServiceResponse {
   return {
     status: head.status,
     contentType: head.headers.get("content-type") ?? "text/plain",
-    body: Buffer.concat(chunks).toString(),
+    body,
     retryAfterMs: parseRetryAfterMs(head.headers.get("retry-after")),
     endsWithConnection: head.bodyDelimiter === "close",
   };
--- a/packages/service/test/service_client_test.ts
+++ b/packages/service/test/service_client_test.ts
@@ -1,14 +1,19 @@
 import { createNoopLoggers } from "@toucantrestle/log";
+import { MemoryHolders } from "@toucantrestle/memory";
 import { createSystemTimer } from "@toucantrestle/timer";
 import { expect } from "earl";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { ServiceClient, type ServiceResponse } from "../src/mod.ts";
 
 const RESET_DELAY_MS = 20;
+const POLL_MS = 5;
+const PIECE_COUNT = 100_000;
 /** Above the largest response, for kernel buffers as well. */
 const MAX_SENT_BYTES = 32_000_000;
 const closers: (() => void)[] = [];
+const holders = new MemoryHolders();
 
 afterEach(() => {
   for (const close of closers.splice(0)) close();
@@ -20,9 +25,14 @@
     address,
     timer: createSystemTimer(),
     log: createNoopLoggers()("service"),
+    holders,
   });
 }
 
+function keptBytes(): number {
+  return holders.bytesByPurpose().responses;
+}
+
 /** Starts a service that handles each request's connection as given. */
 async function startService(
   onRequest: (socket: Socket) => void,
@@ -113,6 +123,22 @@
   }
 });
 
+describe("a service's response in chunks of one byte", () => {
+  // Guards against a list of one buffer for each chunk.
+  it("is counted by what is kept for it, and can be cut", async () => {
+    const client = await startService((socket) => {
+      socket.write(`${HEAD}transfer-encoding: chunked\r\n\r\n`);
+      socket.write("1\r\nx\r\n".repeat(PIECE_COUNT));
+    });
+    const failed = call(client).catch((err) => err.message);
+    while (keptBytes() < PIECE_COUNT) await delay(POLL_MS);
+    expect(keptBytes()).toBeLessThan(3 * PIECE_COUNT);
+    for (const it of holders) it.cut?.();
+    expect(await failed).toEqual("call of service s1 was cancelled");
+    expect(holders.count).toEqual(0);
+  });
+});
+
 describe("the verdict on a call of a service", () => {
   /** Returns the verdict of the error that a call throws. */
   const verdictOf = (client: ServiceClient, deadlineMs?: number) =>
