--- a/packages/front/test/leaving_while_waiting_test.ts
+++ b/packages/front/test/leaving_while_waiting_test.ts
@@ -20,7 +20,8 @@
     if (name === wait) leave(registry);
     return Promise.resolve(true);
   };
-  const runner = new CallRunner({ isAbandoned: false } as never, {
+  const call = { isAbandoned: false, head: {}, route: {} };
+  const runner = new CallRunner(call as never, {
     choice: {
       choose: () =>
         Promise.resolve(
