Daemon: what strangers, siblings and slow callers make it keep is bounded

Operators saw nothing yet; four strangers on the port for siblings made a daemon take 490 MiB.

Cause: a message was kept whole before its sender was known; messages to a sibling were bounded by number only; a stream was kept for a caller that does not read.

Change: bounds in bytes before the hello, for queues to siblings and for unread bytes of a stream; a time limit for the hello; channels are memory holders.

--- a/packages/caller/src/http_sink.ts
+++ b/packages/caller/src/http_sink.ts
@@ -1,9 +1,15 @@
 import type { ResponseSink } from "@toucantrestle/sibling";
 import type { ServerResponse } from "node:http";
 
+/**
+ * Unread bytes of a response at which its caller is cut off. The response is
+ * recorded whole, and sent again for the same request id.
+ */
+const MAX_UNREAD_BYTES = 4_000_000;
+
 /**
  * Creates a sink that writes a response to a caller's connection. Writes to a
- * closed connection are ignored.
+ * closed connection are ignored; one whose caller does not read is closed.
  */
 export function createHttpSink(res: ServerResponse): ResponseSink {
   return {
@@ -20,7 +26,9 @@
       res.writeHead(status, { "content-type": contentType });
     },
     data(text) {
-      if (!res.destroyed) res.write(text);
+      if (res.destroyed) return;
+      if (res.writableLength > MAX_UNREAD_BYTES) res.destroy();
+      else res.write(text);
     },
     end() {
       res.end();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -50,7 +50,6 @@
 import { TableEditor } from "./table_editor.ts";
 import { TailHolder } from "./tail_holder.ts";
 import { createDaemonTimeline } from "./daemon_timeline.ts";
-import type { TlsFiles } from "./tls_files.ts";
 import type { Upstreams } from "./upstreams.ts";
 
 const BYTES_PER_MB = 1_000_000;
@@ -85,17 +84,15 @@
   readonly #net: SiblingNet;
   readonly #links: LinkManager;
   readonly #http: HttpServer;
-  readonly #tls: TlsFiles | undefined;
   #isStopping = false;
   #onStopped: (err?: unknown) => void = () => {};
 
   constructor(cfg: DaemonSettings, context: DaemonContext) {
-    const { timer, logs, tls } = context;
+    const { timer, logs } = context;
     this.#cfg = cfg;
     this.#context = context;
     this.#timer = timer;
     this.#logs = logs;
-    this.#tls = tls;
     this.#timeline = createDaemonTimeline(cfg, { timer, logs });
     this.#self = {
       runId: randomUUID(),
@@ -215,7 +212,7 @@
     this.#view.start();
     this.#lease.start();
     this.#links.start();
-    this.#tls?.watch(
+    this.#context.tls?.watch(
       (files) => this.#http.setTls(files),
       this.#logs("daemon"),
     );
@@ -314,8 +311,9 @@
       }),
       isCut: (host) => this.#faults.cut.includes(host),
       isSiblingKey: (hash) => this.#keyring.isSibling(hash),
-      tls: this.#tls?.siblings,
+      tls: this.#context.tls?.siblings,
       log: this.#logs("sibling"),
+      holders: this.#context.holders,
     });
   }
 
@@ -351,7 +349,7 @@
       isReady: () => this.#links.isReady,
       allowFaults: this.#cfg.allowFaults,
       maxBodyBytes: this.#cfg.maxBodyMb * BYTES_PER_MB,
-      tls: this.#tls?.http,
+      tls: this.#context.tls?.http,
     });
   }
 
--- a/packages/daemon/test/peer_memory_test.ts
+++ b/packages/daemon/test/peer_memory_test.ts
@@ -10,11 +10,19 @@
 
 const NESTED_COUNT = 4_000_000;
 const SENDER_COUNT = 4;
-/** Unmasked bytes of a binary message that goes on, of one byte. */
+/** Fragments of one byte each, of a message that goes on. */
 const FIRST_FRAGMENT = Buffer.from([0x02, 0x81, 0, 0, 0, 0, 0]);
 const NEXT_FRAGMENTS = Buffer.alloc(70_000).fill(
   Buffer.from([0x00, 0x81, 0, 0, 0, 0, 0]),
 );
+/** Head of a masked message of 60 MB. */
+const LONG_MESSAGE = Buffer.from([
+  ...[0x82, 0xff, 0, 0, 0, 0],
+  ...[0x03, 0x93, 0x87, 0x00, 0, 0, 0, 0],
+]);
+const UPGRADE = "GET / HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\n" +
+  "upgrade: websocket\r\nsec-websocket-version: 13\r\n" +
+  "sec-websocket-key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n";
 
 let fixtures: MemoryFixtures;
 
@@ -99,23 +107,25 @@
   }
 });
 
-describe("daemon that a stranger dials as a sibling", () => {
-  // Guards against a message of which each fragment is kept.
-  it("serves others while it sends fragments of one byte", async () => {
-    await fixtures.startDaemon({ "store-url": await fixtures.startStore({}) });
-    for (let i = 0; i < SENDER_COUNT; i++) {
-      const socket = fixtures.open(fixtures.daemon.siblingAddress);
-      socket.write(
-        "GET / HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\n" +
-          "upgrade: websocket\r\nsec-websocket-version: 13\r\n" +
-          "sec-websocket-key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n",
-      );
-      socket.once("data", () => {
-        socket.write(FIRST_FRAGMENT);
-        sendEndlessly(socket, NEXT_FRAGMENTS);
-      });
-      socket.resume();
-    }
-    await fixtures.expectBystandersServed();
-  });
+describe("daemon that strangers dial as siblings", () => {
+  const messages: Record<string, [first: Buffer, next: Buffer]> = {
+    "fragments of one byte": [FIRST_FRAGMENT, NEXT_FRAGMENTS],
+    "a message of 60 MB": [LONG_MESSAGE, Buffer.alloc(65_536)],
+  };
+  for (const [name, [first, next]] of Object.entries(messages)) {
+    // Guards against a message that is kept before its sender is known.
+    it(`serves others while they send ${name}`, async () => {
+      const store = await fixtures.startStore({});
+      await fixtures.startDaemon({ "store-url": store });
+      for (let i = 0; i < SENDER_COUNT; i++) {
+        const socket = fixtures.open(fixtures.daemon.siblingAddress);
+        socket.write(UPGRADE);
+        socket.once("data", () => {
+          socket.write(first);
+          sendEndlessly(socket, next);
+        });
+      }
+      await fixtures.expectBystandersServed();
+    });
+  }
 });
--- a/packages/sibling/src/mod.ts
+++ b/packages/sibling/src/mod.ts
@@ -8,9 +8,5 @@
 export type { PeerHandlers, RpcHandlers } from "./peer_handlers.ts";
 export type { HostStatus, ProgramSummary, UpstreamStatus } from "./status.ts";
 export type { OutgoingSession } from "./outgoing.ts";
-export {
-  hashKey,
-  SiblingNet,
-  type SiblingNetOptions,
-  type SiblingTls,
-} from "./sibling_net.ts";
+export { hashKey, SiblingNet } from "./sibling_net.ts";
+export type { SiblingNetOptions, SiblingTls } from "./sibling_net_options.ts";
--- a/packages/sibling/src/sibling_net.ts
+++ b/packages/sibling/src/sibling_net.ts
@@ -1,13 +1,14 @@
 import { isLinkAddress } from "@toucantrestle/link";
 import { listenWhenFree } from "@toucantrestle/lifecycle";
-import type { Logger } from "@toucantrestle/log";
 import { type HostRun, SILENCE_LIMIT_MS } from "@toucantrestle/membership";
-import { sleep, type Subscription, type Timer } from "@toucantrestle/timer";
+import { sleep, type Subscription } from "@toucantrestle/timer";
 import { UnavailableError, type Verdict } from "@toucantrestle/verdict";
 import { createHash } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import { createServer as createTlsServer } from "node:https";
+import type { Socket } from "node:net";
 import { WebSocket, WebSocketServer } from "ws";
+import { awaitHello } from "./hello_wait.ts";
 import { IncomingSession } from "./incoming.ts";
 import {
   type Heartbeat,
@@ -16,31 +17,8 @@
   type SiblingMessage,
 } from "./messages.ts";
 import { OutgoingSession } from "./outgoing.ts";
-import type { PeerHandlers } from "./peer_handlers.ts";
 import { SiblingChannel } from "./sibling_channel.ts";
-
-/** TLS certificate and key of this daemon, and the CA of its siblings. */
-export interface SiblingTls {
-  cert: string;
-  key: string;
-  ca: string;
-}
-
-/** Options of a `SiblingNet`. */
-export interface SiblingNetOptions {
-  self: HostRun;
-  key: string;
-  timer: Timer;
-  handlers: PeerHandlers;
-  /** Returns the content of the next heartbeat. */
-  heartbeat: () => Omit<Heartbeat, "t">;
-  /** Whether fault injection has cut the link to a host. */
-  isCut: (host: string) => boolean;
-  /** Whether a key hash is registered for the role `sibling`. */
-  isSiblingKey: (keyHash: string) => boolean;
-  tls: SiblingTls | undefined;
-  log: Logger;
-}
+import type { SiblingNetOptions } from "./sibling_net_options.ts";
 
 interface Link {
   address: string;
@@ -58,6 +36,8 @@
 /** Time from dialling to the hello of the other side. */
 const HELLO_TIMEOUT_MS = 2_000;
 const MAX_MESSAGE_BYTES = 64_000_000;
+/** Most runs of siblings whose last message is known. */
+const MAX_HEARD_RUNS = 1_000;
 const MAX_LOGGED_ADDRESS_LENGTH = 100;
 const DRAIN_POLL_INTERVAL_MS = 20;
 
@@ -72,6 +52,7 @@
   readonly #links = new Map<string, Link>();
   /** Sessions on links that siblings have dialled. */
   readonly #incoming = new Set<IncomingSession>();
+  /** By run id, in the order of the times. */
   readonly #lastReceivedAt = new Map<string, number>();
   readonly #runsByAddress = new Map<string, HostRun>();
   #heartbeatTimer: Subscription | undefined;
@@ -88,7 +69,9 @@
     });
     // It passes on the errors of the HTTP server, which are handled there.
     this.#sockets.on("error", () => {});
-    this.#sockets.on("connection", (socket) => this.#accept(socket));
+    this.#sockets.on("connection", (socket, req) => {
+      this.#accept(socket, req.socket);
+    });
   }
 
   /**
@@ -272,6 +255,7 @@
       onUnusable: (reason) => this.#logUnusable(link.address, reason),
       onSent: (bytes) => this.#countSent(bytes),
       onClose: () => this.#onClosed(link, channel),
+      holders: this.#opts.holders,
     });
     link.channel = channel;
     link.dialledAt = this.#opts.timer.now();
@@ -327,8 +311,14 @@
     session?.failPending();
   }
 
-  #accept(socket: WebSocket): void {
+  #accept(socket: WebSocket, connection: Socket): void {
     let session: IncomingSession | undefined;
+    const stopWaiting = awaitHello({
+      socket,
+      connection,
+      timeoutMs: HELLO_TIMEOUT_MS,
+      timer: this.#opts.timer,
+    });
     let from: HostRun | undefined;
     const channel = new SiblingChannel({
       socket,
@@ -349,6 +339,7 @@
           channel.close();
           return;
         }
+        stopWaiting();
         from = message.run;
         const { handlers } = this.#opts;
         session = new IncomingSession({ channel, from, handlers });
@@ -356,8 +347,10 @@
         channel.send(this.#createHello(""));
       },
       onClose: () => {
+        stopWaiting();
         if (session) this.#incoming.delete(session);
       },
+      holders: this.#opts.holders,
     });
   }
 
@@ -382,7 +375,12 @@
   }
 
   #recordReceived(run: HostRun): void {
-    this.#lastReceivedAt.set(run.runId, this.#opts.timer.now());
+    const { runId } = run;
+    this.#lastReceivedAt.delete(runId);
+    this.#lastReceivedAt.set(runId, this.#opts.timer.now());
+    if (this.#lastReceivedAt.size <= MAX_HEARD_RUNS) return;
+    const [longestSilent = ""] = this.#lastReceivedAt.keys();
+    this.#lastReceivedAt.delete(longestSilent);
   }
 }
 
--- a/packages/sibling/test/links_test.ts
+++ b/packages/sibling/test/links_test.ts
@@ -26,6 +26,10 @@
 
 const nets: SiblingNet[] = [];
 
+afterEach(async () => {
+  await Promise.all(nets.splice(0).map((net) => net.close()));
+});
+
 async function findFreePort(): Promise<number> {
   return await new Promise((resolve) => {
     const server = createServer();
@@ -95,10 +99,6 @@
 }
 
 describe("SiblingNet", () => {
-  afterEach(async () => {
-    await Promise.all(nets.splice(0).map((net) => net.close()));
-  });
-
   it("delivers a request and returns its result", async () => {
     const a = await createNet("a");
     const b = await createNet("bbb");
@@ -261,3 +261,34 @@
     expect(plain.net.session(b.self)).toEqual(undefined);
   });
 });
+
+describe("a stranger that dials a daemon", () => {
+  async function dial(): Promise<WebSocket> {
+    const { self } = await createNet("a");
+    const socket = new WebSocket(`ws://${self.siblingAddress}`);
+    socket.on("error", () => {});
+    await new Promise((resolve) => socket.once("open", resolve));
+    return socket;
+  }
+
+  function untilClosed(socket: WebSocket): Promise<boolean> {
+    return Promise.race([
+      new Promise<boolean>((resolve) =>
+        socket.once("close", () => resolve(true))
+      ),
+      delay(LINK_TIMEOUT_MS).then(() => false),
+    ]);
+  }
+
+  // Guards against a long message of which all is kept before its key is known.
+  it("is cut off if its hello is too long", async () => {
+    const socket = await dial();
+    socket.send(Buffer.alloc(1_000_000), { fin: false });
+    expect(await untilClosed(socket)).toEqual(true);
+  });
+
+  // Guards against links without a hello that stay open.
+  it("is cut off if it says nothing", async () => {
+    expect(await untilClosed(await dial())).toEqual(true);
+  });
+});
