Metrics, daemon: lists by keys that peers choose have a bound

Cause: entries end at a place that is not always reached, as for a program that another host takes over, or never, as for labels of a metric.

Change: at most 1,000 sets of labels of a metric, the rest as one, with one log line; setNewest (now in packages/policy) for programs, suspects and runs; demands of hosts end when they expire; digests of engines that the table lacks are ignored.

--- a/packages/daemon/src/isolation.ts
+++ b/packages/daemon/src/isolation.ts
@@ -1,7 +1,7 @@
 import type { ConfigStore } from "@toucantrestle/config_store";
 import type { Logger } from "@toucantrestle/log";
 import { type HostRecord, rankByRendezvous } from "@toucantrestle/membership";
-import { IsolationQueue, type Suspect } from "@toucantrestle/policy";
+import { IsolationQueue, setNewest, type Suspect } from "@toucantrestle/policy";
 import type { SiblingNet } from "@toucantrestle/sibling";
 import { sleep, type Timer } from "@toucantrestle/timer";
 import {
@@ -19,6 +19,8 @@
 const TURN_TIMEOUT_RETRY_AFTER_MS = 2_000;
 /** A suspicion that is not confirmed expires after this time. */
 const SUSPICION_TTL_MS = 120_000;
+/** Most requests that are suspected at the same time. */
+const MAX_SUSPECTS = 10_000;
 /** A conviction expires after this time, since engines may have been fixed. */
 const CONVICTION_TTL_MS = 3_600_000;
 
@@ -92,7 +94,7 @@
   /** Records a suspect that was detected by a sibling. */
   recordSuspect(fingerprint: string): void {
     const until = this.#timer.now() + SUSPICION_TTL_MS;
-    this.#suspectedUntil.set(fingerprint, until);
+    setNewest(this.#suspectedUntil, [fingerprint, until], MAX_SUSPECTS);
   }
 
   /**
--- a/packages/daemon/src/load_reader.ts
+++ b/packages/daemon/src/load_reader.ts
@@ -124,6 +124,8 @@
 
   #applyDigest(digest: LoadDigest): void {
     const { engine, canResume, softwareVersion, report, events } = digest;
+    // Siblings may know upstreams that this table lacks.
+    if (!this.#upstreams.engine(engine)) return;
     const now = this.#timer.now();
     const { dispatcher } = this.#placementQueue;
     this.#lastDigestAt.set(engine, now);
--- a/packages/metrics/src/prometheus_metrics.ts
+++ b/packages/metrics/src/prometheus_metrics.ts
@@ -1,4 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { Logger } from "@toucantrestle/log";
+import { LabelSets } from "./label_sets.ts";
 import type { Labels, Metrics } from "./metrics.ts";
 
 /** Metrics that are kept in memory until they are scraped. */
@@ -22,10 +24,22 @@
   2_000,
   5_000,
 ];
+/** Most sets of labels of one metric. */
+const MAX_LABEL_SETS = 1_000;
 const METRIC_PREFIX = "toucantrestle_";
 
 /** Creates metrics that Prometheus reads by scraping. */
-export function createPrometheusMetrics(): PrometheusMetrics {
+export function createPrometheusMetrics(
+  { log }: { log?: Logger } = {},
+): PrometheusMetrics {
+  const labelSets = new LabelSets({
+    maxSets: MAX_LABEL_SETS,
+    onFull: (name) =>
+      log?.warn(
+        `metric ${name} has over ${MAX_LABEL_SETS} sets of labels, the rest is counted as one`,
+        { event: "label_sets_full", metric: name },
+      ),
+  });
   const registry = new Registry();
   const registers = [registry];
   const counters = new Map<string, Counter>();
@@ -48,7 +62,7 @@
         name,
         () => new Counter(metricOptions(name, labels)),
       );
-      counter.inc(labels, value);
+      counter.inc(labelSets.admit(name, labels), value);
     },
     gauge(name, value, labels = {}) {
       const gauge = getOrCreate(
@@ -56,7 +70,7 @@
         name,
         () => new Gauge(metricOptions(name, labels)),
       );
-      gauge.set(labels, value);
+      gauge.set(labelSets.admit(name, labels), value);
     },
     timing(name, ms, labels = {}) {
       const histogram = getOrCreate(
@@ -68,7 +82,7 @@
             buckets: LATENCY_BUCKETS_MS,
           }),
       );
-      histogram.observe(labels, ms);
+      histogram.observe(labelSets.admit(name, labels), ms);
     },
     text: () => registry.metrics(),
     close() {},
--- a/packages/metrics/test/prometheus_metrics_test.ts
+++ b/packages/metrics/test/prometheus_metrics_test.ts
@@ -42,6 +42,31 @@
     expect(unknownPath.status).toEqual(404);
   });
 
+  // Guards against values of labels that callers choose and nothing forgets.
+  it("have a bounded number of label sets, and say so once", async () => {
+    const warnings: string[] = [];
+    const log = {
+      ...createNoopLoggers()("metrics"),
+      warn: (message: string) => warnings.push(message),
+    };
+    const metrics = createPrometheusMetrics({ log });
+    for (let i = 0; i < 5_000; i++) {
+      metrics.count("answers", 1, { caller: `c${i}`, status: "200" });
+      metrics.timing("call_ms", 1, { caller: `c${i}` });
+    }
+    metrics.count("answers", 1, { caller: "c0", status: "200" });
+    const lines = (await metrics.text()).split("\n");
+    const sets = lines.filter((it) => it.startsWith("toucantrestle_answers{"));
+    expect(sets.length).toEqual(1_001);
+    expect(sets).toInclude(
+      'toucantrestle_answers{caller="other",status="other"} 4000',
+    );
+    expect(sets).toInclude(
+      'toucantrestle_answers{caller="c0",status="200"} 2',
+    );
+    expect(warnings.length).toEqual(2);
+  });
+
   // Guards against metrics that stay missing because their port was in use.
   it("are served as soon as their port is free", async () => {
     const holder = createServer();
--- a/packages/policy/src/cache_view.ts
+++ b/packages/policy/src/cache_view.ts
@@ -1,3 +1,5 @@
+import { setNewest } from "./bounded_map.ts";
+
 /** A daemon's estimate of what an upstream has cached for a program. */
 export interface CacheEstimate {
   upstream: string;
@@ -20,6 +22,12 @@
  */
 const PRE_GAP_CONFIDENCE = 0.5;
 
+/**
+ * Most programs with estimates. Those that were taken over by another host end
+ * there, so that the oldest have to make room.
+ */
+const MAX_PROGRAMS = 50_000;
+
 /**
  * Estimates of the contents of prefix caches. Sources are the calls that this
  * daemon completed and the cache events of the upstreams, which arrive late and
@@ -39,7 +47,7 @@
   recordCompletion(program: string, estimate: CacheEstimate): void {
     const estimates = this.#byProgram.get(program) ?? [];
     const others = estimates.filter((it) => it.upstream !== estimate.upstream);
-    this.#byProgram.set(program, [...others, estimate]);
+    setNewest(this.#byProgram, [program, [...others, estimate]], MAX_PROGRAMS);
   }
 
   /**
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -1,3 +1,4 @@
+import { setNewest } from "./bounded_map.ts";
 import { CacheView } from "./cache_view.ts";
 import { POLICIES, type PolicyDef, type PolicyName } from "./policies.ts";
 import { refusalDelayMs } from "./refusal.ts";
@@ -34,6 +35,8 @@
   finished(work: WorkItem): void;
 }
 
+/** Most programs whose last upstream is known; see `CacheView`. */
+const MAX_PROGRAMS = 50_000;
 const NO_LIMITS: DispatchLimits = {
   allows: () => true,
   started() {},
@@ -248,7 +251,9 @@
     this.#startCount += 1;
     this.#startedWork.set(work.id, work);
     this.#limits.started(work);
-    if (work.kind === "engine") this.#lastUpstream.set(work.program, name);
+    if (work.kind === "engine") {
+      setNewest(this.#lastUpstream, [work.program, name], MAX_PROGRAMS);
+    }
     return {
       kind: "start",
       work,
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -11,6 +11,7 @@
   type UpstreamInfo,
   UpstreamState,
 } from "./upstream_state.ts";
+export { setNewest } from "./bounded_map.ts";
 export {
   type CacheEstimate,
   type CacheEvent,
--- a/packages/policy/src/shares.ts
+++ b/packages/policy/src/shares.ts
@@ -64,6 +64,9 @@
       grants: new Map(),
     };
     this.#hosts.set(host, state);
+    for (const [name, { reportedAt }] of this.#hosts) {
+      if (now - reportedAt >= GRANT_TTL_MS) this.#hosts.delete(name);
+    }
     for (const demand of demands) {
       const fraction = this.#fractionFor(host, demand, opts);
       state.grants.set(demand.caller, fraction);
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-export { setNewest } from "./bounded_map.ts";
+export { setNewest } from "@toucantrestle/policy";
 export type {
   EngineInfo,
   Route,
--- a/packages/routing/src/prefix_index.ts
+++ b/packages/routing/src/prefix_index.ts
@@ -1,5 +1,5 @@
 import { Buffer } from "node:buffer";
-import { setNewest } from "./bounded_map.ts";
+import { setNewest } from "@toucantrestle/policy";
 
 /**
  * Part of a prompt. Several sessions may share a part, except the last part of
--- a/packages/routing/src/upstream_notices.ts
+++ b/packages/routing/src/upstream_notices.ts
@@ -1,4 +1,4 @@
-import { setNewest } from "./bounded_map.ts";
+import { setNewest } from "@toucantrestle/policy";
 import type { UpstreamEntry } from "./upstream_entry.ts";
 
 /** What an upstream says about itself in the head of a response. */
--- a/packages/sibling/src/sibling_net.ts
+++ b/packages/sibling/src/sibling_net.ts
@@ -1,6 +1,7 @@
 import { isLinkAddress } from "@toucantrestle/link";
 import { listenWhenFree } from "@toucantrestle/lifecycle";
 import { type HostRun, SILENCE_LIMIT_MS } from "@toucantrestle/membership";
+import { setNewest } from "@toucantrestle/policy";
 import { sleep, type Subscription } from "@toucantrestle/timer";
 import { UnavailableError, type Verdict } from "@toucantrestle/verdict";
 import { createHash } from "node:crypto";
@@ -291,7 +292,7 @@
   #openSession(link: Link, channel: SiblingChannel, hello: Hello): void {
     const { run } = hello;
     if (run.runId === this.#opts.self.runId) return channel.close();
-    this.#runsByAddress.set(link.address, run);
+    setNewest(this.#runsByAddress, [link.address, run], MAX_HEARD_RUNS);
     link.session = new OutgoingSession({
       channel,
       run,
@@ -375,12 +376,8 @@
   }
 
   #recordReceived(run: HostRun): void {
-    const { runId } = run;
-    this.#lastReceivedAt.delete(runId);
-    this.#lastReceivedAt.set(runId, this.#opts.timer.now());
-    if (this.#lastReceivedAt.size <= MAX_HEARD_RUNS) return;
-    const [longestSilent = ""] = this.#lastReceivedAt.keys();
-    this.#lastReceivedAt.delete(longestSilent);
+    const now = this.#opts.timer.now();
+    setNewest(this.#lastReceivedAt, [run.runId, now], MAX_HEARD_RUNS);
   }
 }
 
