Links: what a faulty process sends is bounded by what it becomes and is held back

Callers saw: a front or turn store that ends (SIGABRT, heap out of memory), or calls in vain, because of what one connection sends to its link port. Cause: 64 MB a message (100 MB at the side that dials), whatever it becomes once decoded; results for a process that does not read were counted by bytes only; a front that was full of what is sent to it refused for good and cut nobody. Change: 17 MB a message and some 40 MB decoded, estimated before; at most 16 fragments; LinkSocket knows what is kept for a connection, holds back a process that is behind, and is a holder of link_messages; a front that has refused for 1 s cuts the heaviest that no reader waits for.

--- a/packages/front/src/front_parts.ts
+++ b/packages/front/src/front_parts.ts
@@ -131,6 +131,7 @@
     dataCentre,
     timer,
     log: loggers("turns"),
+    holders: opts.holders,
     onView: (view) => fleet.applyView(view),
     canRelay: () => siblings.requests.canRelay,
     relay: ((memberId, name, args) =>
@@ -143,6 +144,7 @@
     dataCentre,
     linkAddress: opts.linkAddress,
     seeds: opts.seeds,
+    holders: opts.holders,
     fleet,
     configWatcher,
     report: () => hooks.report(),
--- a/packages/front/src/memory_pressure.ts
+++ b/packages/front/src/memory_pressure.ts
@@ -73,11 +73,37 @@
     bytesByPurpose,
     isRefusing,
     cut: fill >= CUT_AT || isStuck
-      ? slowest(held, heldBytes - targetBytes)
+      ? select(held, { excessBytes: heldBytes - targetBytes, isStuck })
       : [],
   };
 }
 
+/** Returns the slowest readers, and if these are too few, the heaviest others. */
+function select<T>(
+  held: readonly HeldBytes<T>[],
+  { excessBytes, isStuck }: { excessBytes: number; isStuck: boolean },
+): T[] {
+  const readers = slowest(held, excessBytes);
+  const cut = new Set(readers);
+  const leftBytes = held.reduce(
+    (left, it) => cut.has(it.holder) ? left - it.bytes : left,
+    excessBytes,
+  );
+  return isStuck ? [...readers, ...heaviest(held, leftBytes)] : readers;
+}
+
+/**
+ * Returns the heaviest that no reader waits for and that hold at least this many
+ * bytes together: what is sent to this front and does not end.
+ */
+function heaviest<T>(held: readonly HeldBytes<T>[], excessBytes: number): T[] {
+  const order = held.filter((it) => it.bytes > 0 && it.waitingMs === 0)
+    .sort((a, b) =>
+      Number(a.isIrreplaceable) - Number(b.isIrreplaceable) || b.bytes - a.bytes
+    );
+  return takeBytes(order, excessBytes);
+}
+
 /** Returns the slowest readers that hold at least this many bytes together. */
 function slowest<T>(held: readonly HeldBytes<T>[], excessBytes: number): T[] {
   const order = held.filter((it) => it.bytes > 0 && it.waitingMs > 0)
@@ -85,10 +111,18 @@
       Number(a.isIrreplaceable) - Number(b.isIrreplaceable) ||
       b.waitingMs - a.waitingMs
     );
+  return takeBytes(order, excessBytes);
+}
+
+/** Returns the first holders that hold at least this many bytes together. */
+function takeBytes<T>(
+  order: readonly HeldBytes<T>[],
+  bytesWanted: number,
+): T[] {
   const cut: T[] = [];
   let freedBytes = 0;
   for (const { holder, bytes } of order) {
-    if (freedBytes >= excessBytes) break;
+    if (freedBytes >= bytesWanted) break;
     freedBytes += bytes;
     cut.push(holder);
   }
--- a/packages/front/src/siblings/sibling_links.ts
+++ b/packages/front/src/siblings/sibling_links.ts
@@ -1,5 +1,6 @@
 import { LinkClient, LinkError } from "@toucantrestle/link";
 import type { Logger } from "@toucantrestle/log";
+import type { MemoryHolders } from "@toucantrestle/memory";
 import type { Timer } from "@toucantrestle/timer";
 import type { FrontStreams } from "../exchange_relay.ts";
 import type { FrontMethods, FrontNotices } from "../protocol.ts";
@@ -18,6 +19,8 @@
   confirmedAt: (host: string) => number;
   timer: Timer;
   log: Logger;
+  /** What keeps memory for peers. */
+  holders?: MemoryHolders;
 }
 
 interface KeptLink {
@@ -99,12 +102,13 @@
     const known = this.#links.get(host);
     if (known?.link.address === address) return known;
     if (known) this.#replace(host, known);
-    const { self, timer, log, onOpen, onLost } = this.#opts;
+    const { self, timer, log, holders, onOpen, onLost } = this.#opts;
     const link: FrontLink = new LinkClient({
       self,
       address,
       timer,
       log,
+      holders,
       pingIntervalMs: () => PING_INTERVAL_MS,
       confirmedAt: () => this.#opts.confirmedAt(host),
       onOpen: () => {
--- a/packages/front/src/siblings/siblings.ts
+++ b/packages/front/src/siblings/siblings.ts
@@ -5,6 +5,7 @@
   type StreamServerHandlers,
 } from "@toucantrestle/link";
 import type { Logger } from "@toucantrestle/log";
+import type { MemoryHolders } from "@toucantrestle/memory";
 import { chooseNeighbours, Gossip, Rings } from "@toucantrestle/overlay";
 import type { UpstreamProcess } from "@toucantrestle/routing";
 import type { Timer } from "@toucantrestle/timer";
@@ -74,6 +75,8 @@
   ) => StreamServerHandlers<RelayControl>;
   upstreams: () => UpstreamList;
   onUpstreams: (list: UpstreamList) => void;
+  /** What keeps memory for peers. */
+  holders?: MemoryHolders;
   timer: Timer;
   log: Logger;
 }
@@ -248,6 +251,7 @@
     const opts = this.#opts;
     return new LinkServer<FrontMethods, FrontNotices, FrontStreams>({
       log: opts.log,
+      holders: opts.holders,
       methods: {
         config: () => ({ text: opts.configWatcher.text }),
         fleet: () => opts.fleet.snapshot(),
--- a/packages/front/test/memory_pressure_test.ts
+++ b/packages/front/test/memory_pressure_test.ts
@@ -57,6 +57,19 @@
     expect(cutAfter(1_000)).toEqual(["r4"]);
   });
 
+  // Guards against what is sent without end and refuses all others for good.
+  it("cuts the heaviest that no reader waits for after a second", () => {
+    const held = [
+      createHeld("small", { bytes: 50, waitingMs: 0 }),
+      createHeld("large", { bytes: 750, waitingMs: 0 }),
+      createHeld("reader", { bytes: 50, waitingMs: 5 }),
+    ];
+    const cutAfter = (refusingMs: number) =>
+      decidePressure(held, { budgetBytes: BUDGET, refusingMs }).cut;
+    expect(cutAfter(900)).toEqual([]);
+    expect(cutAfter(1_000)).toEqual(["reader", "large"]);
+  });
+
   // Guards against losing the only response of a request that must not rerun.
   it("cuts no irreplaceable response while there is anything else", () => {
     const readers = fc.array(
--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -1,8 +1,15 @@
 import type { Logger } from "@toucantrestle/log";
+import type { MemoryHolders } from "@toucantrestle/memory";
 import type { Subscription, Timer } from "@toucantrestle/timer";
 import { WebSocket } from "ws";
 import { isLinkAddress } from "./address.ts";
+import {
+  decodeMessage,
+  DEFAULT_LIMITS,
+  type MessageLimits,
+} from "./decode_message.ts";
 import { LinkError } from "./errors.ts";
+import { LinkSocket, RECEIVER_LIMITS } from "./link_socket.ts";
 import { redialDelayMs } from "./redial.ts";
 import type {
   LinkMessage,
@@ -10,7 +17,6 @@
   NoticeTable,
   StreamTable,
 } from "./messages.ts";
-import { decodeMessage, sendMessage } from "./socket.ts";
 
 /** Options of a link that this process dials. */
 export interface LinkClientOptions {
@@ -29,6 +35,10 @@
   confirmedAt?: () => number;
   onOpen?: () => void;
   onLost?: () => void;
+  /** Bounds of what the remote process may send. */
+  limits?: MessageLimits;
+  /** What keeps memory for peers. */
+  holders?: MemoryHolders;
 }
 
 /** Callbacks of a stream. After `onEnd` or `onLost` nothing follows. */
@@ -76,7 +86,7 @@
   readonly #pending = new Map<number, PendingRequest>();
   readonly #streams = new Map<number, StreamHandlers<unknown>>();
   readonly #openWaiters = new Set<OpenWaiter>();
-  #socket: WebSocket | undefined;
+  #socket: LinkSocket | undefined;
   #isOpen = false;
   #isClosed = false;
   #lastReceivedAt = 0;
@@ -154,14 +164,14 @@
         );
       });
       this.#pending.set(id, { resolve, reject, timeout });
-      sendMessage(socket, { t: "request", id, name, args });
+      socket.send({ t: "request", id, name, args });
     });
   }
 
   /** Sends a notice, or drops it if the link is down. */
   notify<K extends keyof N & string>(name: K, body: N[K]): void {
     if (!this.#isOpen || !this.#socket) return;
-    sendMessage(this.#socket, { t: "notice", name, body });
+    this.#socket.send({ t: "notice", name, body });
   }
 
   /** Opens a stream. Returns undefined, without any callback, if it is down. */
@@ -174,11 +184,11 @@
     if (!this.#isOpen || !socket) return undefined;
     const id = this.#nextId++;
     this.#streams.set(id, handlers as StreamHandlers<unknown>);
-    sendMessage(socket, { t: "open", id, name, args });
+    socket.send({ t: "open", id, name, args });
     return {
       send: (body) => {
         if (!this.#streams.has(id)) return;
-        sendMessage(socket, { t: "control", id, body });
+        socket.send({ t: "control", id, body });
       },
     };
   }
@@ -208,24 +218,31 @@
 
   #dial(): void {
     if (this.#isClosed) return;
+    const { holders, limits = DEFAULT_LIMITS } = this.#opts;
     const socket = new WebSocket(`ws://${this.address}`, {
       handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
       perMessageDeflate: false,
+      maxPayload: limits.maxBytes,
+      ...RECEIVER_LIMITS,
     });
-    this.#socket = socket;
-    socket.on("open", () => this.#onOpen(socket));
+    const linkSocket = new LinkSocket(socket, { holders });
+    this.#socket = linkSocket;
+    socket.on("upgrade", (res) => linkSocket.onOpen(res.socket));
+    socket.on("open", () => this.#onOpen(linkSocket));
     socket.on("message", (data) => {
-      const message = decodeMessage(data);
-      if (message) this.#handle(socket, message);
+      linkSocket.onMessage();
+      const message = decodeMessage(data as Uint8Array, limits);
+      if (!message) return socket.terminate();
+      this.#handle(linkSocket, message);
     });
     socket.on("error", () => socket.terminate());
     socket.on("close", () => this.#onClose());
   }
 
-  #onOpen(socket: WebSocket): void {
+  #onOpen(socket: LinkSocket): void {
     this.#isOpen = true;
     this.#lastReceivedAt = this.#opts.timer.monotonicNow();
-    sendMessage(socket, { t: "hello", host: this.#opts.self });
+    socket.send({ t: "hello", host: this.#opts.self });
     this.#schedulePing();
     this.#call(this.#opts.onOpen);
     for (const waiter of this.#takeOpenWaiters()) waiter.resolve();
@@ -273,7 +290,7 @@
       return;
     }
     // Any message shows that the link works.
-    if (silentMs >= intervalMs) sendMessage(this.#socket, { t: "ping" });
+    if (silentMs >= intervalMs) this.#socket.send({ t: "ping" });
     this.#schedulePing();
   }
 
@@ -304,7 +321,7 @@
   }
 
   /** Handles a message; a stream must not go on after one that went wrong. */
-  #handle(socket: WebSocket, message: LinkMessage): void {
+  #handle(socket: LinkSocket, message: LinkMessage): void {
     try {
       this.#receive(message);
     } catch (err) {
--- a/packages/link/src/mod.ts
+++ b/packages/link/src/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export { isLinkAddress } from "./address.ts";
+export type { MessageLimits } from "./decode_message.ts";
 export {
   LinkClient,
   type LinkClientOptions,
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -1,14 +1,17 @@
 import { type ListenOptions, listenWhenFree } from "@toucantrestle/lifecycle";
 import { Listeners, type Logger } from "@toucantrestle/log";
+import type { MemoryHolders } from "@toucantrestle/memory";
 import { createServer, type Server } from "node:http";
+import type { Socket } from "node:net";
 import { type WebSocket, WebSocketServer } from "ws";
+import { decodeMessage, DEFAULT_LIMITS } from "./decode_message.ts";
+import { LinkSocket, RECEIVER_LIMITS } from "./link_socket.ts";
 import type {
   LinkMessage,
   MethodTable,
   NoticeTable,
   StreamTable,
 } from "./messages.ts";
-import { decodeMessage, sendMessage } from "./socket.ts";
 
 /** The remote side of a stream, which opened it. */
 export interface StreamReceiver<Part> {
@@ -48,9 +51,12 @@
   };
   notices: { [K in keyof N]: (body: N[K], from: string) => void };
   streams?: StreamServers<S>;
+  /** What keeps memory for peers. */
+  holders?: MemoryHolders;
 }
 
-const MAX_MESSAGE_BYTES = 64_000_000;
+/** Most streams that one remote process has open. */
+const MAX_STREAMS = 10_000;
 
 /** A stream that a remote process has open. */
 interface OpenStream {
@@ -64,7 +70,7 @@
 
 /** An accepted connection. */
 interface Connection {
-  socket: WebSocket;
+  socket: LinkSocket;
   streams: OpenStreams;
   /** Host that dialled; empty before its hello. */
   from: string;
@@ -86,12 +92,16 @@
     this.#opts = opts;
     this.#sockets = new WebSocketServer({
       server: this.#server,
-      maxPayload: MAX_MESSAGE_BYTES,
+      maxPayload: DEFAULT_LIMITS.maxBytes,
+      ...RECEIVER_LIMITS,
       perMessageDeflate: false,
     });
     // It passes on the errors of the HTTP server, which are handled there.
     this.#sockets.on("error", () => {});
-    this.#sockets.on("connection", (socket) => this.#accept(socket));
+    this.#sockets.on(
+      "connection",
+      (socket, req) => this.#accept(socket, req.socket),
+    );
   }
 
   /**
@@ -118,42 +128,58 @@
     this.#server.close();
   }
 
-  #accept(socket: WebSocket): void {
-    let from = "";
-    const streams: OpenStreams = new Map();
-    socket.on("close", () => {
-      const lost = new Listeners("lost links", this.#opts.log);
-      for (const { handlers, endWork } of streams.values()) {
-        endWork();
-        lost.add(() => handlers.onLost());
-      }
-      streams.clear();
-      lost.notify();
-    });
+  #accept(socket: WebSocket, transport: Socket): void {
+    const { holders } = this.#opts;
+    const connection: Connection = {
+      socket: new LinkSocket(socket, { holders }),
+      streams: new Map(),
+      from: "",
+    };
+    connection.socket.onOpen(transport);
+    socket.on("close", () => this.#loseStreams(connection));
     socket.on("error", () => socket.terminate());
     socket.on("message", (data) => {
-      const message = decodeMessage(data);
-      if (!message) {
-        this.#opts.log.warn(
-          `closed the link from host ${
-            JSON.stringify(from)
-          }: message is malformed`,
-        );
-        socket.terminate();
-        return;
-      }
-      if (message.t === "hello") from = String(message.host);
-      else this.#handle({ socket, streams, from }, message);
+      connection.socket.onMessage();
+      this.#receive(connection, data as Uint8Array);
+      connection.socket.holdBackIfBehind();
     });
   }
 
+  #loseStreams({ streams }: Connection): void {
+    const lost = new Listeners("lost links", this.#opts.log);
+    for (const { handlers, endWork } of streams.values()) {
+      endWork();
+      lost.add(() => handlers.onLost());
+    }
+    streams.clear();
+    lost.notify();
+  }
+
+  #receive(connection: Connection, bytes: Uint8Array): void {
+    const message = decodeMessage(bytes);
+    if (!message) {
+      const from = JSON.stringify(connection.from);
+      this.#opts.log.warn(
+        `closed the link from host ${from}: message is malformed`,
+      );
+      connection.socket.terminate();
+      return;
+    }
+    if (message.t === "hello") connection.from = String(message.host);
+    else this.#handle(connection, message, bytes.length);
+  }
+
   /**
    * Handles a message; what goes wrong concerns its sender alone. A notice may
    * be lost, while the streams of a link must not go on with a gap.
    */
-  #handle(connection: Connection, message: LinkMessage): void {
+  #handle(
+    connection: Connection,
+    message: LinkMessage,
+    bytes: number,
+  ): void {
     try {
-      this.#dispatch(connection, message);
+      this.#dispatch(connection, message, bytes);
     } catch (err) {
       const { from, socket } = connection;
       const reason = err instanceof Error ? err.stack : String(err);
@@ -166,18 +192,22 @@
     }
   }
 
-  #dispatch(connection: Connection, message: LinkMessage): void {
+  #dispatch(
+    connection: Connection,
+    message: LinkMessage,
+    bytes: number,
+  ): void {
     const { socket, streams, from } = connection;
     switch (message.t) {
       case "ping":
-        return sendMessage(socket, { t: "pong" });
+        return socket.send({ t: "pong" });
       case "notice":
         return ownEntry(this.#opts.notices, message.name)?.(
           message.body as N[string],
           from,
         );
       case "request":
-        this.#handleRequest(socket, message, from);
+        this.#handleRequest(connection, message, bytes);
         return;
       case "open":
         return this.#openStream(connection, message);
@@ -195,21 +225,22 @@
     const serve = this.#opts.streams && ownEntry(this.#opts.streams, name);
     if (!serve) {
       this.#opts.log.warn(`stream "${name}" is unknown`);
-      return sendMessage(socket, { t: "end", id });
+      return socket.send({ t: "end", id });
     }
+    if (streams.size >= MAX_STREAMS) return socket.send({ t: "end", id });
     const endWork = this.#beginWork();
     let isEnded = false;
     const receiver: StreamReceiver<S[string]["part"]> = {
       send: (body) => {
-        if (!isEnded) sendMessage(socket, { t: "part", id, body });
+        if (!isEnded) socket.send({ t: "part", id, body });
       },
       end: () => {
         isEnded = true;
         streams.delete(id);
-        sendMessage(socket, { t: "end", id }, endWork);
+        socket.send({ t: "end", id }, endWork);
       },
       get bufferedBytes() {
-        return socket.bufferedAmount;
+        return socket.bufferedBytes;
       },
     };
     try {
@@ -229,20 +260,23 @@
   }
 
   async #handleRequest(
-    socket: WebSocket,
+    { socket, from }: Connection,
     message: Extract<LinkMessage, { t: "request" }>,
-    from: string,
+    bytes: number,
   ): Promise<void> {
     const { id, name } = message;
     const endWork = this.#beginWork();
+    const endRequest = socket.beginRequest(bytes);
     try {
       const handler = ownEntry(this.#opts.methods, name);
       if (!handler) throw new Error(`request "${name}" is unknown`);
       const result = await handler(message.args as M[string]["args"], from);
-      sendMessage(socket, { t: "result", id, result }, endWork);
+      socket.send({ t: "result", id, result }, endWork);
     } catch (err) {
       const text = err instanceof Error ? err.message : String(err);
-      sendMessage(socket, { t: "failure", id, message: text }, endWork);
+      socket.send({ t: "failure", id, message: text }, endWork);
+    } finally {
+      endRequest();
     }
   }
 }
--- a/packages/turn_store/src/replica_links.ts
+++ b/packages/turn_store/src/replica_links.ts
@@ -1,5 +1,6 @@
 import { LinkClient } from "@toucantrestle/link";
 import type { Logger } from "@toucantrestle/log";
+import type { MemoryHolders } from "@toucantrestle/memory";
 import type { Timer } from "@toucantrestle/timer";
 import {
   quorumSize,
@@ -27,6 +28,8 @@
   onView: (view: View) => void;
   /** Called when a link to a replica opens or is lost. */
   onReachabilityChange?: () => void;
+  /** What keeps memory for peers. */
+  holders?: MemoryHolders;
   /** Sends a request to a replica through a sibling. */
   relay?: Relay;
   /** Forwards a settle notice to a replica through a sibling. */
@@ -259,12 +262,13 @@
   }
 
   #dial(member: ReplicaHost): void {
-    const { self, timer, log, onReachabilityChange } = this.#opts;
+    const { self, timer, log, holders, onReachabilityChange } = this.#opts;
     const link: StoreLink = new LinkClient({
       self,
       address: member.address,
       timer,
       log,
+      holders,
       pingIntervalMs: () =>
         Math.max(
           MIN_PING_INTERVAL_MS,
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -5,6 +5,7 @@
 } from "@toucantrestle/fleet";
 import { LinkServer } from "@toucantrestle/link";
 import type { Logger, LoggerFactory } from "@toucantrestle/log";
+import type { MemoryHolders } from "@toucantrestle/memory";
 import type { Metrics } from "@toucantrestle/metrics";
 import { sleep, type Timer } from "@toucantrestle/timer";
 import {
@@ -47,6 +48,8 @@
   onHostRetired: (host: string) => void;
   /** Whether the process lacks memory; it does not by default. */
   isMemoryFull?: () => boolean;
+  /** What keeps memory for peers. */
+  holders?: MemoryHolders;
   timer: Timer;
   loggers: LoggerFactory;
   metrics: Metrics;
@@ -93,6 +96,7 @@
       persistState: () => this.#persistState(),
       timer: opts.timer,
       log: opts.loggers("view"),
+      holders: opts.holders,
     });
   }
 
@@ -208,6 +212,7 @@
   #createServer(): LinkServer<StoreMethods, StoreNotices> {
     return new LinkServer<StoreMethods, StoreNotices>({
       log: this.#log,
+      holders: this.#opts.holders,
       methods: {
         reserve: (args) => this.#ifAccepting(() => this.#reserve(args)),
         spending: (args) =>
--- a/packages/turn_store/src/view_manager.ts
+++ b/packages/turn_store/src/view_manager.ts
@@ -1,6 +1,7 @@
 import { type Fleet, toReplicaHost } from "@toucantrestle/fleet";
-import { LinkClient } from "@toucantrestle/link";
+import { LinkClient, type MessageLimits } from "@toucantrestle/link";
 import type { Logger } from "@toucantrestle/log";
+import type { MemoryHolders } from "@toucantrestle/memory";
 import type { Subscription, Timer } from "@toucantrestle/timer";
 import {
   decideFirstView,
@@ -35,6 +36,8 @@
   persistState: () => Promise<void>;
   timer: Timer;
   log: Logger;
+  /** What keeps memory for peers. */
+  holders?: MemoryHolders;
 }
 
 /** Link to another turn store, with the last status that it reported. */
@@ -57,6 +60,11 @@
 /** Links that carry no queries are needed only to copy records. */
 const UNQUERIED_PING_INTERVAL_MS = 3_000;
 const COPY_RETRY_DELAY_MS = 150;
+/** A list of all records of a store is one message. */
+const INVENTORY_LIMITS: MessageLimits = {
+  maxBytes: 64_000_000,
+  maxDecodedBytes: 160_000_000,
+};
 
 /** Agrees on views with the other turn stores and copies missing records. */
 export class ViewManager {
@@ -361,7 +369,7 @@
 
   /** Dials all registered stores and members; closes links to all others. */
   #updatePeers(): void {
-    const { self, replica, fleet, timer, log } = this.#opts;
+    const { self, replica, fleet, timer, log, holders } = this.#opts;
     const view = replica.view;
     const wanted = new Map<string, ReplicaHost>();
     for (const it of view?.former ?? []) wanted.set(it.id, it);
@@ -382,6 +390,8 @@
         address: host.address,
         timer,
         log,
+        holders,
+        limits: INVENTORY_LIMITS,
         pingIntervalMs: () =>
           this.#isWatcher ? PING_INTERVAL_MS : UNQUERIED_PING_INTERVAL_MS,
       });
