Upstream channel: tiny pieces of a body are joined by a loop

A read of 10,922 chunks of one byte took 2.9 ms of processor time to parse, as a call of the runtime copied each of them. A loop for up to 32 bytes takes 0.9 ms; 4,369 chunks of 9 bytes take 0.6 ms instead of 1.2 ms (200 reads each). The event splitter looks at the byte before a line feed first.

--- a/packages/front/src/event_splitter.ts
+++ b/packages/front/src/event_splitter.ts
@@ -109,12 +109,13 @@
   chunk: Buffer,
   { at, start, before }: { at: number; start: number; before: Buffer },
 ): boolean {
+  const last = at > start ? chunk[at - 1] : before.at(-1);
+  if (last !== CR) return last === LF;
   const byteBefore = (distance: number) => {
     const index = at - distance;
     return index >= start ? chunk[index] : before.at(index - start);
   };
-  if (byteBefore(1) === LF) return true;
-  return byteBefore(1) === CR && byteBefore(2) === LF && byteBefore(3) === CR;
+  return byteBefore(2) === LF && byteBefore(3) === CR;
 }
 
 function parseEvent(
--- a/packages/upstream_channel/src/body_joiner.ts
+++ b/packages/upstream_channel/src/body_joiner.ts
@@ -3,6 +3,9 @@
 /** Size of the buffer in which pieces are joined, in bytes. */
 const JOINED_BYTES = 65_536;
 
+/** Up to this size, in bytes, a loop copies faster than a call of the runtime. */
+const MAX_LOOP_BYTES = 32;
+
 /** Shared by all joiners, as each is emptied before its read is over. */
 const joined = Buffer.allocUnsafeSlow(JOINED_BYTES);
 
@@ -62,7 +65,18 @@
   #join(input: Buffer, start: number, end: number): void {
     const bytes = end - start;
     if (this.#joinedBytes + bytes > JOINED_BYTES) this.flush();
-    input.copy(joined, this.#joinedBytes, start, end);
+    const at = this.#joinedBytes;
     this.#joinedBytes += bytes;
+    if (bytes > MAX_LOOP_BYTES) input.copy(joined, at, start, end);
+    else copyBytes(input, { at, start, end });
+  }
+}
+
+function copyBytes(
+  input: Buffer,
+  { at, start, end }: { at: number; start: number; end: number },
+): void {
+  for (let i = start; i < end; i++) {
+    joined[at + i - start] = input[i] as number;
   }
 }
