HTTP server of the daemon: bodies in small pieces are read in turns

Cause suspected: the runtime reads up to 2 MB of a connection in one turn of the event loop, which are some hundred thousand pieces.

--- a/packages/http/src/body.ts
+++ b/packages/http/src/body.ts
@@ -1,3 +1,4 @@
+import type { ReadTurns } from "@toucantrestle/connection";
 import {
   ByteCollector,
   type MemoryHolders,
@@ -18,8 +19,15 @@
   maxBytes: number;
   /** Where the body is counted while it arrives. */
   holders: MemoryHolders;
+  /** Which request is read on in which turn of the event loop. */
+  turns: ReadTurns;
 }
 
+/** Pieces below this size cost more than their bytes. */
+const SMALL_PIECE_BYTES = 512;
+/** Number of small pieces after which other connections have their turn. */
+const SMALL_PIECES_PER_TURN = 256;
+
 const NO_MEMORY_RETRY_AFTER_MS = 1_000;
 
 /**
@@ -30,14 +38,18 @@
  */
 export async function readBody(
   req: IncomingMessage,
-  { maxBytes, holders }: ReadBodyOptions,
+  { maxBytes, holders, turns }: ReadBodyOptions,
 ): Promise<string> {
   const declaredBytes = Number(req.headers["content-length"] ?? 0);
   if (declaredBytes > maxBytes) throw tooLargeError(maxBytes);
   const collector = new ByteCollector({ maxBytes });
   return await new Promise((resolve, reject) => {
-    const onData = (chunk: Buffer) => {
-      if (!collector.push(chunk)) fail(tooLargeError(maxBytes));
+    let smallPieces = 0;
+    const onData = (piece: Buffer) => {
+      if (!collector.push(piece)) return fail(tooLargeError(maxBytes));
+      if (piece.length >= SMALL_PIECE_BYTES) return;
+      smallPieces += 1;
+      if (smallPieces % SMALL_PIECES_PER_TURN === 0) turns.defer(req);
     };
     const settle = () => {
       req.off("data", onData);
--- a/packages/http/src/connections.ts
+++ b/packages/http/src/connections.ts
@@ -1,3 +1,4 @@
+import { lingerAtEnd } from "@toucantrestle/connection";
 import type { Timer } from "@toucantrestle/timer";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -8,11 +9,6 @@
 
 /** Most requests of one connection that are open at the same time. */
 export const MAX_OPEN_REQUESTS = 100;
-/**
- * Time for which a connection with unread bytes stays half open after its last
- * response. Closed at once, it would be reset before the caller has read it.
- */
-const LINGER_MS = 1_000;
 
 /**
  * The connections of a server with the responses that are due on each. A server
@@ -123,10 +119,7 @@
     this.#pause(socket);
   }
 
-  /**
-   * The server resumes a connection after each request that it has parsed, and
-   * to drop the rest of one.
-   */
+  /** The server resumes a connection after each request that it has parsed. */
   #pause(socket: Socket): void {
     if (this.#pausing.has(socket)) return;
     this.#pausing.add(socket);
@@ -141,9 +134,8 @@
     if (this.#lingering.has(socket)) return;
     this.#lingering.add(socket);
     this.#ending.add(socket);
-    socket.end();
-    this.#pause(socket);
-    this.#timer.after(LINGER_MS, () => socket.destroy());
+    lingerAtEnd(socket, this.#timer);
+    socket.destroySoon();
   }
 
   #checkDrained(): void {
--- a/packages/http/src/server.ts
+++ b/packages/http/src/server.ts
@@ -1,3 +1,4 @@
+import { ReadTurns } from "@toucantrestle/connection";
 import { type ListenOptions, listenWhenFree } from "@toucantrestle/lifecycle";
 import { MemoryHolders } from "@toucantrestle/memory";
 import type { Timer } from "@toucantrestle/timer";
@@ -87,7 +88,11 @@
 
 /** Creates an HTTP server, or an HTTPS server if TLS is configured. */
 export function createHttpServer(options: HttpServerOptions): HttpServer {
-  const opts = { holders: new MemoryHolders(), ...options };
+  const opts = {
+    holders: new MemoryHolders(),
+    turns: new ReadTurns(),
+    ...options,
+  };
   const router = FindMyWay({
     defaultRoute: (req, res) => {
       const message = `no route for ${req.method} ${req.url?.split("?")[0]}`;
@@ -126,7 +131,10 @@
   };
 }
 
-type ServeOptions = HttpServerOptions & { holders: MemoryHolders };
+type ServeOptions = HttpServerOptions & {
+  holders: MemoryHolders;
+  turns: ReadTurns;
+};
 
 interface RoutedRequest {
   req: IncomingMessage;
@@ -160,6 +168,7 @@
     readBody(routed.req, {
       maxBytes: opts.maxBodyBytes,
       holders: opts.holders,
+      turns: opts.turns,
     });
   return {
     ...routed,
