Front: a queue to a caller is cut once, also behind another response

A caller with pipelined requests could keep the memory of its later responses for as long as the first one lasted, while new requests of others were refused. Cause: a response behind another one has no connection yet, so that its cut reset nothing. The holder of a queue was also made anew at each look, so that the memory watch took it for another one, cut it again and again, and left those behind it. Change: the connection of the request is reset; the holders of a call are kept. The fake call of memory_guard_test has the connection of its request as well; its assertions are as they were.

--- a/packages/front/src/call_holders.ts
+++ b/packages/front/src/call_holders.ts
@@ -46,10 +46,17 @@
   }
 }
 
+/** The holders of each call, so that it is known which of them was cut. */
+const holdersOfCall = new WeakMap<Call, readonly MemoryHolder[]>();
+
 /** Returns what is kept for calls in progress. */
 export function* heldForCalls(calls: Iterable<Call>): Iterable<MemoryHolder> {
   for (const call of calls) {
-    yield new CallerQueue(call);
-    yield new OpenRequest(call);
+    let holders = holdersOfCall.get(call);
+    if (!holders) {
+      holders = [new CallerQueue(call), new OpenRequest(call)];
+      holdersOfCall.set(call, holders);
+    }
+    yield* holders;
   }
 }
--- a/packages/front/src/responses.ts
+++ b/packages/front/src/responses.ts
@@ -138,8 +138,9 @@
 }
 
 /**
- * Resets the connection of a caller that reads too slowly. The kernel frees what
- * it holds for it, too.
+ * Resets the connection of a caller that reads too slowly, also if the response
+ * is behind others and has no connection yet. The kernel frees what it holds for
+ * it, too.
  */
 export function disconnectReader(call: Call): void {
   call.recorder.recordOutcome("cut_off", {
@@ -147,7 +148,7 @@
     verdict: "may_have_run",
     reason: "caller reads too slowly",
   });
-  call.res.socket?.resetAndDestroy();
+  call.req.socket.resetAndDestroy();
 }
 
 /**
--- a/packages/front/test/memory_guard_test.ts
+++ b/packages/front/test/memory_guard_test.ts
@@ -31,13 +31,12 @@
 /** A queue to a caller that is cut by a reset of its connection. */
 function createQueue(bytes: number) {
   const cut: string[] = [];
+  const socket = { resetAndDestroy: () => cut.push("reset") };
   const call = {
     route: { kind: "idempotent" },
     recorder: { recordOutcome() {} },
-    res: {
-      writableLength: bytes,
-      socket: { resetAndDestroy: () => cut.push("reset") },
-    },
+    req: { socket },
+    res: { writableLength: bytes, socket },
   } as unknown as Call;
   return { queue: new CallerQueue(call), cut };
 }
