Front: an attempt at a call that must not run again is cut last

Cause: the holder of an attempt did not say that its response cannot be had once more, as the queue to its caller does. When the memory was full, it was cut by its size alone, before responses that could be fetched again. Change: the attempt says so for calls that are not idempotent.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -106,6 +106,7 @@
   });
   const removeHolder = opts.holders.add({
     purpose: isStream ? "streams" : "responses",
+    isIrreplaceable: call.route.kind === "non_idempotent",
     keptBytes: () =>
       buffered.keptBytes + splitter.keptBytes + writer.keptBytes +
       opts.keptOutputBytes(),
