--- a/packages/http/src/body.ts
+++ b/packages/http/src/body.ts
@@ -49,7 +49,7 @@
       if (!collector.push(piece)) return fail(tooLargeError(maxBytes));
       if (piece.length >= SMALL_PIECE_BYTES) return;
       smallPieces += 1;
-      if (smallPieces % SMALL_PIECES_PER_TURN === 0) turns.defer(req);
+      if (smallPieces % SMALL_PIECES_PER_TURN === 0) turns.defer(req.socket);
     };
     const settle = () => {
       req.off("data", onData);
