Front, metrics: other ports end connections with bodies or too many requests

Change: limitRequests wraps their listeners; the same parts as for callers.

Evidence: other_ports_test (ready, directory): 4 of 4 fail with the wrapper taken out, 4 of 4 pass. caller_connections, front, metrics tests pass. The metrics port has no test of its own.

--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -4,6 +4,8 @@
  *
  * @module
  */
+export { limitRequests } from "./limit_requests.ts";
 export { lingerAtEnd } from "./lingering_end.ts";
 export { stopReading } from "./pause.ts";
 export { ReadTurns } from "./read_turns.ts";
+export { RequestsInRead } from "./requests_in_read.ts";
--- a/packages/front/src/caller_connection.ts
+++ b/packages/front/src/caller_connection.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
-import { lingerAtEnd, stopReading } from "@toucantrestle/connection";
+import {
+  lingerAtEnd,
+  RequestsInRead,
+  stopReading,
+} from "@toucantrestle/connection";
 import type { Timer } from "@toucantrestle/timer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -85,6 +89,7 @@
   readonly #policy: ConnectionPolicy;
   readonly #timer: Timer;
   readonly #open: OpenRequest[] = [];
+  readonly #inRead: RequestsInRead;
   /** Whether requests that arrive from now on are not served. */
   #isClosing = false;
   /** Whether the connection is not read any more. */
@@ -92,10 +97,6 @@
   /** Status line of the response to bytes that are no request. */
   #errorStatus: string | undefined;
   #hasRequests = false;
-  /** Requests that came with the last read of the connection. */
-  #requestsInRead = 0;
-  /** Bytes that had arrived with it. */
-  #lastReadBytes = 0;
   /** Bytes that had arrived when the last request was complete. */
   #readBytes = 0;
   /** Idle timeout that the last response announces, in ms. */
@@ -112,6 +113,7 @@
     this.socket = socket;
     this.#policy = opts.policy;
     this.#timer = opts.timer;
+    this.#inRead = new RequestsInRead(socket);
     this.#idleSince = opts.policy.isStopping ? this.#now() : -Infinity;
     socket.on("close", () => this.#removeAll());
   }
@@ -127,12 +129,12 @@
       this.#endUnread(req);
       return undefined;
     }
-    this.#countInRead();
     const request: OpenRequest = {
       req,
       res,
       connection: this,
-      isExcess: this.#isFull,
+      isExcess: this.#inRead.add() > MAX_OPEN_REQUESTS ||
+        this.#open.length >= MAX_OPEN_REQUESTS,
       call: undefined,
       onClose: undefined,
     };
@@ -207,18 +209,6 @@
     this.socket.destroy();
   }
 
-  get #isFull(): boolean {
-    return this.#open.length >= MAX_OPEN_REQUESTS ||
-      this.#requestsInRead > MAX_OPEN_REQUESTS;
-  }
-
-  #countInRead(): void {
-    const { bytesRead } = this.socket;
-    if (bytesRead !== this.#lastReadBytes) this.#requestsInRead = 0;
-    this.#lastReadBytes = bytesRead;
-    this.#requestsInRead += 1;
-  }
-
   /** Ends the connection after the responses before a request not served. */
   #endUnread(req: IncomingMessage): void {
     stopReading(req);
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -15,7 +15,11 @@
 import type { PathCut } from "./direct_path.ts";
 import { KeyRefusals } from "./key_refusals.ts";
 import { MemoryGuard } from "./memory_guard.ts";
-import { createFrontServer, listenOnAll } from "./listen.ts";
+import {
+  createAuxiliaryServer,
+  createFrontServer,
+  listenOnAll,
+} from "./listen.ts";
 import type { FrontOptions } from "./front_options.ts";
 import { createFrontParts } from "./front_parts.ts";
 import { quotasOf } from "./quotas_of.ts";
@@ -29,8 +33,6 @@
 import type { UpstreamWatcher } from "./upstream_watcher.ts";
 
 const CONNECTION_CHECK_INTERVAL_MS = 500;
-/** Only the platform and callers that look for a front connect there. */
-const AUXILIARY_CHECK_INTERVAL_MS = 5_000;
 /** Idle connections outlive the configured timeout by this margin. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 const SWEEP_INTERVAL_MS = 10_000;
@@ -285,9 +287,9 @@
   }
 
   #createAuxiliaryServer(): Server {
-    const server = createFrontServer(
+    const server = createAuxiliaryServer(
       (req, res) => this.#onAuxiliaryRequest(req, res),
-      AUXILIARY_CHECK_INTERVAL_MS,
+      this.#opts.timer,
     );
     this.#auxiliaryServers.push(server);
     return server;
--- a/packages/metrics/src/scrape_server.ts
+++ b/packages/metrics/src/scrape_server.ts
@@ -1,3 +1,4 @@
+import { limitRequests } from "@toucantrestle/connection";
 import { listenWhenFree } from "@toucantrestle/lifecycle";
 import type { Logger } from "@toucantrestle/log";
 import type { Timer } from "@toucantrestle/timer";
@@ -32,7 +33,9 @@
  * @throws {ExitError} if no wait can make the address available
  */
 export async function serveMetrics(opts: ServeMetricsOptions): Promise<Server> {
-  const server = createServer((req, res) => serveScrape(opts, req, res));
+  const server = createServer(
+    limitRequests((req, res) => serveScrape(opts, req, res), opts.timer),
+  );
   await listenWhenFree(server, opts.address, {
     timer: opts.timer,
     log: opts.log,
