Loader: a folder without the reader of the code cache starts

A program folder to which only the files of earlier builds are carried over ended at its start with "Cannot find module", though the cache is only there to make it faster. Cause: the loader needed code_cache.cjs before anything else. Evidence: "has no reader" of code_cache_test failed before for both roles. Change: the module is loaded where its absence means no cache.

--- a/deploy/loader.cjs
+++ b/deploy/loader.cjs
@@ -22,7 +22,6 @@
 const { readFileSync } = require("node:fs");
 const { join } = require("node:path");
 const { Script } = require("node:vm");
-const { unpackCodeCache } = require("./code_cache.cjs");
 
 const ROLES = ["front", "turn_store"];
 const BAD_USAGE_STATUS = 2;
@@ -50,6 +49,8 @@
 /** Returns the compiled code of a bundle, if there is a cache that fits it. */
 function readCode(bundle) {
   try {
+    // A folder of an earlier build may lack it.
+    const { unpackCodeCache } = require("./code_cache.cjs");
     const content = readFileSync(join(__dirname, `${role}.cache`));
     const { code, reason } = unpackCodeCache(content, bundle);
     if (!code) warn(`the code cache ${reason}`);
