Front: a stream is not resumed behind events that could not be kept

Of a stream through a sibling, of which over 16 MB wait for a caller that does not read, the last events were dropped, and another attempt went on behind them: the caller would have missed some in the middle of its stream. Cause: an event counts as delivered before it is written, and the attempt ended as a failure that may be resumed. Evidence: unread_events_test failed before (no end of the connection). Change: the connection of such a caller is reset, as that of any slow reader.

--- a/packages/front/src/attempt.ts
+++ b/packages/front/src/attempt.ts
@@ -15,6 +15,7 @@
 import { isWholeStream, type ReceivedBody } from "./response_body.ts";
 import { reserveEnd, writeResponseHead } from "./response_head.ts";
 import { ResponseWriter } from "./response_writer.ts";
+import { disconnectReader } from "./responses.ts";
 import type { UpstreamPath } from "./upstream_paths.ts";
 
 /** Result of one attempt on an upstream. */
@@ -158,9 +159,15 @@
     res.flushHeaders();
   }
 
+  /**
+   * Writes what its caller is recorded to have. If it cannot be kept until the
+   * caller takes it, no other attempt may go on behind it.
+   */
   function write(bytes: Buffer): void {
     forwardHead();
-    if (!writer.write(bytes)) fail(badResponse);
+    if (writer.write(bytes)) return;
+    disconnectReader(call);
+    fail(badResponse);
   }
 
   function onStreamData(chunk: Buffer): void {
