Memory watch: resident memory that only stays high collects garbage once a second

A process whose resident memory had been high once, and with nearly half of its heap and buffers in use, collected garbage at each check, five times a second, which stops it each time and freed what the runtime would have freed by itself. Cause: the growth of the heap since the last collection counted, and a heap with garbage has always grown; that rule is for a heap that is nearly full. Evidence: the new test of memory_watch_test counted over 11 collections in 10 s before. Change: below a full heap, growth of the resident memory counts instead.

--- a/packages/memory/src/memory_watch.ts
+++ b/packages/memory/src/memory_watch.ts
@@ -38,7 +38,7 @@
 const COLLECT_GROWTH = 0.05;
 /** Part of heap and buffers that must be in use for a cut for resident memory. */
 const RESIDENT_CUT_AT = 0.5;
-/** Growth of the resident memory after a cut that is worth another one. */
+/** Growth of the resident memory that is worth another collection or cut. */
 const RESIDENT_GROWTH_BYTES = 2_000_000;
 
 /**
@@ -55,8 +55,9 @@
   #residentReadAt = -Infinity;
   #loggedAt = -Infinity;
   #collectedAt = -Infinity;
-  /** Size of the heap after garbage was collected last, in bytes. */
+  /** Memory after garbage was collected last, in bytes. */
   #collectedHeapBytes = 0;
+  #collectedResidentBytes = 0;
   /** Resident memory at the last cut, which lowers it late or not at all. */
   #residentAtCut = 0;
   #hasCut = false;
@@ -116,6 +117,7 @@
     const memory = this.#measure();
     this.#collectedAt = this.#opts.timer.monotonicNow();
     this.#collectedHeapBytes = memory.heapBytes;
+    this.#collectedResidentBytes = memory.residentBytes;
     this.#hasCut = false;
     const fill = this.#fillOf(memory);
     this.#isFull = isFull(fill) || isResidentFull(fill);
@@ -164,11 +166,21 @@
   }
 
   /** Whether it is worth it to collect garbage, which stops the process. */
-  #mayCollect({ heapBytes, heapLimitBytes }: MeasuredMemory): boolean {
+  #mayCollect(memory: MeasuredMemory): boolean {
     const now = this.#opts.timer.monotonicNow();
-    const growthBytes = heapBytes - this.#collectedHeapBytes;
     return this.#hasCut || now - this.#collectedAt >= COLLECT_INTERVAL_MS ||
-      growthBytes >= COLLECT_GROWTH * heapLimitBytes;
+      this.#hasGrown(memory);
+  }
+
+  /** Resident memory that was high once stays so while garbage comes and goes. */
+  #hasGrown(memory: MeasuredMemory): boolean {
+    const { heapBytes, heapLimitBytes, residentBytes } = memory;
+    if (isFull(this.#fillOf(memory))) {
+      const growthBytes = heapBytes - this.#collectedHeapBytes;
+      return growthBytes >= COLLECT_GROWTH * heapLimitBytes;
+    }
+    const growthBytes = residentBytes - this.#collectedResidentBytes;
+    return growthBytes >= RESIDENT_GROWTH_BYTES;
   }
 
   /** The resident memory is read seldom while the heap is low. */
--- a/packages/memory/test/memory_watch_test.ts
+++ b/packages/memory/test/memory_watch_test.ts
@@ -140,6 +140,18 @@
     expect([process.cut, process.collections]).toEqual([[], 0]);
   });
 
+  // Guards against stalls of a process whose resident memory was high once.
+  it("collects garbage once a second while resident memory only stays", () => {
+    const process = new FakeProcess();
+    process.inUse = 70;
+    process.resident = 150;
+    for (let i = 0; i < 50; i++) {
+      process.garbage = 8;
+      process.timer.advance(200);
+    }
+    expect([process.cut, process.collections <= 11]).toEqual([[], true]);
+  });
+
   it("is full until the heap has shrunk", () => {
     const process = new FakeProcess();
     process.inUse = 85;
