Daemon, callers: a recorded response of over 4 MB is delivered

A call whose answer is recorded is answered with one large piece and three small ones; with over 4 MB in the first, the caller was cut before it had read a byte, at each attempt. Cause: the bound of unread bytes took the first piece for a caller that does not read. Evidence: the new test of unread_response_test read 0 of 30 MB before. Change: pieces larger than the bound do not count against it.

--- a/packages/caller/src/http_sink.ts
+++ b/packages/caller/src/http_sink.ts
@@ -2,8 +2,9 @@
 import type { ServerResponse } from "node:http";
 
 /**
- * Unread bytes of a response at which its caller is cut off. The response is
- * recorded whole, and sent again for the same request id.
+ * Unread bytes of a response at which its caller is cut off, besides those of
+ * larger pieces. The response is recorded whole, and sent again for the same
+ * request id: in one large piece and some small ones.
  */
 const MAX_UNREAD_BYTES = 4_000_000;
 
@@ -12,6 +13,7 @@
  * closed connection are ignored; one whose caller does not read is closed.
  */
 export function createHttpSink(res: ServerResponse): ResponseSink {
+  let maxUnreadBytes = MAX_UNREAD_BYTES;
   return {
     get hasStarted() {
       return res.headersSent;
@@ -27,8 +29,13 @@
     },
     data(text) {
       if (res.destroyed) return;
-      if (res.writableLength > MAX_UNREAD_BYTES) res.destroy();
-      else res.write(text);
+      if (res.writableLength > maxUnreadBytes) {
+        res.destroy();
+        return;
+      }
+      res.write(text);
+      if (text.length <= MAX_UNREAD_BYTES) return;
+      maxUnreadBytes = MAX_UNREAD_BYTES + res.writableLength;
     },
     end() {
       res.end();
--- a/packages/caller/test/unread_response_test.ts
+++ b/packages/caller/test/unread_response_test.ts
@@ -55,6 +55,20 @@
 });
 
 describe("response to a caller that reads", () => {
+  // Guards against a recorded response that can never be delivered.
+  it("is sent whole if its first piece is large", async () => {
+    let readBytes = 0;
+    caller.on("data", (chunk) => readBytes += chunk.length);
+    const sink = createHttpSink(res);
+    sink.head(START);
+    sink.data(EVENT.repeat(EVENT_COUNT));
+    for (let i = 0; i < 3; i++) sink.data("end");
+    sink.end();
+    await once(caller, "close");
+    expect(res.writableFinished).toEqual(true);
+    expect(readBytes).toBeGreaterThan(EVENT.length * EVENT_COUNT);
+  });
+
   it("is sent whole, however long it is", async () => {
     let readBytes = 0;
     caller.on("data", (chunk) => readBytes += chunk.length);
