Turn store: settle notices no longer end a store that lacks memory

Callers saw: a turn store that ends (SIGABRT, heap out of memory) within 5 s of small records that a faulty front sends without end, at 12 MB of its disk. Change: without memory, a settle of a turn that is not reserved here is dropped and counted; a notice that takes time counts as a request in progress of its link, which is held back beyond a bound.

--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -49,6 +49,7 @@
       from: string,
     ) => M[K]["result"] | Promise<M[K]["result"]>;
   };
+  /** What takes time returns a promise, and counts as a request until then. */
   notices: { [K in keyof N]: (body: N[K], from: string) => void };
   streams?: StreamServers<S>;
   /** What keeps memory for peers. */
@@ -181,17 +182,35 @@
     try {
       this.#dispatch(connection, message, bytes);
     } catch (err) {
-      const { from, socket } = connection;
-      const reason = err instanceof Error ? err.stack : String(err);
-      this.#opts.log.error(
-        `cannot handle a ${message.t} of host ${
-          JSON.stringify(from)
-        }: ${reason}`,
-      );
-      if (message.t !== "notice") socket.terminate();
+      this.#logFailure(connection, message, err);
+      if (message.t !== "notice") connection.socket.terminate();
     }
   }
 
+  #logFailure({ from }: Connection, { t }: LinkMessage, err: unknown): void {
+    const reason = err instanceof Error ? err.stack : String(err);
+    this.#opts.log.error(
+      `cannot handle a ${t} of host ${JSON.stringify(from)}: ${reason}`,
+    );
+  }
+
+  #handleNotice(
+    connection: Connection,
+    message: Extract<LinkMessage, { t: "notice" }>,
+    bytes: number,
+  ): void {
+    const handler = ownEntry(this.#opts.notices, message.name);
+    const work: unknown = handler?.(
+      message.body as N[string],
+      connection.from,
+    );
+    if (!(work instanceof Promise)) return;
+    const endRequest = connection.socket.beginRequest(bytes);
+    work
+      .catch((err) => this.#logFailure(connection, message, err))
+      .then(endRequest);
+  }
+
   #dispatch(
     connection: Connection,
     message: LinkMessage,
@@ -202,10 +221,7 @@
       case "ping":
         return socket.send({ t: "pong" });
       case "notice":
-        return ownEntry(this.#opts.notices, message.name)?.(
-          message.body as N[string],
-          from,
-        );
+        return this.#handleNotice(connection, message, bytes);
       case "request":
         this.#handleRequest(connection, message, bytes);
         return;
--- a/packages/turn_store/src/server.ts
+++ b/packages/turn_store/src/server.ts
@@ -356,20 +356,31 @@
     return this.#checkWritable(viewNumber, turn.id);
   }
 
-  #settle(notice: SettleNotice): void {
+  /**
+   * Replaces a reservation. One that is not known here is not added while the
+   * process lacks memory; other replicas know the spending.
+   */
+  async #settle(notice: SettleNotice): Promise<void> {
     const { keepMs, ...rest } = notice;
+    if (this.#opts.isMemoryFull?.() && !this.#isReserved(notice)) {
+      return this.#opts.metrics.count("settles_dropped", 1);
+    }
     const record: SpendRecord = {
       kind: "spend",
       ...rest,
       expiresAt: this.#spendExpiryFor(keepMs),
     };
-    this.#persist(record).catch((err) =>
+    await this.#persist(record).catch((err) =>
       this.#log.warn(
         `cannot persist the spending of turn ${rest.turn}: ${String(err)}`,
       )
     );
   }
 
+  #isReserved({ program, turn }: SettleNotice): boolean {
+    return Object.hasOwn(this.#replica.spendingOf(program), turn);
+  }
+
   /** Adopts the view of the request if it is newer, then lists the records. */
   #inventory(view: View, member: string): StoreMethods["inventory"]["result"] {
     this.#opts.fleet.applyView(view);
