Upstream channel: an exchange that is held back does not yield besides

A large response that its caller holds back after each read was paused a second time until the next turn of the event loop, whenever the process had been without a processor during the read. Its pause ends when the caller has taken the bytes; that is enough.

--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -203,10 +203,10 @@
 
   /**
    * Lets others be served before the next read. The system would hand over up
-   * to 32 reads of one connection in a row.
+   * to 32 reads of one connection in a row, unless it is held back anyway.
    */
   #yieldToOthers(): void {
-    if (this.#isClosed || this.#isYielding) return;
+    if (this.#isClosed || this.#isYielding || this.#isHeldBack) return;
     this.#isYielding = true;
     this.#socket.pause();
     setImmediate(() => {
