--- a/packages/memory/src/byte_collector.ts
+++ b/packages/memory/src/byte_collector.ts
@@ -11,12 +11,14 @@
 const FIRST_BLOCK_BYTES = 1_024;
 /** Size up to which blocks grow, in bytes. */
 const MAX_BLOCK_BYTES = 65_536;
+/** Size from which a piece with memory of its own is kept as it is, in bytes. */
+const MIN_KEPT_PIECE_BYTES = 16_384;
 /** Memory of a block beside its bytes: its objects and its list entry. */
 const BLOCK_OVERHEAD_BYTES = 256;
 
 /**
- * Collects the pieces of one body or message. Pieces are copied into blocks of
- * its own, so that a small piece costs no more than its bytes and the memory
+ * Collects the pieces of one body or message. Small pieces, and those that are
+ * cut from larger memory, are copied into blocks of its own, so that a small piece costs no more than its bytes and the memory
  * that it was cut from is not kept.
  */
 export class ByteCollector {
@@ -49,8 +51,8 @@
   }
 
   /**
-   * Appends a copy of a piece. Returns false once there are too many bytes;
-   * then nothing is kept any more.
+   * Appends a piece, which must not change any more. Returns false once there are
+   * too many bytes; then nothing is kept any more.
    */
   push(piece: Uint8Array): boolean {
     if (this.#hasOverflowed) return false;
@@ -93,6 +95,21 @@
   }
 
   #append(piece: Uint8Array): void {
+    if (isKeptWhole(piece)) this.#keep(piece);
+    else this.#copy(piece);
+    this.#bytes += piece.length;
+  }
+
+  /** Keeps a piece as a block of its own, after what has been filled. */
+  #keep(piece: Uint8Array): void {
+    const last = this.#blocks.pop();
+    if (last) this.#blocks.push(last.subarray(0, this.#lastUsed));
+    this.#blocks.push(Buffer.from(piece.buffer));
+    this.#lastUsed = piece.length;
+    this.#capacity += piece.length;
+  }
+
+  #copy(piece: Uint8Array): void {
     const last = this.#blocks.at(-1);
     const room = last ? last.length - this.#lastUsed : 0;
     const fitting = Math.min(room, piece.length);
@@ -101,7 +118,6 @@
       this.#lastUsed += fitting;
     }
     if (fitting < piece.length) this.#addBlock(piece.subarray(fitting));
-    this.#bytes += piece.length;
   }
 
   /** The first block fits its piece: most bodies come in one. */
@@ -140,3 +156,9 @@
     return [...this.#blocks.slice(0, -1), last.subarray(0, this.#lastUsed)];
   }
 }
+
+/** Whether a piece is large and is all of the memory that it keeps. */
+function isKeptWhole(piece: Uint8Array): boolean {
+  return piece.length >= MIN_KEPT_PIECE_BYTES &&
+    piece.length === piece.buffer.byteLength;
+}
--- a/packages/memory/test/byte_collector_test.ts
+++ b/packages/memory/test/byte_collector_test.ts
@@ -77,4 +77,14 @@
     expect(isWhole).toEqual(true);
     expect(collector.push(Buffer.alloc(1))).toEqual(false);
   });
+
+  // Guards against large bodies that are copied twice.
+  it("keeps large pieces between small ones in order", () => {
+    const collector = new ByteCollector({ maxBytes: 1_000_000 });
+    const large = Buffer.alloc(65_536, "L");
+    const pieces = [Buffer.from("ab"), large, Buffer.from("c"), large];
+    for (const it of pieces) collector.push(it);
+    expect(collector.take().equals(Buffer.concat(pieces))).toEqual(true);
+    expect(collector.keptBytes).toEqual(0);
+  });
 });
