Links: a link is closed for what is not sent, not for what is handled

While over 32 MB of requests of one link are handled, such as turns that wait for a slow disk, the first result closed the link, and with it all these requests were lost. Cause: the bound for a process that does not read its messages was compared with all that is kept for the link: requests in progress and the message that arrives as well. Reading stops at the same 32 MB of requests, so that each such burst met it. Evidence: large_requests_test failed before ("link was lost"). Change: the bound counts messages that are not sent; the guard still sees all. What remains: a process that is held back for its requests answers no pings, so that the other side closes the link after 2.6 intervals.

--- a/packages/link/src/link_socket.ts
+++ b/packages/link/src/link_socket.ts
@@ -4,8 +4,8 @@
 import type { WebSocket } from "ws";
 import type { LinkMessage } from "./messages.ts";
 
-/** The link is closed when more than this is kept for it. */
-const MAX_KEPT_BYTES = 32_000_000;
+/** The link is closed when more than this is kept of messages not sent. */
+const MAX_KEPT_UNSENT_BYTES = 32_000_000;
 /** Memory of a message in a queue beside its bytes. */
 const ENTRY_OVERHEAD_BYTES = 1_024;
 /** Nothing more is read while more than this is not sent or not handled. */
@@ -59,9 +59,12 @@
    * the message that arrives.
    */
   get keptBytes(): number {
-    const entries = this.#unsentCount + this.#requestCount;
-    return this.bufferedBytes + this.#requestBytes + this.#arrivingBytes +
-      entries * ENTRY_OVERHEAD_BYTES;
+    return this.#unsentBytes + this.#requestBytes + this.#arrivingBytes +
+      this.#requestCount * ENTRY_OVERHEAD_BYTES;
+  }
+
+  get #unsentBytes(): number {
+    return this.bufferedBytes + this.#unsentCount * ENTRY_OVERHEAD_BYTES;
   }
 
   get #arrivingBytes(): number {
@@ -87,7 +90,7 @@
   send(message: LinkMessage, onSent: () => void = () => {}): void {
     const socket = this.#socket;
     if (socket.readyState !== socket.OPEN) return onSent();
-    if (this.keptBytes > MAX_KEPT_BYTES) {
+    if (this.#unsentBytes > MAX_KEPT_UNSENT_BYTES) {
       socket.terminate();
       return onSent();
     }
