Front: a burst of ordinary calls is not cut to serve others

A front that has refused requests for a second cuts the heaviest of what no reader waits for. If the memory is that of thousands of open calls, that was each attempt with a few KB of its response, which frees next to nothing and loses them all. Cause: what holds little, and what cannot be cut, was chosen like the rest. Evidence: the new test of memory_pressure_test failed before (all chosen). Change: a cut takes what can be cut and holds 0.5 % of the budget (300 KB of a process of 200 MB), as the memory watch does. What remains: many senders below that are refused, and end at their deadlines.

--- a/packages/front/src/memory_guard.ts
+++ b/packages/front/src/memory_guard.ts
@@ -125,5 +125,6 @@
     bytes: holder.keptBytes(),
     waitingMs: 0,
     isIrreplaceable: holder.isIrreplaceable ?? false,
+    isFixed: holder.cut === undefined,
   };
 }
--- a/packages/front/src/memory_pressure.ts
+++ b/packages/front/src/memory_pressure.ts
@@ -13,6 +13,8 @@
    * cannot be had once more.
    */
   isIrreplaceable: boolean;
+  /** Whether it cannot be cut. */
+  isFixed?: boolean;
 }
 
 /** What a front does about the bytes that it holds. */
@@ -41,6 +43,8 @@
  */
 const MAX_REFUSING_MS = 1_000;
 const CUT_TO_SERVE = 0.6;
+/** Part of the budget that is worth a cut of what no reader waits for. */
+const MIN_CUT = 0.005;
 
 /** Returns the bytes that buffers may use, for the limit of the process. */
 export function bufferBudget(memoryBytes: number): number {
@@ -73,7 +77,11 @@
     bytesByPurpose,
     isRefusing,
     cut: fill >= CUT_AT || isStuck
-      ? select(held, { excessBytes: heldBytes - targetBytes, isStuck })
+      ? select(held, {
+        excessBytes: heldBytes - targetBytes,
+        minBytes: MIN_CUT * budgetBytes,
+        isStuck,
+      })
       : [],
   };
 }
@@ -81,7 +89,11 @@
 /** Returns the slowest readers, and if these are too few, the heaviest others. */
 function select<T>(
   held: readonly HeldBytes<T>[],
-  { excessBytes, isStuck }: { excessBytes: number; isStuck: boolean },
+  { excessBytes, minBytes, isStuck }: {
+    excessBytes: number;
+    minBytes: number;
+    isStuck: boolean;
+  },
 ): T[] {
   const readers = slowest(held, excessBytes);
   const cut = new Set(readers);
@@ -89,7 +101,9 @@
     (left, it) => cut.has(it.holder) ? left - it.bytes : left,
     excessBytes,
   );
-  return isStuck ? [...readers, ...heaviest(held, leftBytes)] : readers;
+  if (!isStuck) return readers;
+  const heavy = held.filter((it) => !it.isFixed && it.bytes >= minBytes);
+  return [...readers, ...heaviest(heavy, leftBytes)];
 }
 
 /**
--- a/packages/front/test/memory_pressure_test.ts
+++ b/packages/front/test/memory_pressure_test.ts
@@ -70,6 +70,24 @@
     expect(cutAfter(1_000)).toEqual(["reader", "large"]);
   });
 
+  // Guards against cuts in a burst of ordinary load, which free next to nothing.
+  it("cuts nobody for many that hold little or cannot be cut", () => {
+    const open = Array.from(
+      { length: 700 },
+      (_, i) => createHeld(`open ${i}`, { bytes: 1, waitingMs: 0 }),
+    );
+    const held = [
+      ...open,
+      createHeld("attempt", { bytes: 3, waitingMs: 0 }),
+      createHeld("body", { bytes: 90, waitingMs: 0, isFixed: true }),
+    ];
+    const { isRefusing, cut } = decidePressure(held, {
+      budgetBytes: BUDGET,
+      refusingMs: 5_000,
+    });
+    expect([isRefusing, cut]).toEqual([true, []]);
+  });
+
   // Guards against losing the only response of a request that must not rerun.
   it("cuts no irreplaceable response while there is anything else", () => {
     const readers = fc.array(
