Links: a request that is too large fails alone

A process closes a link on which a message above its bound arrives. A turn whose prompt, with all that precedes it, is over 17 MB is sent to each of its replicas, so that one caller could end the requests of all others on these links, at each attempt. Evidence: "fail alone" of large_requests_test failed before ("link was lost", for the other request as well). Change: the side that dials does not send such a request or stream; the request fails, and the stream counts as not opened, so that nothing of it has run. What remains: results above the bound of the side that dials still close the link; a list of records may have 64 MB.

--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -140,8 +140,9 @@
   /**
    * Sends a request and waits for its result.
    *
-   * @throws {LinkError} if the link is down or is lost, if there is no result
-   * within `timeoutMs`, or if the remote handler fails
+   * @throws {LinkError} if the link is down or is lost, if the request is too
+   * large, if there is no result within `timeoutMs`, or if the remote handler
+   * fails
    */
   request<K extends keyof M & string>(
     name: K,
@@ -164,7 +165,12 @@
         );
       });
       this.#pending.set(id, { resolve, reject, timeout });
-      socket.send({ t: "request", id, name, args });
+      if (socket.send({ t: "request", id, name, args })) return;
+      this.#pending.delete(id);
+      timeout.cancel();
+      reject(
+        new LinkError(`request "${name}" to ${this.address} is too large`),
+      );
     });
   }
 
@@ -174,7 +180,10 @@
     this.#socket.send({ t: "notice", name, body });
   }
 
-  /** Opens a stream. Returns undefined, without any callback, if it is down. */
+  /**
+   * Opens a stream. Returns undefined, without any callback, if the link is down
+   * or the arguments are too large.
+   */
   open<K extends keyof S & string>(
     name: K,
     args: S[K]["args"],
@@ -184,7 +193,10 @@
     if (!this.#isOpen || !socket) return undefined;
     const id = this.#nextId++;
     this.#streams.set(id, handlers as StreamHandlers<unknown>);
-    socket.send({ t: "open", id, name, args });
+    if (!socket.send({ t: "open", id, name, args })) {
+      this.#streams.delete(id);
+      return undefined;
+    }
     return {
       send: (body) => {
         if (!this.#streams.has(id)) return;
@@ -225,7 +237,10 @@
       maxPayload: limits.maxBytes,
       ...RECEIVER_LIMITS,
     });
-    const linkSocket = new LinkSocket(socket, { holders });
+    const linkSocket = new LinkSocket(socket, {
+      holders,
+      maxSentBytes: DEFAULT_LIMITS.maxBytes,
+    });
     this.#socket = linkSocket;
     socket.on("upgrade", (res) => linkSocket.onOpen(res.socket));
     socket.on("open", () => this.#onOpen(linkSocket));
--- a/packages/link/src/link_socket.ts
+++ b/packages/link/src/link_socket.ts
@@ -26,11 +26,14 @@
 export interface LinkSocketOptions {
   /** What keeps memory for peers; the socket is one of them until it closes. */
   holders: MemoryHolders | undefined;
+  /** Largest message that the remote process takes; it closes the link for more. */
+  maxSentBytes?: number;
 }
 
 /** One connection of a link, with what is kept for the process behind it. */
 export class LinkSocket {
   readonly #socket: WebSocket;
+  readonly #maxSentBytes: number;
   #unsentCount = 0;
   #requestCount = 0;
   #requestBytes = 0;
@@ -39,8 +42,12 @@
   /** Bytes that had been read from it when the last message was whole. */
   #wholeBytes = 0;
 
-  constructor(socket: WebSocket, { holders }: LinkSocketOptions) {
+  constructor(
+    socket: WebSocket,
+    { holders, maxSentBytes = Infinity }: LinkSocketOptions,
+  ) {
     this.#socket = socket;
+    this.#maxSentBytes = maxSentBytes;
     const remove = holders?.add({
       purpose: "link_messages",
       keptBytes: () => this.keptBytes,
@@ -85,17 +92,29 @@
   /**
    * Sends a message, or drops it if the socket is not open. Closes the socket if
    * the remote process reads too slowly. `onSent` is called once the message has
-   * been handed to the operating system, or is dropped.
+   * been handed to the operating system, or is dropped. Returns false if the
+   * message is too large, and drops that alone.
    */
-  send(message: LinkMessage, onSent: () => void = () => {}): void {
+  send(message: LinkMessage, onSent: () => void = () => {}): boolean {
     const socket = this.#socket;
-    if (socket.readyState !== socket.OPEN) return onSent();
-    if (this.#unsentBytes > MAX_KEPT_UNSENT_BYTES) {
-      socket.terminate();
-      return onSent();
+    const isOpen = socket.readyState === socket.OPEN;
+    if (isOpen && this.#unsentBytes <= MAX_KEPT_UNSENT_BYTES) {
+      const packed = packr.pack(message);
+      if (packed.length <= this.#maxSentBytes) {
+        this.#write(packed, onSent);
+        return true;
+      }
+      onSent();
+      return false;
     }
+    if (isOpen) socket.terminate();
+    onSent();
+    return true;
+  }
+
+  #write(packed: Uint8Array, onSent: () => void): void {
     this.#unsentCount += 1;
-    socket.send(packr.pack(message), () => {
+    this.#socket.send(packed, () => {
       this.#unsentCount -= 1;
       this.#resumeIfCaughtUp();
       onSent();
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -200,7 +200,8 @@
     const { socket, streams, from } = connection;
     switch (message.t) {
       case "ping":
-        return socket.send({ t: "pong" });
+        socket.send({ t: "pong" });
+        return;
       case "notice":
         return ownEntry(this.#opts.notices, message.name)?.(
           message.body as N[string],
@@ -225,9 +226,13 @@
     const serve = this.#opts.streams && ownEntry(this.#opts.streams, name);
     if (!serve) {
       this.#opts.log.warn(`stream "${name}" is unknown`);
-      return socket.send({ t: "end", id });
+      socket.send({ t: "end", id });
+      return;
+    }
+    if (streams.size >= MAX_STREAMS) {
+      socket.send({ t: "end", id });
+      return;
     }
-    if (streams.size >= MAX_STREAMS) return socket.send({ t: "end", id });
     const endWork = this.#beginWork();
     let isEnded = false;
     const receiver: StreamReceiver<S[string]["part"]> = {
--- a/packages/link/test/large_requests_test.ts
+++ b/packages/link/test/large_requests_test.ts
@@ -17,6 +17,9 @@
 const WAIT_TIMEOUT_MS = 4_000;
 const REQUEST_TIMEOUT_MS = 10_000;
 const BODY = new Uint8Array(4_000_000);
+const SMALL_BODY = new Uint8Array(1_000);
+/** Above the largest message. */
+const HUGE_BODY = new Uint8Array(18_000_000);
 /** More, together, than is read before some are handled. */
 const REQUESTS = 12;
 /** Shorter than a link may be silent. */
@@ -72,6 +75,16 @@
     expect(sizes).toEqual(sizes.map(() => BODY.length));
   });
 
+  // Guards against one caller whose message ends the requests of all others.
+  it("fail alone if the other side would not take them", async () => {
+    const other = client.request("size", SMALL_BODY, REQUEST_TIMEOUT_MS);
+    const tooLarge = client.request("size", HUGE_BODY, REQUEST_TIMEOUT_MS);
+    await expect(tooLarge).toBeRejectedWith("too large");
+    await untilHandledOrHeld(0);
+    for (const resolve of handled) resolve();
+    expect(await other).toEqual(SMALL_BODY.length);
+  });
+
   /** Resolves once a request has arrived, or the server reads no more. */
   async function untilHandledOrHeld(before: number): Promise<void> {
     const endsAt = performance.now() + HELD_MS;
