Front: unfinished heads of many connections are counted, and can be cut

Cause: each head has a bound, their sum had none, and no guard knew of them. Change: one holder for all heads that have not arrived whole; a cut closes the connections with the longest.

--- a/packages/front/src/caller_connection.ts
+++ b/packages/front/src/caller_connection.ts
@@ -147,6 +147,13 @@
     return request;
   }
 
+  /** Bytes of a request whose head has not arrived whole, on an idle connection. */
+  get headBytes(): number {
+    const isIdle = this.#open.length === 0 && !this.#isClosing;
+    if (!isIdle || this.socket.destroyed) return 0;
+    return this.socket.bytesRead - this.#readBytes;
+  }
+
   /** Records that what has arrived belongs to requests, as far as known. */
   recordRead(): void {
     this.#readBytes = this.socket.bytesRead;
--- a/packages/front/src/caller_connections.ts
+++ b/packages/front/src/caller_connections.ts
@@ -1,4 +1,5 @@
 import { type Timer, toRuntimeDelayMs } from "@toucantrestle/timer";
+import type { MemoryHolder } from "@toucantrestle/memory";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import {
@@ -6,6 +7,7 @@
   type ConnectionPolicy,
   type OpenRequest,
 } from "./caller_connection.ts";
+import { PartialHeads } from "./partial_heads.ts";
 
 /** The server library's defaults, until there is a configuration. */
 const DEFAULT_IDLE_TIMEOUT_MS = 5_000;
@@ -45,6 +47,11 @@
     return [...this.#connections.values()].flatMap((it) => it.open);
   }
 
+  /** Returns what is kept of requests whose heads have not arrived whole. */
+  *heldForHeads(): Iterable<MemoryHolder> {
+    yield new PartialHeads(this.#connections.values());
+  }
+
   /** Takes a request; undefined if its connection ends before its response. */
   add(req: IncomingMessage, res: ServerResponse): OpenRequest | undefined {
     return this.#connections.get(req.socket)?.add(req, res);
--- a/packages/front/src/front.ts
+++ b/packages/front/src/front.ts
@@ -98,14 +98,13 @@
         }),
       CONNECTION_CHECK_INTERVAL_MS,
     );
-    this.#connections = new CallerConnections({
-      server: this.#callerServer,
-      timer: opts.timer,
-    });
+    const server = this.#callerServer;
+    this.#connections = new CallerConnections({ server, timer: opts.timer });
     answerClientErrors(this.#callerServer, this.#connections);
     const { holders } = this.#serveOptions;
     this.#bodies = new BodyReader({ holders, timer: opts.timer });
     holders.addSource(() => heldForCalls(this.#activeCalls));
+    holders.addSource(() => this.#connections.heldForHeads());
     this.#memoryGuard = new MemoryGuard({
       memoryBytes: opts.memoryBytes ?? Infinity,
       holders,
