--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -216,7 +216,7 @@
     message: LinkMessage,
     bytes: number,
   ): void {
-    const { socket, streams, from } = connection;
+    const { socket, streams } = connection;
     switch (message.t) {
       case "ping":
         socket.send({ t: "pong" });
