Memory watch: buffers are collected while the resident memory is high

Cause SUSPECTED: buffers of reads that are garbage, which the heap does not feel. Change: with a tenth of the memory limit in buffers and the resident memory high, garbage is collected, at most once a second or with each 2 MB of growth; nobody is cut or refused for it. The new test of memory_watch_test fails without it.

--- a/packages/memory/src/memory_watch.ts
+++ b/packages/memory/src/memory_watch.ts
@@ -38,6 +38,11 @@
 const COLLECT_GROWTH = 0.05;
 /** Part of heap and buffers that must be in use for a cut for resident memory. */
 const RESIDENT_CUT_AT = 0.5;
+/**
+ * Part of the memory limit in buffers that is worth a collection while the
+ * resident memory is high: they may be garbage that the heap does not feel.
+ */
+const BUFFERS_AT = 0.1;
 /** Growth of the resident memory that is worth another collection or cut. */
 const RESIDENT_GROWTH_BYTES = 2_000_000;
 
@@ -103,13 +108,20 @@
     const memory = this.#measure();
     const fill = this.#fillOf(memory);
     if (fill.resident < HIGH_AT) this.#residentAtCut = 0;
-    if (isFull(fill) || isResidentFull(fill)) this.#defend(memory);
+    const mayBeFull = isFull(fill) || isResidentFull(fill) ||
+      this.#hasManyBuffers(memory, fill);
+    if (mayBeFull) this.#defend(memory);
     else this.#isFull = false;
     if (fill.most < HIGH_AT) return false;
     this.#log(memory);
     return true;
   }
 
+  #hasManyBuffers(memory: MeasuredMemory, { resident }: MemoryFill): boolean {
+    return resident >= FULL_AT &&
+      memory.externalBytes >= BUFFERS_AT * this.#memoryBytes;
+  }
+
   /** Refuses and cuts if the memory is full of what is in use. */
   #defend(before: MeasuredMemory): void {
     if (!this.#mayCollect(before)) return;
--- a/packages/memory/test/memory_watch_test.ts
+++ b/packages/memory/test/memory_watch_test.ts
@@ -152,6 +152,18 @@
     expect([process.cut, process.collections <= 11]).toEqual([[], true]);
   });
 
+  // Guards against read buffers that are garbage and grow the process while its
+  // heap is small.
+  it("collects buffers while resident memory is high, and cuts nobody", () => {
+    const process = new FakeProcess();
+    process.external = 37;
+    process.resident = 160;
+    process.hold("large", 5);
+    process.timer.advance(SECOND_MS);
+    expect(process.collections >= 1).toEqual(true);
+    expect([process.cut, process.watch.isFull]).toEqual([[], false]);
+  });
+
   it("is full until the heap has shrunk", () => {
     const process = new FakeProcess();
     process.inUse = 85;
