--- a/packages/front/src/memory_guard.ts
+++ b/packages/front/src/memory_guard.ts
@@ -27,9 +27,9 @@
 const LOG_INTERVAL_MS = 1_000;
 
 /**
- * Keeps the memory that is kept for peers within the budget of the process, by
- * refusing new requests and cutting slow readers. The bytes are summed up now and then instead of with each chunk, so that
- * the path of a request does no accounting.
+ * Holds what is kept for peers within the budget of the process, by refusing new
+ * requests and cutting slow readers. The bytes are summed up now and then instead
+ * of with each chunk, so that the path of a request does no accounting.
  */
 export class MemoryGuard {
   readonly #opts: MemoryGuardOptions;
--- a/packages/memory/src/memory_watch.ts
+++ b/packages/memory/src/memory_watch.ts
@@ -47,9 +47,9 @@
 const RESIDENT_GROWTH_BYTES = 2_000_000;
 
 /**
- * Last line of defence against the end of the process for lack of memory. Cuts
- * the peers that the most is kept for while the memory is nearly full, which is
- * decided once garbage is collected: a process that has only that cuts nobody.
+ * Keeps the process from ending for lack of memory, whatever else has a bound.
+ * Cuts the peers that the most is kept for while the memory is nearly full, which
+ * is decided once garbage is collected: a process that has only that cuts nobody.
  */
 export class MemoryWatch {
   readonly #opts: MemoryWatchOptions;
@@ -110,7 +110,7 @@
     if (fill.resident < HIGH_AT) this.#residentAtCut = 0;
     const mayBeFull = isFull(fill) || isResidentFull(fill) ||
       this.#hasManyBuffers(memory, fill);
-    if (mayBeFull) this.#defend(memory);
+    if (mayBeFull) this.#freeMemory(memory);
     else this.#isFull = false;
     if (fill.most < HIGH_AT) return false;
     this.#log(memory);
@@ -123,7 +123,7 @@
   }
 
   /** Refuses and cuts if the memory is full of what is in use. */
-  #defend(before: MeasuredMemory): void {
+  #freeMemory(before: MeasuredMemory): void {
     if (!this.#mayCollect(before)) return;
     this.#gauge.collectGarbage();
     const memory = this.#measure();
@@ -134,11 +134,11 @@
     const fill = this.#fillOf(memory);
     this.#isFull = isFull(fill) || isResidentFull(fill);
     if (isFull(fill)) this.#cutHeaviest(memory, this.#excessOf(memory));
-    else if (this.#isFull) this.#defendResident(memory);
+    else if (this.#isFull) this.#freeResident(memory);
   }
 
   /** Cuts one peer each time that the resident memory has grown. */
-  #defendResident(memory: MeasuredMemory): void {
+  #freeResident(memory: MeasuredMemory): void {
     const { residentBytes } = memory;
     if (residentBytes < this.#residentAtCut + RESIDENT_GROWTH_BYTES) return;
     this.#cutHeaviest(memory, 0);
