Links: a server that closes ends unfinished handshakes, and nobody dials after closing

Cause (suspected to be that of the hang, which was not seen again): LinkServer closed the links it knew and its listener, not connections without a finished handshake, and finished those later; a closed front still dialled siblings. Ruled out: callers' connections (closeAllConnections ends them).

--- a/packages/front/src/siblings/sibling_links.ts
+++ b/packages/front/src/siblings/sibling_links.ts
@@ -44,6 +44,7 @@
   readonly #replaced = new Set<FrontLink>();
   /** Hosts whose links stay open. */
   #permanent: ReadonlySet<string> = new Set();
+  #isClosed = false;
 
   constructor(opts: SiblingLinksOptions) {
     this.#opts = opts;
@@ -53,13 +54,16 @@
     this.#opts.timer.every(SWEEP_INTERVAL_MS, () => this.#closeIdle());
   }
 
+  /** Closes all links; none is dialled any more. */
   close(): void {
+    this.#isClosed = true;
     for (const { link } of this.#links.values()) link.close();
     for (const link of this.#replaced) link.close();
   }
 
   /** Keeps links to these hosts, by name with their addresses. */
   setPermanent(addresses: ReadonlyMap<string, string>): void {
+    if (this.#isClosed) return;
     this.#permanent = new Set(addresses.keys());
     for (const [host, address] of addresses) this.#ensure(host, address);
   }
@@ -82,10 +86,11 @@
   /**
    * Returns an open link to a host; dials it if there is none.
    *
-   * @throws {LinkError} if the host is unknown or the link does not open within
-   * `timeoutMs`
+   * @throws {LinkError} if the host is unknown, the link does not open within
+   * `timeoutMs`, or all links are closed
    */
   async reach(host: string, timeoutMs: number): Promise<FrontLink> {
+    if (this.#isClosed) throw new LinkError("all links are closed");
     const address = this.#opts.addressOf(host);
     if (!address) throw new LinkError(`no front ${host} is registered`);
     const kept = this.#ensure(host, address);
--- a/packages/front/test/sibling_links_test.ts
+++ b/packages/front/test/sibling_links_test.ts
@@ -12,6 +12,8 @@
 const HOST = "sibling";
 const LINK_TIMEOUT_MS = 5_000;
 const POLL_MS = 10;
+/** A link to a server that listens is open by then. */
+const DIAL_MS = 200;
 /** After this time a link that is idle is closed. */
 const IDLE_MS = 21_000;
 
@@ -26,6 +28,7 @@
 async function createFixture() {
   const timer = createManualTimer();
   const receivers: StreamReceiver<RelayPart>[] = [];
+  let linkCount = 0;
   const serve = async () => {
     const address = await freeAddress();
     const server = new LinkServer<FrontMethods, FrontNotices, FrontStreams>({
@@ -47,7 +50,9 @@
   const links = new SiblingLinks({
     self: "self",
     addressOf: () => address,
-    onOpen() {},
+    onOpen() {
+      linkCount += 1;
+    },
     onLost() {},
     confirmedAt: () => timer.monotonicNow(),
     timer,
@@ -74,6 +79,9 @@
       receivers[0]?.end();
       while (seen.length < 2 && !seen.includes("lost")) await delay(POLL_MS);
     },
+    close: () => links.close(),
+    reach: () => links.reach(HOST, LINK_TIMEOUT_MS),
+    linkCount: () => linkCount,
     deregisterHost: () => {
       address = undefined;
       links.setPermanent(new Map());
@@ -105,4 +113,15 @@
     await fixture.endExchange();
     expect(fixture.seen).toEqual(["end", "ended"]);
   });
+
+  // Guards against links that nobody closes: a front that has closed may still
+  // hear of siblings.
+  it("dials nothing once it is closed", async () => {
+    const fixture = await createFixture();
+    fixture.close();
+    await fixture.moveHost();
+    await expect(fixture.reach()).toBeRejectedWith("closed");
+    await delay(DIAL_MS);
+    expect(fixture.linkCount()).toEqual(0);
+  });
 });
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -124,9 +124,11 @@
     return listenWhenFree(this.#server, address, { ...opts, log });
   }
 
+  /** Ends all connections, those without a finished handshake as well. */
   close(): void {
     for (const socket of this.#sockets.clients) socket.terminate();
     this.#server.close();
+    this.#server.closeAllConnections();
   }
 
   #accept(socket: WebSocket, transport: Socket): void {
--- a/packages/sibling/src/sibling_net.ts
+++ b/packages/sibling/src/sibling_net.ts
@@ -58,6 +58,7 @@
   readonly #runsByAddress = new Map<string, HostRun>();
   #heartbeatTimer: Subscription | undefined;
   #bytesSent = 0;
+  #isClosed = false;
 
   constructor(opts: SiblingNetOptions) {
     this.#opts = opts;
@@ -173,8 +174,9 @@
     }
   }
 
-  /** Closes all links and the server. */
+  /** Closes all links and the server; no link is dialled any more. */
   async close(): Promise<void> {
+    this.#isClosed = true;
     this.#heartbeatTimer?.cancel();
     for (const link of this.#links.values()) {
       link.isWanted = false;
@@ -234,6 +236,7 @@
   }
 
   #dial(link: Link): void {
+    if (this.#isClosed) return;
     const { tls } = this.#opts;
     if (!isLinkAddress(link.address)) return this.#rejectAddress(link);
     const knownRun = this.#runsByAddress.get(link.address);
--- a/packages/turn_store/src/replica_links.ts
+++ b/packages/turn_store/src/replica_links.ts
@@ -75,6 +75,7 @@
 export class ReplicaLinks {
   readonly #opts: ReplicaLinksOptions;
   readonly #links = new Map<string, StoreLink>();
+  #isClosed = false;
 
   constructor(opts: ReplicaLinksOptions) {
     this.#opts = opts;
@@ -87,6 +88,7 @@
 
   /** Dials the members of a view and closes the links to all other replicas. */
   connect(view: View): void {
+    if (this.#isClosed) return;
     const wanted = new Set(view.members.map((it) => it.id));
     for (const [id, link] of this.#links) {
       if (wanted.has(id)) continue;
@@ -98,8 +100,9 @@
     }
   }
 
-  /** Closes all links. */
+  /** Closes all links; none is dialled any more. */
   close(): void {
+    this.#isClosed = true;
     for (const link of this.#links.values()) link.close();
   }
 
