--- a/packages/lifecycle/src/exit.ts
+++ b/packages/lifecycle/src/exit.ts
@@ -60,6 +60,11 @@
 const STDERR_FD = 2;
 /** Time in which the last lines of the log may be written, in ms. */
 const FLUSH_TIMEOUT_MS = 200;
+/** Calls of the system that the runtime awaits before it exits, as it names them. */
+const DISK_CALLS = new Set(["FSReqPromise", "FSReqCallback"]);
+/** Time in which they may return, in ms. */
+const DISK_TIMEOUT_MS = 1_500;
+const DISK_POLL_MS = 20;
 
 /** An error that ends the process for a reason of the table. */
 export class ExitError extends Error {
@@ -94,7 +99,7 @@
   const level = status === 0 ? "info" : "error";
   log?.[level](message, { event: "ended", reason, status, ...fields });
   if (status !== 0) writeToStderr(`${program}: ${message}\n`);
-  return exitOnceFlushed(status);
+  return exitOnceFlushed(status, program);
 }
 
 /** Ends the process at once, before it has a log. */
@@ -117,12 +122,44 @@
 }
 
 /** Waits for the log's last lines; a reader that is gone is not waited for. */
-function exitOnceFlushed(status: number): Promise<never> {
+function exitOnceFlushed(status: number, program: string): Promise<never> {
   return new Promise(() => {
-    const exit = () => process.exit(status);
+    let isExiting = false;
+    const exit = () => {
+      if (!isExiting) exitOnceReturned(status, program);
+      isExiting = true;
+    };
     if (process.stdout.writableLength === 0) return exit();
     process.stdout.once("drain", exit);
     process.stdout.once("error", exit);
     setTimeout(exit, FLUSH_TIMEOUT_MS);
   });
 }
+
+/**
+ * Exits once the disk has returned from what it was asked for. The runtime would
+ * wait for that without end; a disk that does not return in time is not waited
+ * for, at the price of the exit status.
+ */
+async function exitOnceReturned(
+  status: number,
+  program: string,
+): Promise<void> {
+  const deadline = performance.now() + DISK_TIMEOUT_MS;
+  while (hasDiskCalls()) {
+    if (performance.now() >= deadline) {
+      writeToStderr(
+        `${program}: ends by SIGKILL in place of status ${status}: the disk ` +
+          `has not returned within ${DISK_TIMEOUT_MS} ms\n`,
+      );
+      process.kill(process.pid, "SIGKILL");
+      return;
+    }
+    await new Promise((resolve) => setTimeout(resolve, DISK_POLL_MS));
+  }
+  process.exit(status);
+}
+
+function hasDiskCalls(): boolean {
+  return process.getActiveResourcesInfo().some((it) => DISK_CALLS.has(it));
+}
