--- a/packages/turn_journal/src/data_folder.ts
+++ b/packages/turn_journal/src/data_folder.ts
@@ -30,6 +30,8 @@
   takenNumbers: Set<number>;
   /** Names of all files of the journal and of the state, in no order. */
   files: string[];
+  /** Names of such files that something else has, such as a folder or a pipe. */
+  obstacles: string[];
   /** Whether there are files of a journal. */
   hasRecords: boolean;
 }
@@ -45,6 +47,7 @@
     segments: [],
     takenNumbers: new Set(),
     files: [],
+    obstacles: [],
     hasRecords: false,
   };
   const otherFiles = new Set(
@@ -54,6 +57,11 @@
     const [, digits, kind] = SEGMENT_FILE.exec(entry.name) ?? [];
     const number = Number(digits);
     if (digits !== undefined) content.takenNumbers.add(number);
+    const isOurs = kind === "sum" || entry.name === STATE_FILE ||
+      entry.name === MANIFEST_FILE;
+    // Who keeps the state elsewhere, by a link, may do so.
+    const isOther = !entry.isFile() && !entry.isSymbolicLink();
+    if (isOurs && isOther) content.obstacles.push(entry.name);
     if (!entry.isFile()) continue;
     if (kind === "log") content.segments.push(number);
     if (digits !== undefined || otherFiles.has(entry.name)) {
--- a/packages/turn_journal/src/set_aside.ts
+++ b/packages/turn_journal/src/set_aside.ts
@@ -15,8 +15,8 @@
 }
 
 /**
- * Moves the files of the journal and of the state into a folder of their own,
- * for an operator to look at, and deletes what was there. They are deleted if
+ * Moves the files of the journal and of the state, and what has their names, into
+ * a folder of their own, for an operator to look at, and deletes what was there. They are deleted if
  * they are too large or cannot be moved. Files of others stay.
  *
  * The state goes first: a folder that is found with records and no state is set
@@ -27,7 +27,8 @@
   folder: string,
   { maxBytes, log }: SetAsideOptions,
 ): Promise<void> {
-  const { files } = await listFolder(folder);
+  const content = await listFolder(folder);
+  const files = [...content.files, ...content.obstacles];
   const target = join(folder, SET_ASIDE_FOLDER);
   const begun = await listBegun(folder, files);
   const bytes = await totalSize(folder, files) + await totalSize(target, begun);
@@ -40,7 +41,7 @@
   );
   for (const name of names) {
     if (!isKept || !await tryMove(folder, name, log)) {
-      await rm(join(folder, name), { force: true });
+      await rm(join(folder, name), { force: true, recursive: true });
     }
     if (name === STATE_FILE) await syncFolder(folder);
   }
--- a/packages/turn_store/src/store_disk.ts
+++ b/packages/turn_store/src/store_disk.ts
@@ -21,6 +21,7 @@
   type View,
 } from "@toucantrestle/turn_log";
 import { randomUUID } from "node:crypto";
+import { join } from "node:path";
 import { ReadFailures } from "./read_failures.ts";
 
 /** Options of `openStoreDisk`. */
@@ -176,6 +177,7 @@
   isReplacement: boolean,
 ): Promise<StoreDisk> {
   const { folder, maxBytes, segmentBytes, timer, log } = opts;
+  await checkEntries(folder);
   const state = await readOrCreateState(folder);
   const failures = new ReadFailures(timer);
   const journal: StoreJournal = new Journal({
@@ -252,3 +254,16 @@
     });
   }
 }
+
+/**
+ * Finds what cannot be read or replaced as a file, or would not even return from
+ * being opened.
+ *
+ * @throws {DamagedDiskError} if something else has the name of a file
+ */
+async function checkEntries(folder: string): Promise<void> {
+  const { obstacles: [name] } = await listFolder(folder);
+  if (name !== undefined) {
+    throw new DamagedDiskError(`${join(folder, name)} is not a file`);
+  }
+}
