Upstream channels: a connection that was made while the process was held up is used

Cause: traced in the front's log: some 380 requests of four reads kept the event loop for 1.2 s; then the timeouts of their connections (700 ms) ran before the connections were seen, and the only upstream went into its backoff. Ruled out: that the stand-in accepts too late (the system accepts). Change: the timeout looks at what has arrived first; readArrived is shared.

--- a/packages/http/src/connections.ts
+++ b/packages/http/src/connections.ts
@@ -1,5 +1,5 @@
 import { lingerAtEnd } from "@toucantrestle/connection";
-import type { Timer } from "@toucantrestle/timer";
+import { readArrived, type Timer } from "@toucantrestle/timer";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { isLeftUnread } from "./unread_body.ts";
@@ -142,13 +142,3 @@
     if (this.#isDraining && this.#due.size === 0) this.#onDrained();
   }
 }
-
-/**
- * Resolves once all that has arrived is read: the turn of the event loop that
- * begins after the present one has passed.
- */
-async function readArrived(): Promise<void> {
-  for (let i = 0; i < 2; i++) {
-    await new Promise<void>((resolve) => setImmediate(resolve));
-  }
-}
--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -1,6 +1,10 @@
 import type { Logger } from "@toucantrestle/log";
 import type { MemoryHolders } from "@toucantrestle/memory";
-import type { Subscription, Timer } from "@toucantrestle/timer";
+import {
+  readArrived,
+  type Subscription,
+  type Timer,
+} from "@toucantrestle/timer";
 import type { Socket } from "node:net";
 import { WebSocket } from "ws";
 import { isLinkAddress } from "./address.ts";
@@ -379,13 +383,3 @@
     return pending;
   }
 }
-
-/**
- * Resolves once all that has arrived is read: a process that was held up runs
- * its timers before that.
- */
-async function readArrived(): Promise<void> {
-  for (let i = 0; i < 2; i++) {
-    await new Promise<void>((resolve) => setImmediate(resolve));
-  }
-}
--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -1,6 +1,10 @@
 import { ReadShare } from "@toucantrestle/connection";
 import type { Logger } from "@toucantrestle/log";
-import type { Subscription, Timer } from "@toucantrestle/timer";
+import {
+  readArrived,
+  type Subscription,
+  type Timer,
+} from "@toucantrestle/timer";
 import type { Socket } from "node:net";
 import type { ContactListener } from "./contact.ts";
 import type { Dial } from "./dial.ts";
@@ -86,7 +90,7 @@
     });
     this.#connectTimeout = opts.timer.after(
       opts.connectTimeoutMs,
-      () => this.#close("connect_timeout"),
+      () => this.#onConnectTimeout(),
     );
     this.#socket.on("connect", () => this.#onConnect());
     this.#socket.on("data", (chunk) => this.#onData(chunk));
@@ -161,6 +165,11 @@
     this.#close("cancelled");
   }
 
+  async #onConnectTimeout(): Promise<void> {
+    await readArrived();
+    if (!this.#isConnected) this.#close("connect_timeout");
+  }
+
   #onConnect(): void {
     this.#connectTimeout.cancel();
     this.#isConnected = true;
--- a/packages/upstream_channel/src/is_listening.ts
+++ b/packages/upstream_channel/src/is_listening.ts
@@ -1,3 +1,4 @@
+import { readArrived } from "@toucantrestle/timer";
 import type { Dial } from "./dial.ts";
 
 /** Timeout of the probe; an upstream that does not accept by then is down. */
@@ -24,13 +25,3 @@
     socket.once("error", () => settle(false));
   });
 }
-
-/**
- * Resolves once what has arrived is handled: a process that was held up runs
- * its timers before that.
- */
-async function readArrived(): Promise<void> {
-  for (let i = 0; i < 2; i++) {
-    await new Promise<void>((resolve) => setImmediate(resolve));
-  }
-}
