--- a/packages/memory/src/byte_collector.ts
+++ b/packages/memory/src/byte_collector.ts
@@ -18,8 +18,8 @@
 
 /**
  * Collects the pieces of one body or message. Small pieces, and those that are
- * cut from larger memory, are copied into blocks of its own, so that a small piece costs no more than its bytes and the memory
- * that it was cut from is not kept.
+ * cut from larger memory, are copied into blocks of its own: a small piece costs
+ * no more than its bytes, and the memory that it was cut from is not kept.
  */
 export class ByteCollector {
   readonly #maxBytes: number;
