Upstream channels: one line for the responses that an exchange skips

Each skipped response, hundreds in a read, wrote a line of the log. Change: the first of an exchange is logged.

--- a/packages/upstream_channel/src/channel.ts
+++ b/packages/upstream_channel/src/channel.ts
@@ -45,6 +45,8 @@
   handlers: ResponseHandlers;
   hasDeliveredHead: boolean;
   isSent: boolean;
+  /** Whether a response to another request came before its own. */
+  hasSkipped: boolean;
 }
 
 /** An idle connection is not reused this shortly before its idle timeout. */
@@ -134,7 +136,13 @@
 
   /** Sends a request. The connection must be idle or new. */
   send(req: OutgoingRequest, handlers: ResponseHandlers): void {
-    this.#exchange = { req, handlers, hasDeliveredHead: false, isSent: false };
+    this.#exchange = {
+      req,
+      handlers,
+      hasDeliveredHead: false,
+      isSent: false,
+      hasSkipped: false,
+    };
     this.#bytesWithoutBody = 0;
     if (this.#isConnected) this.#write();
   }
@@ -279,20 +287,27 @@
   }
 
   /** Whether a response belongs to the request in flight. */
-  #isAwaited(head: ResponseHead, { req }: Exchange): boolean {
-    const { echoedRequestId, log } = this.#opts;
+  #isAwaited(head: ResponseHead, exchange: Exchange): boolean {
+    const { req } = exchange;
+    const { echoedRequestId } = this.#opts;
     if (!echoedRequestId) return true;
     const echoedId = echoedRequestId(head);
     if (echoedId === req.id) return true;
     if (echoedId === undefined && req.mayLackId) return true;
-    log.warn(
-      `skipping response to ${
-        echoedId ?? "no request"
-      }, expected one to ${req.id}`,
-    );
+    this.#logSkipped(echoedId, exchange);
     return false;
   }
 
+  /** Logs the first of an exchange; an upstream may send hundreds in a read. */
+  #logSkipped(echoedId: string | undefined, exchange: Exchange): void {
+    if (exchange.hasSkipped) return;
+    exchange.hasSkipped = true;
+    const skipped = echoedId ?? "no request";
+    this.#opts.log.warn(
+      `skipping response to ${skipped}, expected one to ${exchange.req.id}`,
+    );
+  }
+
   /** Bytes that follow a response belong to no request. */
   #onComplete(hasMoreBytes: boolean): void {
     if (this.#isSkipping) {
