Routing: a call that comes as a backoff ends is not refused

Cause, from the front's log: the refusal came 250 ms after a failed attempt, which is the backoff. The choice among candidates looked at the clock while it lasted, the choice among those in a backoff after it: the upstream was in neither. Ruled out: a front that was held up or cut off; calls before and after were served. Change: the second choice is among all upstreams in use.

--- a/packages/front/src/call_runner.ts
+++ b/packages/front/src/call_runner.ts
@@ -164,7 +164,7 @@
   /** Chooses an upstream that only a sibling may be able to connect to. */
   async #chooseOutOfReach(): Promise<TrackedUpstream | undefined> {
     if (!this.#opts.paths.hasRelay) return undefined;
-    return await this.#choice.chooseInBackoff();
+    return await this.#choice.chooseOutOfReach();
   }
 
   async #attempt(
--- a/packages/front/src/upstream_choice.ts
+++ b/packages/front/src/upstream_choice.ts
@@ -113,14 +113,15 @@
     return await this.#choosePermitted(() => this.#candidates());
   }
 
-  /** Chooses among the upstreams that could not be connected lately. */
-  async chooseInBackoff(): Promise<TrackedUpstream | undefined> {
-    return await this.#choosePermitted(() => {
-      const { upstreamRegistry, timer } = this.#opts;
-      const now = timer.monotonicNow();
-      return upstreamRegistry.inBackoff(this.#call.service, now)
-        .filter((it) => this.#mayServe(it));
-    });
+  /**
+   * Chooses among the upstreams that could not be connected lately, and those
+   * whose backoff has ended since the choice before.
+   */
+  async chooseOutOfReach(): Promise<TrackedUpstream | undefined> {
+    return await this.#choosePermitted(() =>
+      this.#opts.upstreamRegistry.acceptingOf(this.#call.service)
+        .filter((it) => this.#mayServe(it))
+    );
   }
 
   /** Time until an upstream that is limited may take the call, in ms. */
--- a/packages/routing/src/upstream_registry.ts
+++ b/packages/routing/src/upstream_registry.ts
@@ -203,15 +203,11 @@
 
   /** Returns the upstreams of a service that accept new requests. */
   candidates(service: string, now: number): TrackedUpstream[] {
-    return this.#accepting(service).filter((it) => now >= it.backoffUntil);
+    return this.acceptingOf(service).filter((it) => now >= it.backoffUntil);
   }
 
-  /** Returns the upstreams of a service that wait for the end of a backoff. */
-  inBackoff(service: string, now: number): TrackedUpstream[] {
-    return this.#accepting(service).filter((it) => now < it.backoffUntil);
-  }
-
-  #accepting(service: string): TrackedUpstream[] {
+  /** Returns the upstreams of a service that are in use, also in a backoff. */
+  acceptingOf(service: string): TrackedUpstream[] {
     const accepting: TrackedUpstream[] = [];
     for (const it of this.#upstreams.values()) {
       if (it.entry.service !== service || !this.acceptsRequests(it)) continue;
