Front tests: the stand-in of malformed responses answers well by its server

The stand-in wrote its sound responses around its server, for which the request then never ended, so that the server held back what came behind on that connection. A question goes there if the process of the upstream was not asked lately, which depends on the time. Change: sound responses are ended by the server. No check and no bound changed.

--- a/packages/front/test/malformed_response_test.ts
+++ b/packages/front/test/malformed_response_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "earl";
-import type { Socket } from "node:net";
+import type { ServerResponse } from "node:http";
 import process from "node:process";
 import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
@@ -218,12 +218,18 @@
 let malformed: Malformed | undefined;
 let nextId = 0;
 
-/** Answers with the current bytes, or well if there are none. */
-function writeResponse(id: string, path: string, socket: Socket): void {
+/**
+ * Answers with the current bytes, or well if there are none. Behind bytes that
+ * its server does not know of, a connection has no other response; a front
+ * closes it.
+ */
+function writeResponse(id: string, path: string, res: ServerResponse): void {
+  const { socket } = res.req;
   const marks = `x-id: ${id}\r\nx-mark: u\r\n`;
   const body = BODIES[path] ?? PLAIN_BODY;
   if (!malformed) {
-    socket.write(`HTTP/1.1 200 OK\r\n${marks}${withLength(body)}`);
+    res.setHeader("content-length", Buffer.byteLength(body));
+    res.end(body);
     return;
   }
   socket.write(malformed.bytes(marks, body), "latin1");
@@ -246,8 +252,7 @@
   for (const id of ["u1", "u2"]) {
     await cluster.addUpstream(
       id,
-      (received, res) =>
-        writeResponse(received.id, received.path, res.req.socket),
+      (received, res) => writeResponse(received.id, received.path, res),
     );
   }
   const path = new PathFault();
