--- a/review/lib-2/run.mjs
+++ b/review/lib-2/run.mjs
@@ -87,6 +87,13 @@
         });
       },
     );
+    // Node.js reports a reset that arrives with bytes as an end; the kernel then
+    // knows no other side any more.
+    req.on("socket", (socket) =>
+      socket.prependListener("end", () => {
+        if (socket.remoteAddress === undefined) result.error ||= "ECONNRESET";
+      })
+    );
     opts.signal?.addEventListener("abort", () => req.destroy());
     req.on("error", (err) => {
       result.error ||= err.code ?? err.message;
