--- a/review/lib-2/run.mjs
+++ b/review/lib-2/run.mjs
@@ -92,8 +92,7 @@
     req.on("socket", (socket) =>
       socket.prependListener("end", () => {
         if (socket.remoteAddress === undefined) result.error ||= "ECONNRESET";
-      })
-    );
+      }));
     opts.signal?.addEventListener("abort", () => req.destroy());
     req.on("error", (err) => {
       result.error ||= err.code ?? err.message;
