--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # review/lib-2 and in the folders of the cases: this checks that they compile.
 set -e
 cd "$(dirname "$0")"
-for file in lib-2/*.mjs [0-9]*/*.mjs; do
+for file in lib-2/*.mjs [6-9]/*.mjs 10/*.mjs; do
   if [ -e "$file" ]; then node --check "$file"; fi
 done
