--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -8,6 +8,8 @@
 export class Worker {
   /** Requests that began to run: { id, at, body, headers, events }. */
   runs = [];
+  /** Ids of the requests whose heads have arrived. */
+  heads = new Set();
   #open = new Set();
 
   /**
@@ -70,6 +72,7 @@
 
   async #serve(req, res) {
     const chunks = [];
+    this.heads.add(req.headers["request-id"]);
     try {
       for await (const chunk of req) chunks.push(chunk);
     } catch {
