--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -102,7 +102,6 @@
     Object.assign(headers, this.opts.extraHeaders?.(this, run) ?? {});
     res.on("close", () => run.isOver = true);
     if (this.opts.stream) await this.#stream(res, run, headers);
-    else if (this.opts.unframed) await this.#unframed(res, headers);
     else await this.#plain(res, run, headers);
   }
 
@@ -113,21 +112,6 @@
     res.writeHead(200, { ...headers, "Content-Length": body.length }).end(body);
   }
 
-  /** Answers with neither a length nor chunks; the end of the channel ends it. */
-  async #unframed(res, headers) {
-    const { bytes, pieceBytes, pieceMs } = this.opts.unframed;
-    res.on("error", () => {});
-    res.useChunkedEncodingByDefault = false;
-    res.removeHeader("transfer-encoding");
-    res.writeHead(200, { ...headers, "Content-Type": "application/octet-stream", "Connection": "close" });
-    for (let sent = 0; sent < bytes; sent += pieceBytes) {
-      if (res.destroyed) return;
-      res.write(Buffer.alloc(Math.min(pieceBytes, bytes - sent), 97));
-      await delay(pieceMs);
-    }
-    res.end();
-  }
-
   async #stream(res, run, headers) {
     const { events, gapMs, firstMs = gapMs } = this.opts.stream(run);
     const first = Number(run.headers["last-event-id"] ?? 0) + 1;
