--- a/review/lib-3/consumer.mjs
+++ b/review/lib-3/consumer.mjs
@@ -9,15 +9,49 @@
  * isWhole } when its answer is over; status 0 if there is none. `abort.now()`
  * closes the channel; `onEvent(event)` is called for each event of a stream.
  */
-export function send({ host, port }, { path, method = "POST", name = "site.example", body = "", headers = {}, id = newId(), timeoutMs = 8_000, onEvent, abort, agent = false }) {
+export function send(
+  { host, port },
+  {
+    path,
+    method = "POST",
+    name = "site.example",
+    body = "",
+    headers = {},
+    id = newId(),
+    timeoutMs = 8_000,
+    onEvent,
+    abort,
+    agent = false,
+  },
+) {
   return new Promise((done) => {
-    const answer = { id, sentAt: Date.now(), status: 0, headers: {}, body: "", events: [], isWhole: false };
+    const answer = {
+      id,
+      sentAt: Date.now(),
+      status: 0,
+      headers: {},
+      body: "",
+      events: [],
+      isWhole: false,
+    };
     const finish = () => {
       answer.endedAt ??= Date.now();
       clearTimeout(timer);
       done(answer);
     };
-    const req = request({ host, port, path, method, agent, headers: { host: name, "request-id": id, ...(method !== "GET" && { "content-length": Buffer.byteLength(body) }), ...headers } });
+    const req = request({
+      host,
+      port,
+      path,
+      method,
+      agent,
+      headers: {
+        host: name,
+        "request-id": id,
+        ...(method !== "GET" && { "content-length": Buffer.byteLength(body) }),
+        ...headers,
+      },
+    });
     const timer = setTimeout(() => req.destroy(), timeoutMs);
     if (abort) abort.now = () => req.destroy();
     req.on("error", finish);
--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -1,7 +1,15 @@
 // A small deployment: the programs of deploy/system.toml as separate processes
 // on loopback addresses, each with a settings file of the platform.
 import { spawn } from "node:child_process";
-import { closeSync, mkdirSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import {
+  closeSync,
+  mkdirSync,
+  mkdtempSync,
+  openSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { request } from "node:http";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -14,7 +22,9 @@
 /** Command of a role as the deploy file has it. */
 function commandOf(role) {
   const text = readFileSync(join(ROOT, "deploy/system.toml"), "utf8");
-  const runs = [...text.matchAll(/^run = "(.*)"$/gm)].map((it) => it[1].split(" "));
+  const runs = [...text.matchAll(/^run = "(.*)"$/gm)].map((it) =>
+    it[1].split(" ")
+  );
   return runs.find((it) => it.at(-1) === role);
 }
 
@@ -26,7 +36,21 @@
     this.store = store;
     this.net = net;
     this.tolerate = tolerate;
-    this.bounds = { stableWindowMs: 3000, ackMs: 4000, catchUpS: 4.3, drainMs: 2000, graceS: 8, lossSlackMs: 200, configApplyMs: 2000, downgradeSlackMs: 250, outerMs: 5000, recoverS: 12, passMs: 120, ttl_max_s: 5, ...bounds };
+    this.bounds = {
+      stableWindowMs: 3000,
+      ackMs: 4000,
+      catchUpS: 4.3,
+      drainMs: 2000,
+      graceS: 8,
+      lossSlackMs: 200,
+      configApplyMs: 2000,
+      downgradeSlackMs: 250,
+      outerMs: 5000,
+      recoverS: 12,
+      passMs: 120,
+      ttl_max_s: 5,
+      ...bounds,
+    };
     this.folder = mkdtempSync(join(tmpdir(), "review-"));
   }
 
@@ -34,7 +58,16 @@
   async add(name, role, { zone = "north" } = {}) {
     const ip = `127.0.${this.net}.${this.hosts.size + 1}`;
     const ports = await freePorts(ip, 4);
-    const host = { name, role, zone, ip, ports, isFirst: true, lives: 0, folder: join(this.folder, name) };
+    const host = {
+      name,
+      role,
+      zone,
+      ip,
+      ports,
+      isFirst: true,
+      lives: 0,
+      folder: join(this.folder, name),
+    };
     mkdirSync(join(host.folder, "data"), { recursive: true });
     host.caller = { host: ip, port: ports[0] };
     this.hosts.set(name, host);
@@ -42,25 +75,70 @@
   }
 
   seeds() {
-    return [...this.hosts.values()].filter((it) => it.role === "front").slice(0, 3).map((it) => `${it.ip}:${it.ports[2]}`);
+    return [...this.hosts.values()].filter((it) => it.role === "front").slice(
+      0,
+      3,
+    ).map((it) => `${it.ip}:${it.ports[2]}`);
   }
 
   writeSettings(host) {
     const { name, role, zone, ip, ports, isFirst } = host;
     const isFront = role === "front";
     const settings = {
-      node: name, role: isFront ? "front" : "turns", machineClass: isFront ? "front" : "storage",
+      node: name,
+      role: isFront ? "front" : "turns",
+      machineClass: isFront ? "front" : "storage",
       serves: isFront ? ["front", "directory", "control"] : ["storage"],
-      ip, zone, region: "r", zones: { north: "r" },
+      ip,
+      zone,
+      region: "r",
+      zones: { north: "r" },
       listen: isFront
-        ? { front: `${ip}:${ports[0]}`, ready: `${ip}:${ports[1]}`, control: `${ip}:${ports[2]}`, directory: `${ip}:${ports[3]}` }
+        ? {
+          front: `${ip}:${ports[0]}`,
+          ready: `${ip}:${ports[1]}`,
+          control: `${ip}:${ports[2]}`,
+          directory: `${ip}:${ports[3]}`,
+        }
         : { control: `${ip}:${ports[2]}` },
-      portRange: [7380, 7395], seeds: this.seeds(), bootstrap: isFirst, inTolerance: !isFront,
-      limits: { cpuShare: 0.675, cores: 1, memoryMb: isFront ? 200 : 220, maxFds: 4100, linkMbps: 1000, diskMb: isFront ? 0 : 350 },
-      dataDir: isFront ? null : join(host.folder, "data"), discovery: "platform", entry: "directory", beatIntervalMs: 1200,
-      contracts: ["base", "drain", "config", "cost", "recover", "agent", "stream", "engine", "platform"],
-      tolerate: { machines: this.tolerate, zones: 0, regions: 0 }, bounds: this.bounds,
-      platform: { address: this.store.address, form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000 },
+      portRange: [7380, 7395],
+      seeds: this.seeds(),
+      bootstrap: isFirst,
+      inTolerance: !isFront,
+      limits: {
+        cpuShare: 0.675,
+        cores: 1,
+        memoryMb: isFront ? 200 : 220,
+        maxFds: 4100,
+        linkMbps: 1000,
+        diskMb: isFront ? 0 : 350,
+      },
+      dataDir: isFront ? null : join(host.folder, "data"),
+      discovery: "platform",
+      entry: "directory",
+      beatIntervalMs: 1200,
+      contracts: [
+        "base",
+        "drain",
+        "config",
+        "cost",
+        "recover",
+        "agent",
+        "stream",
+        "engine",
+        "platform",
+      ],
+      tolerate: { machines: this.tolerate, zones: 0, regions: 0 },
+      bounds: this.bounds,
+      platform: {
+        address: this.store.address,
+        form: "kv",
+        writesPerS: 400,
+        readsPerS: 2000,
+        historyS: 20,
+        valueBytes: 1048576,
+        ttlMinMs: 1000,
+      },
     };
     host.settingsFile = join(host.folder, "node.yaml");
     writeFileSync(host.settingsFile, JSON.stringify(settings));
@@ -75,10 +153,16 @@
     host.child = spawn(program, args, {
       cwd: ROOT,
       stdio: ["ignore", log, log],
-      env: { PATH: process.env.PATH, HOME: process.env.HOME, TOUCANTRESTLE_NODE_FILE: host.settingsFile },
+      env: {
+        PATH: process.env.PATH,
+        HOME: process.env.HOME,
+        TOUCANTRESTLE_NODE_FILE: host.settingsFile,
+      },
     });
     closeSync(log);
-    host.exited = new Promise((done) => host.child.on("exit", (status, signal) => done({ status, signal })));
+    host.exited = new Promise((done) =>
+      host.child.on("exit", (status, signal) => done({ status, signal }))
+    );
   }
 
   startAll() {
@@ -122,7 +206,12 @@
 
 function readiness({ ip, ports }) {
   return new Promise((done) => {
-    const req = request({ host: ip, port: ports[1], path: "/v1/readiness", agent: false }, (res) => {
+    const req = request({
+      host: ip,
+      port: ports[1],
+      path: "/v1/readiness",
+      agent: false,
+    }, (res) => {
       res.resume();
       done(res.statusCode);
     });
--- a/review/lib-3/run.mjs
+++ b/review/lib-3/run.mjs
@@ -23,17 +23,30 @@
   const workers = [];
   let deployment;
   let status = 2;
-  const limit = new Promise((_, fail) => setTimeout(() => fail(new Error("out of time")), LIMIT_MS).unref());
+  const limit = new Promise((_, fail) =>
+    setTimeout(() => fail(new Error("out of time")), LIMIT_MS).unref()
+  );
   try {
     await store.listen(`127.0.${net}.200`);
     deployment = new Deployment({ store, net, ...opts });
     const addWorker = async (it) => {
-      const worker = new Worker({ store, host: `127.0.${net}.${100 + workers.length}`, ...it });
+      const worker = new Worker({
+        store,
+        host: `127.0.${net}.${100 + workers.length}`,
+        ...it,
+      });
       workers.push(worker);
       await worker.start();
       return worker;
     };
-    const run = body({ deployment, store, record, addWorker, workers, isTrouble });
+    const run = body({
+      deployment,
+      store,
+      record,
+      addWorker,
+      workers,
+      isTrouble,
+    });
     const { isBroken, couldRun = true } = await Promise.race([run, limit]);
     if (isBroken) status = 1;
     else if (couldRun) status = 0;
@@ -43,7 +56,10 @@
   record(`exit ${status}`);
   if (process.env.KEEP_LOGS && deployment) {
     for (const host of deployment.hosts.values()) {
-      writeFileSync(join(process.env.KEEP_LOGS, `${host.name}.log`), deployment.log(host));
+      writeFileSync(
+        join(process.env.KEEP_LOGS, `${host.name}.log`),
+        deployment.log(host),
+      );
     }
   }
   await deployment?.close();
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -30,7 +30,11 @@
 
   /** A write of the operator or of a worker. */
   put(key, value, lease = 0) {
-    this.#set(key, Buffer.from(JSON.stringify(value)).toString("base64"), lease);
+    this.#set(
+      key,
+      Buffer.from(JSON.stringify(value)).toString("base64"),
+      lease,
+    );
   }
 
   remove(key) {
@@ -95,7 +99,10 @@
     if (call === "kv-txn") return this.#txn(body);
     if (call === "kv-lease") {
       const lease = this.#nextLease++;
-      this.#leases.set(lease, { ttlMs: body.ttlMs, until: Date.now() + body.ttlMs });
+      this.#leases.set(lease, {
+        ttlMs: body.ttlMs,
+        until: Date.now() + body.ttlMs,
+      });
       return [200, { lease, ttlMs: body.ttlMs }];
     }
     if (call === "kv-keep") {
@@ -142,14 +149,19 @@
   }
 
   #txn({ expectedRev = [], setKeys = [], remove = [] }) {
-    const isCurrent = ({ key, rev }) => (this.#items.get(key)?.rev ?? 0) === rev;
+    const isCurrent = ({ key, rev }) =>
+      (this.#items.get(key)?.rev ?? 0) === rev;
     if (!expectedRev.every(isCurrent)) {
-      const items = expectedRev.map(({ key }) => this.#items.get(key) ?? { key, rev: 0 });
+      const items = expectedRev.map(({ key }) =>
+        this.#items.get(key) ?? { key, rev: 0 }
+      );
       return [412, { items }];
     }
     const isGone = ({ lease }) => lease > 0 && !this.#leases.has(lease);
     if (setKeys.some(isGone)) return [404, {}];
-    for (const { key, value, lease = 0 } of setKeys) this.#set(key, value, lease);
+    for (const { key, value, lease = 0 } of setKeys) {
+      this.#set(key, value, lease);
+    }
     for (const key of remove) this.remove(key);
     return [200, { rev: this.#rev }];
   }
--- a/review/lib-3/uploads.mjs
+++ b/review/lib-3/uploads.mjs
@@ -34,7 +34,9 @@
       return;
     }
     this.answer = new Promise((done) => this.#waiting = done);
-    this.socket.write(`POST ${path} HTTP/1.1\r\nHost: site.example\r\nRequest-Id: ${this.id}\r\nDeadline-Ms: 8000\r\nContent-Length: ${bytes}\r\n\r\n`);
+    this.socket.write(
+      `POST ${path} HTTP/1.1\r\nHost: site.example\r\nRequest-Id: ${this.id}\r\nDeadline-Ms: 8000\r\nContent-Length: ${bytes}\r\n\r\n`,
+    );
   }
 
   /** Sends the next piece; returns its size. */
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -63,7 +63,6 @@
     for (const socket of this.#open) socket.resetAndDestroy();
   }
 
-
   close() {
     clearInterval(this.beat);
     this.server.closeAllConnections();
@@ -89,13 +88,37 @@
       return res.writeHead(200, { "Instance-Id": this.id }).end();
     }
     if (req.url.startsWith("/v1/report")) {
-      const report = { stage: "both", models: [{ name: "m", version: 1, adapters: [] }], busy: false, seq: 0, waiting: 0, running: 0, kvUsed: 0, kvTotal: 90_000, handles: 0, born: this.born };
-      return res.writeHead(200, { "Content-Type": "application/json" }).end(JSON.stringify(report));
+      const report = {
+        stage: "both",
+        models: [{ name: "m", version: 1, adapters: [] }],
+        busy: false,
+        seq: 0,
+        waiting: 0,
+        running: 0,
+        kvUsed: 0,
+        kvTotal: 90_000,
+        handles: 0,
+        born: this.born,
+      };
+      return res.writeHead(200, { "Content-Type": "application/json" }).end(
+        JSON.stringify(report),
+      );
     }
     if (id === undefined) {
       return res.writeHead(400, { "Not-Executed": "1" }).end();
     }
-    const run = { id, at: Date.now(), body: Buffer.concat(chunks), headers: req.headers, url: req.url, method: req.method, events: 0, worker: this.id, socket: req.socket, isOver: false };
+    const run = {
+      id,
+      at: Date.now(),
+      body: Buffer.concat(chunks),
+      headers: req.headers,
+      url: req.url,
+      method: req.method,
+      events: 0,
+      worker: this.id,
+      socket: req.socket,
+      isOver: false,
+    };
     this.runs.push(run);
     this.opts.onRun?.(run);
     headers["Server-Seal"] = `seal.${this.id}.${id}`;
